--- /dev/null
+++ b/src/gooseberrydeal/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the private parts of gooseberrydeal."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the entry points of the programs."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each operator command."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/drain.py
@@ -0,0 +1,46 @@
+"""Declare that a backend server leaves, so that it gets no new work."""
+
+from typing import Annotated
+
+import typer
+
+from gooseberrydeal._internal.commands.common import (
+    SettingsOption,
+    run,
+    settings_of,
+)
+from gooseberrydeal._internal.exceptions import DeclarationError
+from gooseberrydeal._internal.models.ids import EntryKey, RevisionNumber
+from gooseberrydeal._internal.models.settings import CtlSettings
+from gooseberrydeal._internal.network.etcd_store import EtcdStore
+from gooseberrydeal._internal.operations.publisher import Publisher
+
+
+def drain(
+    server: Annotated[str, typer.Argument(help="Backend server.")],
+    settings: SettingsOption,
+    undo: Annotated[bool, typer.Option(help="Let it serve again.")] = False,
+) -> None:
+    """Drain a backend server."""
+    state = "serving" if undo else "leaving"
+    number = run(_set_state(settings_of(settings), server, state))
+    typer.echo(f"revision {number}: {server} is {state}")
+    typer.echo("change its declaration too, or the next submit will undo this")
+
+
+async def _set_state(settings: CtlSettings, server: str, state: str) -> int:
+    store = EtcdStore.from_url(settings.platform.store)
+    try:
+        publisher = Publisher(store, settings.author)
+        current = await publisher.current()
+        key = EntryKey(f"server/{server}")
+        if key not in current.entries:
+            raise DeclarationError(
+                [f"{key} is not declared; see gooseberry-ctl status"]
+            )
+        entries = dict(current.entries)
+        entries[key] = {**entries[key], "state": state}
+        number = RevisionNumber(current.number + 1)
+        return (await publisher.publish(current, entries, number)).number
+    finally:
+        await store.close()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/restore.py
@@ -0,0 +1,50 @@
+"""Bring a platform that came back older forward to what the fleet has in force."""
+
+import asyncio
+
+import typer
+
+from gooseberrydeal._internal.commands.common import (
+    SettingsOption,
+    run,
+    settings_of,
+)
+from gooseberrydeal._internal.exceptions import ConflictError, PeerUnreachableError
+from gooseberrydeal._internal.models.ids import RevisionNumber
+from gooseberrydeal._internal.models.settings import CtlSettings
+from gooseberrydeal._internal.network.etcd_store import EtcdStore
+from gooseberrydeal._internal.operations.fleet_client import FleetClient
+from gooseberrydeal._internal.operations.publisher import Publisher
+from gooseberrydeal._internal.policy.configuration_chunks import join
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+_CHUNK_SECONDS = 10.0
+
+
+def restore(settings: SettingsOption) -> None:
+    """Publish the fleet's configuration anew."""
+    number = run(_restore(settings_of(settings)))
+    typer.echo(f"revision {number} is published with what the fleet has in force")
+
+
+async def _restore(settings: CtlSettings) -> int:
+    store = EtcdStore.from_url(settings.platform.store)
+    client = FleetClient(settings, SystemClock())
+    try:
+        await client.connect()
+        async with asyncio.timeout(_CHUNK_SECONDS):
+            offer, chunks = await client.configuration()
+        publisher = Publisher(store, settings.author)
+        current = await publisher.current()
+        if current.number >= offer.number:
+            raise ConflictError(
+                f"the platform has revision {current.number}, the fleet has "
+                f"{offer.number}; nothing has to be restored"
+            )
+        number = RevisionNumber(offer.number + 1)
+        return (await publisher.publish(current, join(chunks), number)).number
+    except TimeoutError as error:
+        raise PeerUnreachableError("the keeper did not send its chunks") from error
+    finally:
+        await client.close()
+        await store.close()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/status.py
@@ -0,0 +1,83 @@
+"""Show the nodes, servers, owners and alarms of the fleet."""
+
+import dataclasses
+
+from rich.console import Console
+from rich.table import Table
+
+from gooseberrydeal._internal.commands.common import (
+    JsonOption,
+    SettingsOption,
+    print_json,
+    run,
+    settings_of,
+)
+from gooseberrydeal._internal.models.settings import CtlSettings
+from gooseberrydeal._internal.operations.fleet_client import FleetClient
+from gooseberrydeal._internal.policy.fleet_view import FleetView
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+
+def status(settings: SettingsOption, as_json: JsonOption = False) -> None:
+    """Show the state of the fleet."""
+    view = run(read_view(settings_of(settings)))
+    if as_json:
+        print_json(
+            {
+                "hosts": [dataclasses.asdict(item) for item in view.hosts.values()],
+                "servers": [dataclasses.asdict(item) for item in view.servers.values()],
+            }
+        )
+        return
+    console = Console()
+    console.print(host_table(view))
+    console.print(server_table(view))
+
+
+async def read_view(settings: CtlSettings) -> FleetView:
+    """Return the fleet as one keeper sees it."""
+    client = FleetClient(settings, SystemClock())
+    try:
+        await client.connect()
+        return client.view
+    finally:
+        await client.close()
+
+
+def host_table(view: FleetView) -> Table:
+    """Return a table of the entry hosts."""
+    table = Table(title="entry hosts")
+    for name in ("host", "domain", "revision", "state", "platform", "loads", "alarms"):
+        table.add_column(name)
+    for report in sorted(view.hosts.values(), key=lambda item: item.host):
+        table.add_row(
+            report.host,
+            report.domain,
+            str(report.revision),
+            "leaving" if report.is_leaving else "serving",
+            "reachable" if report.platform_reachable else "UNREACHABLE",
+            f"{report.waiting_loads} waiting",
+            ", ".join(report.alarms) or "-",
+        )
+    return table
+
+
+def server_table(view: FleetView) -> Table:
+    """Return a table of the backend servers."""
+    table = Table(title="backend servers")
+    columns = ("server", "owner", "epoch", "accepts", "running", "queued", "wait")
+    for name in (*columns, "slowdown", "adapters"):
+        table.add_column(name)
+    for report in sorted(view.servers.values(), key=lambda item: item.server):
+        table.add_row(
+            report.server,
+            report.owner,
+            str(report.epoch),
+            "yes" if report.accepts else "NO",
+            f"{report.running}/{report.concurrency}",
+            str(report.queued),
+            f"{report.wait_seconds:.2f} s",
+            f"{report.slowdown:.1f}x",
+            str(sum(1 for copy in report.copies if copy.is_ready)),
+        )
+    return table
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/submit.py
@@ -0,0 +1,89 @@
+"""Publish a printed configuration that was reviewed against a base revision."""
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from gooseberrydeal._internal.commands.common import (
+    DocumentArgument,
+    JsonOption,
+    SettingsOption,
+    entries_of,
+    print_json,
+    run,
+    settings_of,
+)
+from gooseberrydeal._internal.models.entries import Entry
+from gooseberrydeal._internal.models.settings import CtlSettings
+from gooseberrydeal._internal.network.etcd_store import EtcdStore
+from gooseberrydeal._internal.operations.fleet_client import FleetClient
+from gooseberrydeal._internal.operations.publisher import Publisher
+from gooseberrydeal._internal.status_codes import ExitCode
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+_POLL_SECONDS = 0.1
+
+
+def submit(
+    document: DocumentArgument,
+    settings: SettingsOption,
+    base: Annotated[
+        int, typer.Option(help="Revision against which the change was reviewed.")
+    ],
+    rebase: Annotated[
+        bool, typer.Option(help="Keep later changes of others to other entries.")
+    ] = False,
+    wait: Annotated[
+        float, typer.Option(help="Seconds to wait for all nodes; 0 does not wait.")
+    ] = 0.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Publish a configuration."""
+    entries = entries_of(document)
+    checked = settings_of(settings)
+    number = run(_publish(checked, entries, base, rebases=rebase))
+    late = run(late_hosts(checked, number, wait)) if wait > 0 else []
+    if as_json:
+        print_json({"revision": number, "late": late})
+    else:
+        typer.echo(f"revision {number} is published")
+        if wait > 0 and not late:
+            typer.echo("in force on every node that can be reached")
+    if late:
+        typer.echo(f"not in force yet on: {', '.join(late)}", err=True)
+        raise typer.Exit(ExitCode.NOT_ADOPTED)
+
+
+async def _publish(
+    settings: CtlSettings, entries: list[Entry], base: int, *, rebases: bool
+) -> int:
+    store = EtcdStore.from_url(settings.platform.store)
+    try:
+        publisher = Publisher(store, settings.author)
+        revision = await publisher.submit(entries, base, rebases=rebases)
+        return revision.number
+    finally:
+        await store.close()
+
+
+async def late_hosts(settings: CtlSettings, number: int, seconds: float) -> list[str]:
+    """Wait for a revision; return the hosts that don't have it in time."""
+    client = FleetClient(settings, SystemClock())
+    try:
+        await client.connect()
+        late: list[str] = []
+        try:
+            async with asyncio.timeout(seconds):
+                while late := _behind(client, number):
+                    await asyncio.sleep(_POLL_SECONDS)
+        except TimeoutError:
+            return late
+        return []
+    finally:
+        await client.close()
+
+
+def _behind(client: FleetClient, number: int) -> list[str]:
+    hosts = client.view.hosts.values()
+    return sorted(report.host for report in hosts if report.revision < number)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/commands/top.py
@@ -0,0 +1,45 @@
+"""Watch the fleet live."""
+
+import asyncio
+import contextlib
+from typing import Annotated
+
+import typer
+from rich.console import Group
+from rich.live import Live
+
+from gooseberrydeal._internal.commands.common import (
+    SettingsOption,
+    run,
+    settings_of,
+)
+from gooseberrydeal._internal.commands.status import host_table, server_table
+from gooseberrydeal._internal.models.settings import CtlSettings
+from gooseberrydeal._internal.operations.fleet_client import FleetClient
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+_REFRESH_SECONDS = 0.5
+
+
+def top(
+    settings: SettingsOption,
+    seconds: Annotated[float, typer.Option(help="End after; 0 never ends.")] = 0.0,
+) -> None:
+    """Watch the fleet."""
+    with contextlib.suppress(KeyboardInterrupt):
+        run(_watch(settings_of(settings), seconds))
+
+
+async def _watch(settings: CtlSettings, seconds: float) -> None:
+    client = FleetClient(settings, SystemClock())
+    try:
+        await client.connect()
+        with Live(refresh_per_second=2) as live:
+            left = seconds or float("inf")
+            while left > 0:
+                view = client.view
+                live.update(Group(host_table(view), server_table(view)))
+                await asyncio.sleep(_REFRESH_SECONDS)
+                left -= _REFRESH_SECONDS
+    finally:
+        await client.close()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the library with which operators declare a configuration."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Hold stand-ins of outside systems and the experiment tool."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/demo.py
@@ -0,0 +1,140 @@
+"""Show adapters served, from declaration to answer."""
+
+import asyncio
+import random
+from collections import Counter
+from datetime import UTC, datetime
+from typing import Final
+
+from rich.console import Console
+from rich.table import Table
+
+from gooseberrydeal._internal.lab.answer_text import answer_words
+from gooseberrydeal._internal.lab.lab_client import CallResult, LabClient
+from gooseberrydeal._internal.lab.lab_cluster import LabCluster
+from gooseberrydeal._internal.lab.lab_configuration import (
+    CALLER_KEY,
+    PLAIN_SERVICE,
+    adapter_name,
+)
+from gooseberrydeal._internal.lab.lab_plan import LabPlan
+
+_REQUESTS: Final = 300
+_ADAPTERS_ASKED: Final = 16
+_TOKENS: Final = 12
+_SEED: Final = 7
+_RATE: Final = 30.0
+_PERCENT: Final = 100
+
+
+class Demo:
+    """Send a few hundred requests and check each answer."""
+
+    def __init__(self) -> None:
+        self._cluster = LabCluster(LabPlan(name="demo", short_deadline_seconds=10.0))
+        self._console = Console()
+        self._random = random.Random(_SEED)
+        self._results: list[CallResult] = []
+        self._wrong = 0
+        self._refusals: Counter[str] = Counter()
+
+    async def run(self, *, keep: bool) -> bool:
+        """Return whether every answer was whole and from the right copy."""
+        self._console.print("starting platform, 9 engines, 3 plain servers, 3 hosts")
+        await self._cluster.start()
+        try:
+            return await self._run(keep=keep)
+        finally:
+            await self._cluster.stop()
+
+    async def _run(self, *, keep: bool) -> bool:
+        clients = [LabClient(url) for url in self._cluster.entry_urls]
+        first_engine = next(iter(self._cluster.engines.values()))
+        first_engine.app.faults.failing_loads = 1
+        self._console.print(f"sending {_REQUESTS} completions")
+        await self._send_all(clients)
+        is_once = await self._redeem_twice(clients)
+        self._report(is_once=is_once)
+        if keep:
+            await self._stay_up()
+        for client in clients:
+            await client.close()
+        whole = sum(1 for result in self._results if result.is_whole)
+        return self._wrong == 0 and whole == _REQUESTS and is_once
+
+    async def _send_all(self, clients: list[LabClient]) -> None:
+        tasks = []
+        for number in range(_REQUESTS):
+            client = clients[number % len(clients)]
+            tasks.append(asyncio.create_task(self._send(client, number)))
+            await asyncio.sleep(self._random.expovariate(_RATE))
+        await asyncio.gather(*tasks)
+
+    async def _send(self, client: LabClient, number: int) -> None:
+        rank = min(int(self._random.paretovariate(0.9)), _ADAPTERS_ASKED) - 1
+        version = "v1" if number % 5 == 0 else "v2"
+        name = adapter_name(rank)
+        prompt = f"question {number}"
+        result = await client.complete(f"{name}@{version}", prompt, tokens=_TOKENS)
+        self._results.append(result)
+        wanted = "".join(answer_words(f"{name}@{version}", prompt, _TOKENS))
+        if result.status == 200 and result.text != wanted:  # noqa: PLR2004
+            self._wrong += 1
+        if result.reason:
+            self._refusals[result.reason] += 1
+
+    async def _redeem_twice(self, clients: list[LabClient]) -> bool:
+        """Send a call that must not be repeated over two entries."""
+        stamp = datetime.now(UTC).strftime("%Y%m%dT%H%M%SZ")
+        headers = {
+            "Idempotency-Key": f"{stamp}-demo{self._random.randrange(10**9):09d}"
+        }
+        body = {"bond": "B-1", "cents": 1000}
+        first = await clients[0].call(PLAIN_SERVICE, "redeem", body, headers=headers)
+        await asyncio.sleep(0.2)
+        second = await clients[1].call(PLAIN_SERVICE, "redeem", body, headers=headers)
+        booked = sum(
+            sum(service.bookings.values())
+            for service in self._cluster.services.values()
+        )
+        return first.is_whole and second.is_whole and booked == 1
+
+    def _report(self, *, is_once: bool) -> None:
+        table = Table(title="demo")
+        table.add_column("measure")
+        table.add_column("value", justify="right")
+        firsts = sorted(r.first_seconds for r in self._results if r.first_seconds)
+        weights = self._cluster.platform.weights
+        rows = {
+            "requests": len(self._results),
+            "whole answers": sum(1 for r in self._results if r.is_whole),
+            "answers of a wrong adapter or version": self._wrong,
+            "adapter loads": weights.fetches,
+            "fetches over the store's rate": weights.refused,
+            "not-repeatable call booked once": "yes" if is_once else "NO",
+            "p50 first token, ms": _milliseconds(firsts, 50),
+            "p99 first token, ms": _milliseconds(firsts, 99),
+        }
+        for name, value in rows.items():
+            table.add_row(name, str(value))
+        for reason, count in self._refusals.items():
+            table.add_row(f"refused: {reason}", str(count))
+        self._console.print(table)
+
+    async def _stay_up(self) -> None:
+        url = self._cluster.entry_urls[0]
+        self._console.print(
+            f"curl -N {url}/v1/completions -H 'Authorization: Bearer {CALLER_KEY}' "
+            f"-H 'Content-Type: application/json' -d "
+            '\'{"model": "first", "prompt": "hello", "stream": true}\'',
+            soft_wrap=True,
+        )
+        self._console.print("press Ctrl-C to end")
+        await asyncio.Event().wait()
+
+
+def _milliseconds(ordered: list[float], percent: int) -> str:
+    if not ordered:
+        return "-"
+    index = min(len(ordered) - 1, len(ordered) * percent // _PERCENT)
+    return f"{ordered[index] * 1000:.1f}"
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/engine_app.py
@@ -0,0 +1,352 @@
+"""Serve a model engine stand-in in the style of today's engines."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from gooseberrydeal._internal.lab.answer_text import answer_words
+from gooseberrydeal._internal.lab.engine_faults import EngineFaults
+from gooseberrydeal._internal.lab.engine_log import EngineLog, RunRecord
+from gooseberrydeal._internal.lab.engine_model import EngineModel
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+_BASE_MODEL: Final = "base"
+_NEVER_SECONDS: Final = 3600.0
+_KEPT_RUNS: Final = 256
+_TOKENS_BEFORE_FAULT: Final = 2
+_RESUME_SECONDS: Final = 20.0
+
+Fetch = Callable[[str], Awaitable[bool]]
+
+
+@dataclass
+class _Run:
+    copy: str
+    is_chat: bool
+    words: list[str]
+    produced: int = 0
+    is_cancelled: bool = False
+    readers: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def is_done(self) -> bool:
+        return self.is_cancelled or self.produced >= len(self.words)
+
+    def signal(self) -> None:
+        event = self.changed
+        self.changed = asyncio.Event()
+        event.set()
+
+
+class EngineApp:
+    """Batch continuously, load adapters, resume and cancel streams."""
+
+    def __init__(
+        self,
+        name: str,
+        model: EngineModel,
+        fetch: Fetch,
+        *,
+        checks_fencing: bool = False,
+        on_crash: Callable[[], None] | None = None,
+    ) -> None:
+        self._name = name
+        self._model = model
+        self._fetch = fetch
+        self._checks_fencing = checks_fencing
+        self._on_crash = on_crash
+        self._faults = EngineFaults()
+        self._log = EngineLog()
+        self._copies: dict[str, str] = {}
+        self._loading: set[str] = set()
+        self._running: Counter[str] = Counter()
+        self._waiting: list[tuple[int, int, asyncio.Event]] = []
+        self._sequence = 0
+        self._fencing = 0
+        self._runs: dict[str, _Run] = {}
+        self._tasks = TaskOwner()
+
+    @property
+    def faults(self) -> EngineFaults:
+        """Return the switches of its faults."""
+        return self._faults
+
+    @property
+    def log(self) -> EngineLog:
+        """Return what the engine really did."""
+        return self._log
+
+    @property
+    def copies(self) -> dict[str, str]:
+        """Return the loaded copies."""
+        return self._copies
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/models", self._models),
+                Route("/load", self._load_report),
+                Route("/health", self._health),
+                Route("/v1/load_lora_adapter", self._load, methods=["POST"]),
+                Route("/v1/unload_lora_adapter", self._unload, methods=["POST"]),
+                Route("/v1/completions", self._complete, methods=["POST"]),
+                Route("/v1/chat/completions", self._chat, methods=["POST"]),
+                Route("/v1/responses/{id}", self._resume, methods=["GET"]),
+                Route("/v1/responses/{id}/cancel", self._cancel, methods=["POST"]),
+            ]
+        )
+
+    async def restart(self) -> None:
+        """Forget everything, as after a crash."""
+        await self._tasks.stop()
+        self._copies.clear()
+        self._loading.clear()
+        self._running.clear()
+        self._waiting.clear()
+        self._runs.clear()
+        self._fencing = 0
+
+    async def _health(self, request: Request) -> Response:
+        return JSONResponse({"status": "ok"})
+
+    async def _models(self, request: Request) -> Response:
+        data = [{"id": _BASE_MODEL, "object": "model", "root": _BASE_MODEL}]
+        data += [
+            {"id": copy, "object": "model", "root": path, "parent": _BASE_MODEL}
+            for copy, path in self._copies.items()
+        ]
+        return JSONResponse({"object": "list", "data": data})
+
+    async def _load_report(self, request: Request) -> Response:
+        running = {copy: count for copy, count in self._running.items() if count}
+        return JSONResponse(
+            {
+                "server_load": sum(running.values()) + len(self._waiting),
+                "running_lora_adapters": running,
+            }
+        )
+
+    async def _load(self, request: Request) -> Response:
+        if self._is_stale(request):
+            return _error(412, "the order has an old fencing number")
+        body = await request.json()
+        copy, path = str(body["lora_name"]), str(body["lora_path"])
+        if copy in self._copies:
+            return _error(400, f"{copy} is already loaded")
+        if len(self._copies) + len(self._loading) >= self._model.adapter_slots:
+            return _error(409, "no adapter slot is free")
+        self._loading.add(copy)
+        try:
+            is_fetched = await self._fetch(path)
+        finally:
+            self._loading.discard(copy)
+        if not is_fetched or self._faults.failing_loads > 0 or self._is_broken(copy):
+            self._faults.failing_loads = max(0, self._faults.failing_loads - 1)
+            self._log.failed_loads += 1
+            return _error(500, f"{copy} could not be loaded")
+        self._copies[copy] = path
+        self._log.loads += 1
+        return JSONResponse({"loaded": copy})
+
+    async def _unload(self, request: Request) -> Response:
+        if self._is_stale(request):
+            return _error(412, "the order has an old fencing number")
+        copy = str((await request.json())["lora_name"])
+        if copy not in self._copies:
+            return _error(404, f"{copy} is not loaded")
+        if self._running[copy] > 0:
+            self._log.evicted_in_use += 1
+        del self._copies[copy]
+        self._log.unloads += 1
+        return JSONResponse({"unloaded": copy})
+
+    async def _complete(self, request: Request) -> Response:
+        body = await request.json()
+        return self._begin(request, body, str(body.get("prompt", "")), is_chat=False)
+
+    async def _chat(self, request: Request) -> Response:
+        body = await request.json()
+        prompt = json.dumps(body.get("messages", []), sort_keys=True)
+        return self._begin(request, body, prompt, is_chat=True)
+
+    def _begin(
+        self, request: Request, body: dict[str, Any], prompt: str, *, is_chat: bool
+    ) -> Response:
+        copy = str(body.get("model"))
+        if copy not in self._copies:
+            return _error(404, f"the model {copy} does not exist")
+        request_id = request.headers.get("x-request-id", "none")
+        if self._faults.crash_word in prompt:
+            self._log.runs.append(RunRecord(request_id, copy, self._name))
+            if self._on_crash is not None:
+                self._on_crash()
+            return _error(500, "the engine is crashing")
+        run = _Run(copy, is_chat, answer_words(copy, prompt, _wanted(body)))
+        self._forget_old_runs()
+        self._runs[request_id] = run
+        self._log.runs.append(RunRecord(request_id, copy, self._name))
+        self._running[copy] += 1
+        priority = int(body.get("priority", 0))
+        self._tasks.start(self._generate(run, priority), f"run {request_id}")
+        return self._stream(request_id, run, 0)
+
+    async def _resume(self, request: Request) -> Response:
+        request_id = request.path_params["id"]
+        run = self._runs.get(request_id)
+        if run is None or run.is_cancelled:
+            return _error(404, "no such request")
+        offset = int(request.query_params.get("starting_after", 0))
+        return self._stream(request_id, run, offset)
+
+    async def _cancel(self, request: Request) -> Response:
+        run = self._runs.get(request.path_params["id"])
+        if run is None:
+            return _error(404, "no such request")
+        run.is_cancelled = True
+        run.signal()
+        return JSONResponse({"status": "cancelled"})
+
+    async def _generate(self, run: _Run, priority: int) -> None:
+        try:
+            await self._enter_batch(priority)
+            if run.is_cancelled:
+                return
+            await asyncio.sleep(self._model.prefill_seconds * self._faults.slowdown)
+            while not run.is_done:
+                run.produced += 1
+                self._log.tokens += 1
+                run.signal()
+                await asyncio.sleep(self._pace())
+        finally:
+            self._running[run.copy] -= 1
+            self._leave_batch()
+            run.signal()
+
+    def _pace(self) -> float:
+        adapters = sum(1 for count in self._running.values() if count > 0)
+        running = min(self._model.concurrency, sum(self._running.values()))
+        return self._model.token_time(running, adapters) * self._faults.slowdown
+
+    async def _enter_batch(self, priority: int) -> None:
+        if sum(self._running.values()) <= self._model.concurrency:
+            return
+        self._sequence += 1
+        event = asyncio.Event()
+        self._waiting.append((priority, self._sequence, event))
+        self._waiting.sort(key=lambda item: item[:2])
+        await event.wait()
+
+    def _leave_batch(self) -> None:
+        if self._waiting:
+            self._waiting.pop(0)[2].set()
+
+    def _stream(self, request_id: str, run: _Run, offset: int) -> Response:
+        return StreamingResponse(
+            self._events(request_id, run, offset),
+            media_type="text/event-stream",
+        )
+
+    async def _events(
+        self, request_id: str, run: _Run, offset: int
+    ) -> AsyncIterator[bytes]:
+        shown_id = request_id
+        if self._faults.crossed_answers > 0:
+            self._faults.crossed_answers -= 1
+            shown_id = "another-request"
+        is_cut = self._faults.cut_streams > 0
+        is_silent = self._faults.silent_streams > 0
+        self._faults.cut_streams -= int(is_cut)
+        self._faults.silent_streams -= int(is_silent)
+        sent = offset
+        run.readers += 1
+        is_complete = False
+        try:
+            while True:
+                while sent < run.produced:
+                    if sent - offset >= _TOKENS_BEFORE_FAULT and (is_cut or is_silent):
+                        is_complete = True
+                        if is_cut:
+                            return
+                        await asyncio.sleep(_NEVER_SECONDS)
+                    sent += 1
+                    yield _event(shown_id, run, run.words[sent - 1], "")
+                if run.is_done:
+                    break
+                await run.changed.wait()
+            yield _event(shown_id, run, "", "stop")
+            yield _usage(shown_id, run)
+            yield b"data: [DONE]\n\n"
+            is_complete = True
+        finally:
+            if not is_complete and not run.is_done:
+                self._tasks.start(self._abandon(run), "abandoned run")
+
+    async def _abandon(self, run: _Run) -> None:
+        """Cancel a run that nobody resumes in time."""
+        run.readers -= 1
+        await asyncio.sleep(_RESUME_SECONDS)
+        if run.readers <= 0 and not run.is_done:
+            run.is_cancelled = True
+            run.signal()
+
+    def _is_stale(self, request: Request) -> bool:
+        number = int(request.headers.get("x-fencing-number", 0))
+        if number < self._fencing:
+            self._log.stale_orders += 1
+            return self._checks_fencing
+        self._fencing = number
+        return False
+
+    def _is_broken(self, copy: str) -> bool:
+        return copy.partition("~")[0] in self._faults.broken_copies
+
+    def _forget_old_runs(self) -> None:
+        while len(self._runs) >= _KEPT_RUNS:
+            done = next((key for key, run in self._runs.items() if run.is_done), None)
+            if done is None:
+                return
+            del self._runs[done]
+
+
+def _wanted(body: dict[str, Any]) -> int:
+    limit = body.get("max_tokens") or body.get("max_completion_tokens") or 16
+    return max(1, int(limit))
+
+
+def _error(status: int, message: str) -> Response:
+    return JSONResponse({"error": {"message": message}}, status_code=status)
+
+
+def _event(request_id: str, run: _Run, text: str, finish: str) -> bytes:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish or None}
+    if run.is_chat:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    return _line({"id": f"cmpl-{request_id}", "model": run.copy, "choices": [choice]})
+
+
+def _usage(request_id: str, run: _Run) -> bytes:
+    usage = {"prompt_tokens": 5, "completion_tokens": len(run.words)}
+    return _line(
+        {
+            "id": f"cmpl-{request_id}",
+            "model": run.copy,
+            "choices": [],
+            "usage": usage,
+        }
+    )
+
+
+def _line(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -0,0 +1,260 @@
+"""Run a whole deployment of stand-ins in one process."""
+
+import asyncio
+from typing import Final
+
+from gooseberrydeal._internal.lab.free_port import LOOPBACK, free_address
+from gooseberrydeal._internal.lab.lab_configuration import lab_deployment
+from gooseberrydeal._internal.lab.lab_engine import LabEngine
+from gooseberrydeal._internal.lab.lab_plan import LabPlan
+from gooseberrydeal._internal.lab.platform_app import PlatformApp
+from gooseberrydeal._internal.lab.service_app import ServiceApp
+from gooseberrydeal._internal.lab.store_state import StoreState
+from gooseberrydeal._internal.lab.weight_store_state import WeightStoreState
+from gooseberrydeal._internal.models.settings import (
+    CtlSettings,
+    EntrySettings,
+    KeeperSettings,
+    PlatformSettings,
+)
+from gooseberrydeal._internal.network.etcd_store import EtcdStore
+from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.operations.entry.entry_node import EntryNode
+from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
+from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.publisher import Publisher
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+_READY_SECONDS: Final = 20.0
+_POLL_SECONDS: Final = 0.05
+
+
+class LabCluster:
+    """Own stand-ins, keepers and entries that talk over real sockets."""
+
+    def __init__(self, plan: LabPlan) -> None:
+        self._plan = plan
+        self._clock = SystemClock()
+        self._platform = PlatformApp(
+            StoreState(self._clock),
+            WeightStoreState(
+                self._clock,
+                loads_per_second=plan.loads_per_second,
+                full_speed=plan.loads_at_full_speed,
+                knee=plan.loads_in_flight,
+                load_seconds=plan.load_seconds,
+            ),
+        )
+        self._platform_server = HttpServer(self._platform.app(), LOOPBACK, 0)
+        self._engines: dict[str, LabEngine] = {}
+        self._services: dict[str, ServiceApp] = {}
+        self._service_servers: dict[str, HttpServer] = {}
+        self._keepers: dict[str, KeeperNode] = {}
+        self._entries: dict[str, EntryNode] = {}
+        self._keeper_settings: dict[str, KeeperSettings] = {}
+        self._entry_settings: dict[str, EntrySettings] = {}
+
+    @property
+    def plan(self) -> LabPlan:
+        """Return the plan."""
+        return self._plan
+
+    @property
+    def platform(self) -> PlatformApp:
+        """Return the platform stand-in."""
+        return self._platform
+
+    @property
+    def engines(self) -> dict[str, LabEngine]:
+        """Return the engine stand-ins by server name."""
+        return self._engines
+
+    @property
+    def services(self) -> dict[str, ServiceApp]:
+        """Return the plain service stand-ins by server name."""
+        return self._services
+
+    @property
+    def keepers(self) -> dict[str, KeeperNode]:
+        """Return the keepers by host."""
+        return self._keepers
+
+    @property
+    def entries(self) -> dict[str, EntryNode]:
+        """Return the entries by host."""
+        return self._entries
+
+    @property
+    def platform_url(self) -> str:
+        """Return where the platform stand-in is."""
+        return f"http://{LOOPBACK}:{self._platform_server.port}"
+
+    @property
+    def entry_urls(self) -> list[str]:
+        """Return where the entries meet callers."""
+        return [f"http://{item.listen}" for item in self._entry_settings.values()]
+
+    def ctl_settings(self, author: str = "lab") -> CtlSettings:
+        """Return settings for the operators' program."""
+        keepers = tuple(item.listen for item in self._keeper_settings.values())
+        return CtlSettings(
+            platform=self._platform_settings(), keepers=keepers, author=author
+        )
+
+    async def start(self) -> None:
+        """Start everything and wait until requests can be served."""
+        await self._start_outside()
+        await self.submit()
+        self._plan_hosts()
+        for host in self._keeper_settings:
+            await self.start_keeper(host)
+        for host in self._entry_settings:
+            await self.start_entry(host)
+        await self.wait_ready()
+
+    async def submit(self) -> int:
+        """Publish the configuration of the plan; return its revision."""
+        store = EtcdStore.from_url(self.platform_url)
+        try:
+            publisher = Publisher(store, "lab")
+            declared = lab_deployment(
+                self._plan,
+                {name: engine.address for name, engine in self._engines.items()},
+                {
+                    name: f"{LOOPBACK}:{server.port}"
+                    for name, server in self._service_servers.items()
+                },
+            )
+            current = await publisher.current()
+            revision = await publisher.submit(
+                declared.entries, current.number, rebases=False
+            )
+            return revision.number
+        finally:
+            await store.close()
+
+    async def start_keeper(self, host: str) -> KeeperNode:
+        """Start a keeper, as a new process would."""
+        settings = self._keeper_settings[host]
+        keeper = KeeperNode(settings, Outside.from_settings(settings), self._clock)
+        await keeper.start()
+        self._keepers[host] = keeper
+        self._platform.hosts[settings.listen] = "live"
+        return keeper
+
+    async def start_entry(self, host: str) -> EntryNode:
+        """Start an entry, as a new process would."""
+        entry = EntryNode(self._entry_settings[host], self._clock)
+        await entry.start()
+        self._entries[host] = entry
+        return entry
+
+    async def stop_keeper(self, host: str) -> int:
+        """Stop a keeper in an orderly way; return how many streams were cut."""
+        return await self._keepers.pop(host).stop()
+
+    async def crash_keeper(self, host: str) -> None:
+        """Stop a keeper without a word, and take it off the platform's list."""
+        await self._keepers.pop(host).abort()
+        self._platform.hosts.pop(self._keeper_settings[host].listen, None)
+
+    async def wait_ready(self) -> None:
+        """Wait until every server is owned and known to every entry."""
+        wanted = len(self._engines) + len(self._services)
+        async with asyncio.timeout(_READY_SECONDS):
+            while not all(
+                self._knows(entry, wanted) for entry in self._entries.values()
+            ):
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for entry in list(self._entries.values()):
+            await entry.stop()
+        for keeper in list(self._keepers.values()):
+            await keeper.stop()
+        for engine in self._engines.values():
+            await engine.stop()
+        for server in self._service_servers.values():
+            await server.abort()
+        await self._platform_server.abort()
+
+    def _knows(self, entry: EntryNode, wanted: int) -> bool:
+        if entry.configuration.configuration is None:
+            return False
+        now = self._clock.monotonic()
+        usable = entry.context.view.usable_servers(now)
+        owned = {owner for keeper in self._keepers.values() for owner in keeper.owners}
+        budget = all(keeper.gate.pool.is_usable for keeper in self._keepers.values())
+        return len(usable) >= wanted and len(owned) >= wanted and budget
+
+    async def _start_outside(self) -> None:
+        await self._platform_server.start()
+        plan = self._plan
+        for domain in plan.domains:
+            for number in range(plan.engines_per_domain):
+                await self._start_engine(f"{domain}-engine{number}")
+            for number in range(plan.plain_per_domain):
+                await self._start_service(f"{domain}-plain{number}")
+
+    async def _start_engine(self, name: str) -> None:
+        engine = LabEngine(
+            name,
+            self._plan.engine,
+            self.platform_url,
+            checks_fencing=self._plan.fenced_engines,
+        )
+        await engine.start()
+        self._engines[name] = engine
+
+    async def _start_service(self, name: str) -> None:
+        service = ServiceApp(name, self._plan.plain_seconds)
+        server = HttpServer(service.app(), LOOPBACK, 0)
+        await server.start()
+        self._services[name] = service
+        self._service_servers[name] = server
+
+    def _platform_settings(self) -> PlatformSettings:
+        url = self.platform_url
+        return PlatformSettings(store=url, hosts=url, weights=url)
+
+    def _plan_hosts(self) -> None:
+        plan = self._plan
+        for domain in plan.domains:
+            for number in range(plan.keepers_per_domain):
+                host = f"{domain}-host{number}"
+                self._keeper_settings[host] = KeeperSettings(
+                    host=host,
+                    domain=domain,
+                    listen=free_address(),
+                    operators=free_address(),
+                    platform=self._platform_settings(),
+                )
+        addresses = tuple(item.listen for item in self._keeper_settings.values())
+        for host, settings in list(self._keeper_settings.items()):
+            peers = tuple(item for item in addresses if item != settings.listen)
+            self._keeper_settings[host] = settings.model_copy(update={"peers": peers})
+        self._plan_entries(addresses)
+
+    def _plan_entries(self, addresses: tuple[str, ...]) -> None:
+        plan = self._plan
+        for domain in plan.domains:
+            own = [
+                item.listen
+                for item in self._keeper_settings.values()
+                if item.domain == domain
+            ]
+            for number in range(plan.entries_per_domain):
+                host = f"{domain}-host{number}"
+                first = own[number % len(own)]
+                others = tuple(item for item in addresses if item != first)
+                self._entry_settings[host] = EntrySettings.model_validate(
+                    {
+                        "host": host,
+                        "domain": domain,
+                        "listen": free_address(),
+                        "operators": free_address(),
+                        "keepers": (first, *others),
+                        "policy": plan.policy,
+                    }
+                )
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/lab_plan.py
@@ -0,0 +1,29 @@
+"""Describe a deployment of stand-ins."""
+
+from dataclasses import dataclass, field
+
+from gooseberrydeal._internal.lab.engine_model import EngineModel
+
+
+@dataclass(frozen=True)
+class LabPlan:
+    """Say how many stand-ins and processes there are, and how they behave."""
+
+    name: str = "lab"
+    domains: tuple[str, ...] = ("d1", "d2", "d3")
+    engines_per_domain: int = 3
+    plain_per_domain: int = 1
+    keepers_per_domain: int = 1
+    entries_per_domain: int = 1
+    adapters: int = 30
+    engine: EngineModel = field(default_factory=EngineModel)
+    plain_seconds: float = 0.01
+    loads_per_second: int = 9
+    loads_at_full_speed: int = 3
+    loads_in_flight: int = 24
+    load_seconds: float = 0.25
+    fenced_engines: bool = True
+    policy: str = "cost"
+    short_deadline_seconds: float = 5.0
+    long_max_share: float = 0.5
+    claim_window_seconds: int = 3600
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Hold plain data."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/ids.py
@@ -0,0 +1,19 @@
+"""Name the identifiers."""
+
+from typing import NewType
+
+AdapterName = NewType("AdapterName", str)
+VersionName = NewType("VersionName", str)
+CallerName = NewType("CallerName", str)
+ClassName = NewType("ClassName", str)
+DomainName = NewType("DomainName", str)
+EntryKey = NewType("EntryKey", str)
+HostId = NewType("HostId", str)
+LeaseId = NewType("LeaseId", str)
+OperationName = NewType("OperationName", str)
+RequestId = NewType("RequestId", str)
+ServerId = NewType("ServerId", str)
+ServiceName = NewType("ServiceName", str)
+StreamId = NewType("StreamId", int)
+FencingNumber = NewType("FencingNumber", int)
+RevisionNumber = NewType("RevisionNumber", int)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the messages between the system's own processes."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/messages/view_update.py
@@ -0,0 +1,14 @@
+"""Pass on what has changed in the fleet."""
+
+from dataclasses import dataclass
+
+from gooseberrydeal._internal.models.messages.host_report import HostReport
+from gooseberrydeal._internal.models.messages.server_report import ServerReport
+
+
+@dataclass(frozen=True, slots=True)
+class ViewUpdate:
+    """Carry the reports that are newer than those last sent on this connection."""
+
+    hosts: tuple[HostReport, ...] = ()
+    servers: tuple[ServerReport, ...] = ()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -0,0 +1,37 @@
+"""Name the reasons for which a request is refused."""
+
+from enum import Enum
+
+
+class RefusalReason(Enum):
+    """List every reason that a caller can be given."""
+
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_ALLOWED = "not_allowed"
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNSUPPORTED = "unsupported"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_OPERATION = "unknown_operation"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    NO_SERVER = "no_server"
+    LOAD_FAILED = "load_failed"
+    NOT_OWNER = "not_owner"
+    SERVER_LEAVING = "server_leaving"
+    SERVER_SLOW = "server_slow"
+    SHUTTING_DOWN = "shutting_down"
+    NO_CONFIGURATION = "no_configuration"
+    ISOLATED = "isolated"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    SERVER_FAILED = "server_failed"
+    STREAM_CUT = "stream_cut"
+    CRASH_SUSPECT = "crash_suspect"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
+    KEY_MALFORMED = "key_malformed"
+    KEY_EXPIRED = "key_expired"
+    KEY_REUSED = "key_reused"
+    ALREADY_CLAIMED = "already_claimed"
+    CANCELLED = "cancelled"
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Hold clients, servers and the peer protocol."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/http_engine.py
@@ -0,0 +1,172 @@
+"""Drive a model engine over its OpenAI-style HTTP interface."""
+
+import json
+import ssl
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+from gooseberrydeal._internal.exceptions import (
+    ServerBrokenError,
+    ServerRefusedError,
+    WrongAnswerError,
+)
+from gooseberrydeal._internal.models.engine_request import EngineRequest
+from gooseberrydeal._internal.models.engine_state import EngineState
+from gooseberrydeal._internal.models.engine_tokens import EngineTokens
+from gooseberrydeal._internal.models.ids import FencingNumber, RequestId
+from gooseberrydeal._internal.network.http_session import HttpSession
+
+FENCING_HEADER: Final = "X-Fencing-Number"
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+_READ_SECONDS: Final = 30.0
+_STREAM_IDLE_SECONDS: Final = 10.0
+_ERROR_STATUS: Final = 400
+_DATA: Final = b"data: "
+_DONE: Final = b"[DONE]"
+
+
+class HttpEngine:
+    """Speak the published completion, adapter and model calls of today's engines."""
+
+    def __init__(self, session: HttpSession) -> None:
+        self._session = session
+
+    @classmethod
+    def from_address(
+        cls, address: str, tls: ssl.SSLContext | None = None
+    ) -> "HttpEngine":
+        """Build a client for ``IP:port``."""
+        scheme = "http" if tls is None else "https"
+        return cls(
+            HttpSession(f"{scheme}://{address}", read_seconds=_READ_SECONDS, tls=tls)
+        )
+
+    async def state(self) -> EngineState:
+        """Return the loaded copies and what runs on them."""
+        models = await self._session.call_json("GET", "/v1/models")
+        load = await self._session.call_json("GET", "/load")
+        try:
+            copies = {
+                str(item["id"]): str(item.get("root", ""))
+                for item in models["data"]
+                if item.get("parent")
+            }
+            running = {
+                str(name): int(count)
+                for name, count in load.get("running_lora_adapters", {}).items()
+            }
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise ServerBrokenError("the engine's state is malformed") from error
+        return EngineState(copies, running)
+
+    async def load(self, copy: str, path: str, fencing: FencingNumber) -> None:
+        """Load a copy of an adapter from the weight store."""
+        await self._order(
+            "/v1/load_lora_adapter", {"lora_name": copy, "lora_path": path}, fencing
+        )
+
+    async def unload(self, copy: str, fencing: FencingNumber) -> None:
+        """Unload a copy of an adapter."""
+        await self._order("/v1/unload_lora_adapter", {"lora_name": copy}, fencing)
+
+    async def generate(self, request: EngineRequest) -> AsyncIterator[EngineTokens]:
+        """Generate; closing the iterator cancels the request."""
+        path = "/v1/chat/completions" if request.is_chat else "/v1/completions"
+        body = {
+            **request.parameters,
+            "model": request.copy,
+            "stream": True,
+            "priority": request.priority,
+            "stream_options": {"include_usage": True},
+        }
+        headers = {
+            "Content-Type": "application/json",
+            REQUEST_ID_HEADER: request.request_id,
+        }
+        response = await self._session.open(
+            "POST", path, json.dumps(body).encode(), headers
+        )
+        async for tokens in self._tokens(response, request):
+            yield tokens
+
+    async def resume(self, request: EngineRequest) -> AsyncIterator[EngineTokens]:
+        """Continue a cut stream at the request's offset."""
+        path = (
+            f"/v1/responses/{request.request_id}"
+            f"?stream=true&starting_after={request.offset}"
+        )
+        response = await self._session.open("GET", path, b"", {})
+        async for tokens in self._tokens(response, request):
+            yield tokens
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """Stop a generation whose stream is lost."""
+        await self._session.call_json("POST", f"/v1/responses/{request_id}/cancel", {})
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _order(
+        self, path: str, body: dict[str, Any], fencing: FencingNumber
+    ) -> None:
+        await self._session.call(
+            "POST",
+            path,
+            json.dumps(body).encode(),
+            {"Content-Type": "application/json", FENCING_HEADER: str(fencing)},
+        )
+
+    async def _tokens(
+        self,
+        response: Any,  # noqa: ANN401
+        request: EngineRequest,
+    ) -> AsyncIterator[EngineTokens]:
+        if response.status_code >= _ERROR_STATUS:
+            raise ServerRefusedError(
+                f"the engine answered {response.status_code}", response.status_code
+            )
+        pending = b""
+        is_done = False
+        async for part in self._session.chunks(response, _STREAM_IDLE_SECONDS):
+            *events, pending = (pending + part).split(b"\n\n")
+            for event in events:
+                if not event.startswith(_DATA):
+                    continue
+                data = event[len(_DATA) :]
+                if data.strip() == _DONE:
+                    is_done = True
+                    continue
+                yield _parsed(data, request)
+        if not is_done:
+            raise ServerBrokenError("the engine's stream ended early")
+
+
+def _is_same_adapter(model: str, copy: str) -> bool:
+    """Compare without the owners' numbers, which differ after a change of owner."""
+    return model.rpartition("~")[0] == copy.rpartition("~")[0]
+
+
+def _parsed(data: bytes, request: EngineRequest) -> EngineTokens:
+    try:
+        event = json.loads(data)
+        if "error" in event:
+            raise ServerBrokenError("the engine failed while it generated")
+        is_own = request.request_id in event["id"]
+        if not is_own or not _is_same_adapter(event["model"], request.copy):
+            raise WrongAnswerError("the engine answered another request")
+        usage = event.get("usage") or {}
+        choices = event["choices"]
+        if not choices:
+            return EngineTokens("", 0, "", int(usage.get("prompt_tokens", 0)))
+        choice = choices[0]
+        content = choice["delta"].get("content") if request.is_chat else choice["text"]
+        text = content or ""
+        return EngineTokens(
+            text,
+            1 if text else 0,
+            choice.get("finish_reason") or "",
+            int(usage.get("prompt_tokens", 0)),
+        )
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        raise ServerBrokenError("the engine's stream is malformed") from error
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/http_host_list.py
@@ -0,0 +1,41 @@
+"""Read the platform's host list in the format of Prometheus HTTP discovery."""
+
+import ssl
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import HostListError, ServerError
+from gooseberrydeal._internal.models.listed_host import ListedHost
+from gooseberrydeal._internal.network.http_session import HttpSession
+
+_READ_SECONDS: Final = 2.0
+_POOL_SIZE: Final = 2
+
+
+class HttpHostList:
+    """Read target groups; the label ``state`` marks hosts that leave."""
+
+    def __init__(self, session: HttpSession) -> None:
+        self._session = session
+
+    @classmethod
+    def from_url(cls, url: str, tls: ssl.SSLContext | None = None) -> "HttpHostList":
+        """Build a client for a base URL."""
+        return cls(
+            HttpSession(url, read_seconds=_READ_SECONDS, pool_size=_POOL_SIZE, tls=tls)
+        )
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        """Return the hosts, or raise :class:`HostListError`."""
+        try:
+            groups = await self._session.call_json("GET", "/hosts")
+            return tuple(
+                ListedHost(str(target), group["labels"].get("state") == "leaving")
+                for group in groups
+                for target in group["targets"]
+            )
+        except (ServerError, KeyError, TypeError, AttributeError) as error:
+            raise HostListError("the list of hosts could not be read") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/http_server.py
@@ -0,0 +1,83 @@
+"""Serve an ASGI application as a task."""
+
+import asyncio
+import logging
+from typing import Any, Final
+
+import uvicorn
+from starlette.types import ASGIApp
+
+logger = logging.getLogger(__name__)
+
+_START_POLL_SECONDS: Final = 0.01
+_KEEP_ALIVE_SECONDS: Final = 30
+
+
+class HttpServer:
+    """Own a listening socket; the program, not the server, handles signals."""
+
+    def __init__(
+        self,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        *,
+        tls: tuple[str, str] | None = None,
+        connections: int = 4096,
+    ) -> None:
+        options: dict[str, Any] = {}
+        if tls is not None:
+            options = {"ssl_certfile": tls[0], "ssl_keyfile": tls[1]}
+        self._server = uvicorn.Server(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=port,
+                loop="asyncio",
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                access_log=False,
+                log_config=None,
+                server_header=False,
+                timeout_keep_alive=_KEEP_ALIVE_SECONDS,
+                limit_concurrency=connections,
+                **options,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        return int(self._server.servers[0].sockets[0].getsockname()[1])
+
+    async def start(self) -> None:
+        """Listen, or raise ``OSError`` if the address can't be had."""
+        self._task = asyncio.create_task(self._serve(), name="http server")
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+                raise OSError("the address could not be listened on")
+            await asyncio.sleep(_START_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop accepting, and end after the requests in progress."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def abort(self) -> None:
+        """Cut all connections at once."""
+        self._server.force_exit = True
+        for connection in list(self._server.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+        await self.stop()
+
+    async def _serve(self) -> None:
+        try:
+            await self._server._serve()
+        except SystemExit as error:
+            raise OSError("the address could not be listened on") from error
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one protocol for each outside system."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/interfaces/weight_store.py
@@ -0,0 +1,11 @@
+"""Define what is needed of the weight store."""
+
+from typing import Protocol
+
+
+class WeightStore(Protocol):
+    """Look up adapter weights."""
+
+    async def exists(self, path: str) -> bool | None:
+        """Return whether the weights are there, ``None`` if that is not known."""
+        ...
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/metrics.py
@@ -0,0 +1,115 @@
+"""Count what the programs do."""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.retry_reason import RetryReason
+
+_SECONDS: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0]
+
+
+class Metrics:
+    """Own the registry of one process."""
+
+    def __init__(self, role: str) -> None:
+        self._registry = Registry()
+        labels = {"role": role}
+        self._refusals = Counter(
+            "gooseberry_refusals_total",
+            "Requests refused, by reason.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._retries = Counter(
+            "gooseberry_retries_total",
+            "Further attempts, by reason.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._answers = Counter(
+            "gooseberry_answers_total",
+            "Whole answers, by service.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._loads = Counter(
+            "gooseberry_loads_total",
+            "Adapter loads, by outcome.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._alarms = Gauge(
+            "gooseberry_alarms",
+            "Alarms that are raised now, by name.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._revision = Gauge(
+            "gooseberry_revision",
+            "Configuration revision in force.",
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._first_token = self._histogram(
+            "gooseberry_first_token_seconds", "Time to the first token.", labels
+        )
+        self._queue_wait = self._histogram(
+            "gooseberry_queue_wait_seconds", "Time in the owner's queue.", labels
+        )
+        self._load_wait = self._histogram(
+            "gooseberry_load_seconds", "Time of an adapter load.", labels
+        )
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self._refusals.inc({"reason": reason.value})
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a further attempt."""
+        self._retries.inc({"reason": reason.value})
+
+    def answered(self, service: str) -> None:
+        """Count a whole answer."""
+        self._answers.inc({"service": service})
+
+    def loaded(self, outcome: str, seconds: float) -> None:
+        """Count an adapter load."""
+        self._loads.inc({"outcome": outcome})
+        self._load_wait.add({}, seconds)
+
+    def first_token(self, service: str, seconds: float) -> None:
+        """Add a time to the first token."""
+        self._first_token.add({"service": service}, seconds)
+
+    def queue_wait(self, service: str, seconds: float) -> None:
+        """Add a time in the queue."""
+        self._queue_wait.add({"service": service}, seconds)
+
+    def set_alarm(self, name: str, *, is_raised: bool) -> None:
+        """Raise or lower an alarm."""
+        self._alarms.set({"alarm": name}, int(is_raised))
+
+    def set_revision(self, number: int) -> None:
+        """Tell which revision is in force."""
+        self._revision.set({}, number)
+
+    def refusal_count(self, reason: RefusalReason) -> int:
+        """Return how often a reason was counted."""
+        return int(self._refusals.values.get({"reason": reason.value}) or 0)
+
+    def retry_count(self, reason: RetryReason) -> int:
+        """Return how often a reason was counted."""
+        return int(self._retries.values.get({"reason": reason.value}) or 0)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        content, _ = render(self._registry, ["text/plain"])
+        return bytes(content)
+
+    def _histogram(self, name: str, doc: str, labels: dict[str, str]) -> Histogram:
+        return Histogram(
+            name, doc, const_labels=labels, registry=self._registry, buckets=_SECONDS
+        )
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/peer_dialer.py
@@ -0,0 +1,105 @@
+"""Keep one connection to each peer address."""
+
+import asyncio
+import contextlib
+import logging
+import ssl
+from typing import Final
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from gooseberrydeal._internal.exceptions import PeerLostError, PeerUnreachableError
+from gooseberrydeal._internal.models.messages.hello import Hello
+from gooseberrydeal._internal.network.codec import MAX_MESSAGE_BYTES
+from gooseberrydeal._internal.network.peer_connection import (
+    MessageHandler,
+    PeerConnection,
+)
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+logger = logging.getLogger(__name__)
+
+_CONNECT_SECONDS: Final = 1.0
+
+
+class PeerDialer:
+    """Own the outgoing connections of a process, one an address."""
+
+    def __init__(
+        self, hello: Hello, on_message: MessageHandler, tls: ssl.SSLContext | None
+    ) -> None:
+        self._hello = hello
+        self._on_message = on_message
+        self._tls = tls
+        self._connections: dict[str, PeerConnection] = {}
+        self._connecting: dict[str, asyncio.Task[PeerConnection]] = {}
+        self._tasks = TaskOwner()
+
+    @property
+    def connections(self) -> list[PeerConnection]:
+        """Return the open connections."""
+        return [item for item in self._connections.values() if item.is_open]
+
+    def existing(self, address: str) -> PeerConnection | None:
+        """Return the open connection to an address, if there is one."""
+        connection = self._connections.get(address)
+        return connection if connection is not None and connection.is_open else None
+
+    async def connection(self, address: str) -> PeerConnection:
+        """Return an open connection, or raise :class:`PeerUnreachableError`."""
+        found = self.existing(address)
+        if found is not None:
+            return found
+        pending = self._connecting.get(address)
+        if pending is None:
+            pending = self._tasks.start(
+                self._connect(address), f"dial {address}", (PeerUnreachableError,)
+            )
+            self._connecting[address] = pending
+            pending.add_done_callback(lambda _: self._connecting.pop(address, None))
+        return await asyncio.shield(pending)
+
+    async def drop(self, address: str) -> None:
+        """Close the connection to an address."""
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            await connection.close()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for connection in list(self._connections.values()):
+            await connection.close()
+        await self._tasks.stop()
+
+    async def _connect(self, address: str) -> PeerConnection:
+        scheme = "ws" if self._tls is None else "wss"
+        try:
+            async with asyncio.timeout(_CONNECT_SECONDS):
+                socket = await connect(
+                    f"{scheme}://{address}/",
+                    compression=None,
+                    max_size=MAX_MESSAGE_BYTES,
+                    ping_interval=None,
+                    open_timeout=None,
+                    proxy=None,
+                    ssl=self._tls,
+                )
+        except (OSError, TimeoutError, WebSocketException) as error:
+            raise PeerUnreachableError(f"no connection to peer {address}") from error
+        connection = PeerConnection(socket, self._on_message)
+        try:
+            await connection.send(self._hello)
+        except PeerLostError as error:
+            raise PeerUnreachableError(f"no connection to peer {address}") from error
+        self._connections[address] = connection
+        self._tasks.start(self._run(address, connection), f"peer {address}")
+        return connection
+
+    async def _run(self, address: str, connection: PeerConnection) -> None:
+        try:
+            await connection.run()
+        finally:
+            if self._connections.get(address) is connection:
+                with contextlib.suppress(KeyError):
+                    del self._connections[address]
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tasks that own sockets and state."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tasks of the entry program."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_context.py
@@ -0,0 +1,23 @@
+"""Share what the tasks of an entry have in common."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gooseberrydeal._internal.models.configuration import Configuration
+from gooseberrydeal._internal.network.metrics import Metrics
+from gooseberrydeal._internal.policy.demand import DemandTracker
+from gooseberrydeal._internal.policy.fleet_view import FleetView
+from gooseberrydeal._internal.utils.clock import Clock
+
+
+@dataclass
+class EntryContext:
+    """Hold the state that several tasks read."""
+
+    host: str
+    domain: str
+    clock: Clock
+    metrics: Metrics
+    view: FleetView
+    demand: DemandTracker
+    configuration: Callable[[], Configuration | None]
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -0,0 +1,240 @@
+"""Join the tasks of an entry."""
+
+import asyncio
+import contextlib
+import logging
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import PeerUnreachableError
+from gooseberrydeal._internal.models.configuration import Configuration
+from gooseberrydeal._internal.models.lifecycle import Lifecycle
+from gooseberrydeal._internal.models.messages.chunk_reply import ChunkReply
+from gooseberrydeal._internal.models.messages.chunk_request import ChunkRequest
+from gooseberrydeal._internal.models.messages.claim_reply import ClaimReply
+from gooseberrydeal._internal.models.messages.finished import Finished
+from gooseberrydeal._internal.models.messages.hello import Hello
+from gooseberrydeal._internal.models.messages.refused import Refused
+from gooseberrydeal._internal.models.messages.revision_offer import RevisionOffer
+from gooseberrydeal._internal.models.messages.started import Started
+from gooseberrydeal._internal.models.messages.tokens import Tokens
+from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.settings import EntrySettings
+from gooseberrydeal._internal.network.codec import Message
+from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.network.metrics import Metrics
+from gooseberrydeal._internal.network.peer_connection import PeerConnection
+from gooseberrydeal._internal.network.peer_dialer import PeerDialer
+from gooseberrydeal._internal.operations.alarms import Alarms
+from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
+from gooseberrydeal._internal.operations.entry.admission_desk import AdmissionDesk
+from gooseberrydeal._internal.operations.entry.caller_api import CallerApi
+from gooseberrydeal._internal.operations.entry.claims_client import ClaimsClient
+from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
+from gooseberrydeal._internal.operations.entry.gatekeeper import Gatekeeper
+from gooseberrydeal._internal.operations.entry.plain_calls import PlainCalls
+from gooseberrydeal._internal.operations.entry.remote_streams import RemoteStreams
+from gooseberrydeal._internal.operations.entry.work_runner import WorkRunner
+from gooseberrydeal._internal.policy.baseline_placement import (
+    HashPlacement,
+    LeastLoadedPlacement,
+    RoundRobinPlacement,
+)
+from gooseberrydeal._internal.policy.cost_placement import CostPlacement
+from gooseberrydeal._internal.policy.demand import DemandTracker
+from gooseberrydeal._internal.policy.fleet_view import FleetView
+from gooseberrydeal._internal.policy.placement_policy import PlacementPolicy
+from gooseberrydeal._internal.utils.clock import Clock
+from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+from gooseberrydeal._internal.utils.tls import client_context
+
+logger = logging.getLogger(__name__)
+
+_LINK_SECONDS: Final = 0.25
+_LOAD_SECONDS: Final = 0.25
+_ISOLATED_SECONDS: Final = 10.0
+_RETRY_AFTER_SECONDS: Final = 2.0
+
+
+class EntryNode:
+    """Meet callers, and follow the fleet over one keeper."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lifecycle = Lifecycle()
+        self._tasks = TaskOwner()
+        self._metrics = Metrics("entry")
+        self._alarms = Alarms(self._metrics)
+        self._link: PeerConnection | None = None
+        self._last_linked = clock.monotonic()
+        hello = Hello(
+            settings.host,
+            settings.domain,
+            "entry",
+            incarnation=f"{clock.wall():.6f}",
+        )
+        self._dialer = PeerDialer(hello, self._receive, client_context(settings.tls))
+        self._streams = RemoteStreams(self._dialer)
+        self._configuration = ConfigurationTask(
+            None, lambda: False, self._linked, self._alarms, self._configured
+        )
+        self._context = EntryContext(
+            host=settings.host,
+            domain=settings.domain,
+            clock=clock,
+            metrics=self._metrics,
+            view=FleetView(),
+            demand=DemandTracker(),
+            configuration=lambda: self._configuration.configuration,
+        )
+        is_own = settings.policy == "cost"
+        self._policy = _policy_of(settings.policy)
+        self._runner = WorkRunner(
+            self._context, self._streams, self._policy, hedges=is_own, admits=is_own
+        )
+        self._claims = ClaimsClient(self._context, self._dialer)
+        self._plain_calls = PlainCalls(self._context, self._runner, self._claims)
+        self._api = CallerApi(
+            self._context,
+            Gatekeeper(clock, settings.body_bytes),
+            AdmissionDesk(self._context),
+            self._runner,
+            self._plain_calls,
+            self._refusal_now,
+        )
+        host, port = split_ip_and_port(settings.listen)
+        self._server = HttpServer(
+            self._api.app(), host, port, connections=settings.connections
+        )
+
+    @property
+    def context(self) -> EntryContext:
+        """Return what the tasks have in common."""
+        return self._context
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the metrics of the process."""
+        return self._metrics
+
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """Return the phase of the process."""
+        return self._lifecycle
+
+    @property
+    def configuration(self) -> ConfigurationTask:
+        """Return the task that follows the configuration."""
+        return self._configuration
+
+    @property
+    def runner(self) -> WorkRunner:
+        """Return the task that runs requests."""
+        return self._runner
+
+    async def start(self) -> None:
+        """Listen and begin all tasks."""
+        self._tasks.start(self._keep_link(), "keeper link")
+        self._configuration.start()
+        await self._server.start()
+        self._lifecycle.serve()
+        logger.info("entry is serving", extra={"host": self._settings.host})
+
+    async def stop(self) -> int:
+        """Refuse new work, end the rest; return how many answers were cut."""
+        self._lifecycle.drain()
+        cut = 0
+        try:
+            async with asyncio.timeout(self._settings.drain_seconds):
+                await self._api.wait_idle()
+        except TimeoutError:
+            cut = self._api.in_progress
+        await self._server.stop()
+        await self._plain_calls.stop()
+        await self._stop_tasks()
+        return cut
+
+    async def abort(self) -> None:
+        """End at once, as a crash would."""
+        await self._server.abort()
+        await self._plain_calls.stop()
+        await self._stop_tasks()
+
+    def _refusal_now(self) -> Refusal | None:
+        """Return why no new work is taken at this moment."""
+        if not self._lifecycle.is_serving:
+            return Refusal(
+                RefusalReason.SHUTTING_DOWN, Ran.NO, "", _RETRY_AFTER_SECONDS
+            )
+        if self._is_isolated():
+            return Refusal(RefusalReason.ISOLATED, Ran.NO, "", _RETRY_AFTER_SECONDS)
+        if self._configuration.configuration is None:
+            return Refusal(
+                RefusalReason.NO_CONFIGURATION, Ran.NO, "", _RETRY_AFTER_SECONDS
+            )
+        return None
+
+    def _is_isolated(self) -> bool:
+        now = self._clock.monotonic()
+        if self._link is not None and self._link.is_open:
+            self._last_linked = now
+        return now - self._last_linked > _ISOLATED_SECONDS
+
+    def _linked(self) -> list[PeerConnection]:
+        link = self._link
+        return [link] if link is not None and link.is_open else []
+
+    def _configured(self, configuration: Configuration, number: int) -> None:
+        self._metrics.set_revision(number)
+        if isinstance(self._policy, CostPlacement):
+            self._policy.load_seconds = max(
+                _LOAD_SECONDS, configuration.limits.load_seconds
+            )
+
+    def _receive(self, connection: PeerConnection, message: Message) -> None:
+        if isinstance(message, (Tokens, Started, Finished, Refused)):
+            self._streams.receive(connection, message)
+        elif isinstance(message, ViewUpdate):
+            self._context.view.merge(message, self._clock.monotonic())
+        elif isinstance(message, RevisionOffer):
+            self._configuration.offered(message, connection)
+        elif isinstance(message, ChunkReply):
+            self._configuration.received(message)
+        elif isinstance(message, ChunkRequest):
+            self._configuration.requested(message, connection)
+        elif isinstance(message, ClaimReply):
+            self._claims.receive(message)
+
+    async def _keep_link(self) -> None:
+        """Stay connected to the first keeper that can be reached."""
+        while True:
+            if self._link is None or not self._link.is_open:
+                await self._find_link()
+            await asyncio.sleep(_LINK_SECONDS)
+
+    async def _find_link(self) -> None:
+        known = [report.address for report in self._context.view.hosts.values()]
+        for address in [*self._settings.keepers, *known]:
+            with contextlib.suppress(PeerUnreachableError):
+                self._link = await self._dialer.connection(address)
+                return
+
+    async def _stop_tasks(self) -> None:
+        await self._tasks.stop()
+        await self._configuration.stop()
+        await self._dialer.stop()
+        self._lifecycle.stop()
+
+
+def _policy_of(name: str) -> PlacementPolicy:
+    if name == "round-robin":
+        return RoundRobinPlacement()
+    if name == "least-loaded-lagged":
+        return LeastLoadedPlacement()
+    if name == "hash-only":
+        return HashPlacement()
+    return CostPlacement(_LOAD_SECONDS)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tasks of the keeper program."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
@@ -0,0 +1,236 @@
+"""Load adapters on one engine and evict for them."""
+
+import contextlib
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import ServerError, ServerRefusedError
+from gooseberrydeal._internal.models.adapter_ref import AdapterRef
+from gooseberrydeal._internal.models.copy_state import CopyState
+from gooseberrydeal._internal.models.ids import FencingNumber
+from gooseberrydeal._internal.models.permit import Permit
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.work_item import WorkItem
+from gooseberrydeal._internal.network.interfaces.engine import Engine
+from gooseberrydeal._internal.network.interfaces.weight_store import WeightStore
+from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.load_want import LoadWant
+from gooseberrydeal._internal.policy.load_failures import LoadFailures
+from gooseberrydeal._internal.policy.slot_table import SlotCopy
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+logger = logging.getLogger(__name__)
+
+_STALE_STATUS: Final = 412
+_NOT_FOUND: Final = 404
+_IMPORTANCE_SECONDS: Final = 0.25
+_REPLICA_SECONDS: Final = 5.0
+
+OnFailure = Callable[[AdapterRef, Refusal], None]
+
+
+class AdapterLoader:
+    """Start loads when a permit and a slot are there; one load an adapter at a time."""
+
+    def __init__(
+        self,
+        server: str,
+        epoch: FencingNumber,
+        engine: Engine,
+        slots: EngineSlots,
+        gate: LoadGate,
+        weights: WeightStore,
+        context: KeeperContext,
+    ) -> None:
+        self._server = server
+        self._epoch = epoch
+        self._engine = engine
+        self._slots = slots
+        self._gate = gate
+        self._weights = weights
+        self._context = context
+        self._failures = LoadFailures()
+        self._on_ready: Callable[[], None] = lambda: None
+        self._on_failure: OnFailure = lambda adapter, refusal: None
+        self._on_fenced: Callable[[], None] = lambda: None
+        self._tasks = TaskOwner()
+
+    def listen(
+        self,
+        on_ready: Callable[[], None],
+        on_failure: OnFailure,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        """Set what to call when a load ends."""
+        self._on_ready = on_ready
+        self._on_failure = on_failure
+        self._on_fenced = on_fenced
+
+    async def stop(self) -> None:
+        """Stop all loads."""
+        await self._tasks.stop()
+
+    def want(self, item: WorkItem) -> None:
+        """Ask for a load of an item's adapter, unless one is in progress."""
+        adapter = item.adapter
+        if adapter is None or self._slots.is_loading(adapter):
+            return
+        urgency = item.deadline - item.importance * _IMPORTANCE_SECONDS
+        if self._replicas_elsewhere(adapter) > 0:
+            urgency += _REPLICA_SECONDS
+        self._gate.want(
+            LoadWant(self._server, adapter, urgency, self.has_slot, self._start)
+        )
+
+    def withdraw(self, adapter: AdapterRef) -> None:
+        """Ask no longer for a load."""
+        self._gate.withdraw(self._server, adapter)
+
+    def has_slot(self) -> bool:
+        """Return whether a load could be given a slot."""
+        return self._slots.free > 0 or self._slots.victim(self._value) is not None
+
+    def slot_changed(self) -> None:
+        """Note that a slot may have become free."""
+        if self._gate.waiting:
+            self._gate.pump()
+
+    def refusal(self, adapter: AdapterRef) -> Refusal | None:
+        """Return why an adapter is not loaded now, if it has failed lately."""
+        pause = self._failures.pause_left(adapter, self._now())
+        if pause <= 0:
+            return None
+        return Refusal(
+            RefusalReason.LOAD_FAILED, Ran.NO, "the adapter failed to load", pause
+        )
+
+    def expected_wait(self, adapter: AdapterRef) -> float:
+        """Return the seconds until the adapter would be loaded."""
+        seconds = self._context.configuration().limits.load_seconds
+        if self._slots.is_loading(adapter):
+            return seconds / 2
+        return self._gate.expected_wait() + seconds
+
+    def victim_demand(self) -> float | None:
+        """Return the demand that the next load would evict."""
+        return self._slots.victim_value(self._value)
+
+    def _value(self, adapter: AdapterRef) -> float:
+        """Return the demand that rests on this engine's copy alone."""
+        demand = self._context.demand.rate(str(adapter), self._now())
+        return demand / (1 + self._replicas_elsewhere(adapter))
+
+    def _replicas_elsewhere(self, adapter: AdapterRef) -> int:
+        return sum(
+            1
+            for report in self._context.view.servers.values()
+            if report.server != self._server
+            and any(
+                copy.adapter == adapter.name
+                and copy.version == adapter.version
+                and copy.is_ready
+                for copy in report.copies
+            )
+        )
+
+    def _start(self, adapter: AdapterRef, permit: Permit) -> None:
+        victim = None
+        if self._slots.free == 0:
+            victim = self._slots.victim(self._value)
+            if victim is not None:
+                self._slots.mark(victim.name, CopyState.UNLOADING, self._now())
+        copy = adapter.copy_name(self._epoch)
+        self._slots.add(copy, adapter, CopyState.LOADING)
+        self._context.report_changed()
+        self._tasks.start(
+            self._load(adapter, copy, permit, victim), f"load {copy} on {self._server}"
+        )
+
+    async def _load(
+        self, adapter: AdapterRef, copy: str, permit: Permit, victim: SlotCopy | None
+    ) -> None:
+        started = self._now()
+        try:
+            if victim is not None:
+                await self._evict(victim)
+            await self._engine.load(copy, self._path_of(adapter), self._epoch)
+        except ServerError as error:
+            await self._failed(adapter, copy, error, started)
+        else:
+            self._slots.mark(copy, CopyState.READY, self._now())
+            self._failures.note_success(adapter)
+            self._context.metrics.loaded("loaded", self._now() - started)
+            self._context.journal.note(
+                f"loaded on {self._server} in {self._now() - started:.3f} s",
+                str(adapter),
+                adapter.name,
+            )
+        finally:
+            self._gate.pool.finish(permit)
+            self._context.report_changed()
+            self._gate.pump()
+            self._on_ready()
+
+    async def _evict(self, victim: SlotCopy) -> None:
+        with contextlib.suppress(KeyError):
+            try:
+                await self._engine.unload(victim.name, self._epoch)
+            except ServerRefusedError as error:
+                if error.status != _NOT_FOUND:
+                    self._slots.mark(victim.name, CopyState.READY, self._now())
+                    raise
+            except ServerError:
+                self._slots.mark(victim.name, CopyState.READY, self._now())
+                raise
+        self._slots.remove(victim.name)
+        if victim.adapter is not None:
+            self._context.journal.note(
+                f"evicted from {self._server}", str(victim.adapter), victim.adapter.name
+            )
+
+    async def _failed(
+        self, adapter: AdapterRef, copy: str, error: ServerError, started: float
+    ) -> None:
+        self._slots.remove(copy)
+        with contextlib.suppress(ServerError):
+            self._slots.reconcile(await self._engine.state())
+        if self._slots.ready_copy(adapter) is not None:
+            return
+        self._context.metrics.loaded("failed", self._now() - started)
+        if isinstance(error, ServerRefusedError) and error.status == _STALE_STATUS:
+            self._on_fenced()
+            return
+        is_missing = await self._weights.exists(self._path_of(adapter)) is False
+        pause = self._failures.note_failure(
+            adapter, self._now(), random.random(), is_missing=is_missing
+        )
+        detail = "weights are missing" if is_missing else "the engine could not load"
+        logger.warning(
+            "load failed: %s",
+            error,
+            extra={"adapter": str(adapter), "server": self._server},
+        )
+        self._context.journal.note(
+            f"load failed on {self._server}: {detail}", str(adapter), adapter.name
+        )
+        self._on_failure(
+            adapter, Refusal(RefusalReason.LOAD_FAILED, Ran.NO, detail, pause)
+        )
+
+    def _path_of(self, adapter: AdapterRef) -> str:
+        declared = self._context.configuration().adapter(adapter.name)
+        if declared is None:
+            return str(adapter)
+        return next(
+            (item.path for item in declared.versions if item.name == adapter.version),
+            str(adapter),
+        )
+
+    def _now(self) -> float:
+        return self._context.clock.monotonic()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -0,0 +1,342 @@
+"""Run jobs on a model engine and decide what its adapter slots hold."""
+
+import asyncio
+import contextlib
+import json
+import logging
+import random
+from collections.abc import AsyncIterator
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import (
+    ServerBrokenError,
+    ServerError,
+    ServerRefusedError,
+    ServerUnreachableError,
+    WrongAnswerError,
+)
+from gooseberrydeal._internal.models.adapter_ref import AdapterRef
+from gooseberrydeal._internal.models.copy_state import CopyState
+from gooseberrydeal._internal.models.engine_request import EngineRequest
+from gooseberrydeal._internal.models.engine_tokens import EngineTokens
+from gooseberrydeal._internal.models.messages.copy_report import CopyReport
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.work_item import WorkItem
+from gooseberrydeal._internal.network.interfaces.engine import Engine
+from gooseberrydeal._internal.operations.keeper.adapter_loader import AdapterLoader
+from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
+from gooseberrydeal._internal.operations.keeper.job import Job
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+logger = logging.getLogger(__name__)
+
+_POLL_SECONDS: Final = 2.0
+_SETTLE_SECONDS: Final = 0.1
+_NOT_FOUND: Final = 404
+_OVERLOADED_STATUSES: Final = frozenset({429, 503})
+_SERVER_FAULT: Final = 500
+_RECOVER_SECONDS: Final = 0.5
+
+
+class EngineBackend:
+    """Stream generations and keep exact counts of the copies in use."""
+
+    def __init__(
+        self,
+        owner: ServerOwner,
+        engine: Engine,
+        slots: EngineSlots,
+        loader: AdapterLoader,
+        context: KeeperContext,
+    ) -> None:
+        self._owner = owner
+        self._engine = engine
+        self._slots = slots
+        self._loader = loader
+        self._context = context
+        self._is_reachable = False
+        self._crash_noted_at = float("-inf")
+        self._tasks = TaskOwner()
+
+    @property
+    def accepts(self) -> bool:
+        """Return whether the server can be given work."""
+        return self._is_reachable
+
+    @property
+    def slots(self) -> EngineSlots:
+        """Return the engine's adapter slots."""
+        return self._slots
+
+    def is_ready(self, item: WorkItem) -> bool:
+        """Return whether the item's adapter is loaded."""
+        adapter = item.adapter
+        return adapter is not None and self._slots.ready_copy(adapter) is not None
+
+    def can_ever_start(self, item: WorkItem) -> bool:
+        """Return whether a slot can be had for the item."""
+        if item.adapter is None:
+            return False
+        if self.is_ready(item) or self._slots.is_loading(item.adapter):
+            return True
+        return self._loader.has_slot()
+
+    def refusal(self, item: WorkItem) -> Refusal | None:
+        """Return why the item can't be taken, if so."""
+        if item.adapter is None:
+            return Refusal(RefusalReason.UNKNOWN_MODEL, Ran.NO)
+        if self.is_ready(item):
+            return None
+        return self._loader.refusal(item.adapter)
+
+    def extra_wait(self, item: WorkItem) -> float:
+        """Return the seconds that a load would take."""
+        if item.adapter is None or self.is_ready(item):
+            return 0.0
+        return self._loader.expected_wait(item.adapter)
+
+    def queued(self, job: Job) -> None:
+        """Reserve the adapter, and ask for a load if it is not there."""
+        if job.item.adapter is None:
+            return
+        self._slots.reserve(job.item.adapter)
+        if not self.is_ready(job.item):
+            self._loader.want(job.item)
+
+    def unqueued(self, job: Job) -> None:
+        """Release the adapter."""
+        adapter = job.item.adapter
+        if adapter is None:
+            return
+        self._slots.release(adapter)
+        if self._slots.reserved(adapter) == 0:
+            self._loader.withdraw(adapter)
+
+    async def run(self, job: Job) -> None:
+        """Run a job to its end and answer it."""
+        assert job.item.adapter is not None
+        if job.submit.offset > 0:
+            await self._run_resumed(job, job.item.adapter)
+            return
+        copy = self._slots.ready_copy(job.item.adapter)
+        if copy is None:
+            self._owner.requeue(job)
+            return
+        self._slots.begin_use(copy.name, self._now())
+        is_settled = False
+        try:
+            queued = self._now() - job.item.arrived
+            await job.stream.start(
+                self._owner.declared.name, queued, waited_for_load=job.waited_for_load
+            )
+            job.has_started = True
+            self._owner.pace.started(job.item.request_id, self._now())
+            is_settled = await self._relay(job, copy.name)
+        finally:
+            if is_settled or not job.has_started:
+                self._end_use(copy.name)
+            else:
+                self._tasks.start(self._settle(job, copy.name), "settle")
+
+    def copies(self) -> tuple[CopyReport, ...]:
+        """Return the loaded copies that may serve."""
+        return tuple(
+            CopyReport(
+                copy.adapter.name,
+                copy.adapter.version,
+                copy.state is CopyState.READY,
+                copy.in_use > 0,
+            )
+            for copy in self._slots.copies
+            if copy.adapter is not None
+            and copy.state in (CopyState.READY, CopyState.LOADING)
+        )
+
+    def victim_demand(self) -> float | None:
+        """Return the demand that the next load would evict."""
+        return self._loader.victim_demand()
+
+    async def recover(self) -> None:
+        """Learn the engine's true state, then follow it."""
+        with contextlib.suppress(ServerError):
+            await self._resync()
+        self._tasks.start(self._poll(), f"poll {self._owner.declared.name}")
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._loader.stop()
+        await self._tasks.stop()
+        await self._engine.close()
+
+    async def _relay(self, job: Job, copy: str) -> bool:
+        """Stream the answer; return whether the engine is known to be done with it."""
+        try:
+            await self._stream(job, self._engine.generate(self._request(job, copy)))
+        except ServerUnreachableError:
+            self._set_reachable(is_reachable=False)
+            await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.NO)
+            return True
+        except ServerRefusedError as error:
+            await self._engine_refused(job, error)
+            return True
+        except WrongAnswerError:
+            logger.error("crossed answer", extra={"request_id": job.item.request_id})
+            await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
+            return False
+        except ServerBrokenError:
+            return await self._resume(job, copy)
+        self._context.suspects.clear(job.submit.fingerprint)
+        return True
+
+    async def _run_resumed(self, job: Job, adapter: AdapterRef) -> None:
+        """Continue what an earlier owner began; its copy stays held by its use."""
+        await job.stream.start(self._owner.declared.name, 0.0, waited_for_load=False)
+        job.has_started = True
+        copy = adapter.copy_name(self._owner.epoch)
+        try:
+            await self._stream(job, self._engine.resume(self._request(job, copy)))
+        except ServerError:
+            await self._refuse(job, RefusalReason.STREAM_CUT, Ran.UNKNOWN)
+
+    def _request(self, job: Job, copy: str) -> EngineRequest:
+        declared = self._context.configuration().work_class(job.submit.work_class)
+        return EngineRequest(
+            request_id=job.item.request_id,
+            copy=copy,
+            is_chat=job.submit.call == "chat",
+            parameters=json.loads(job.submit.body),
+            priority=declared.engine_priority,
+            offset=job.stream.tokens_sent,
+        )
+
+    async def _stream(self, job: Job, parts: AsyncIterator[EngineTokens]) -> None:
+        finish_reason = ""
+        prompt_tokens = 0
+        async for part in parts:
+            if part.count:
+                self._owner.pace.progressed(
+                    job.item.request_id, part.count, self._now()
+                )
+                await job.stream.send(part.text, part.count)
+            finish_reason = part.finish_reason or finish_reason
+            prompt_tokens = part.prompt_tokens or prompt_tokens
+        if not finish_reason:
+            raise ServerBrokenError("the engine gave no reason for the end")
+        await job.stream.finish(finish_reason, prompt_tokens)
+
+    async def _engine_refused(self, job: Job, error: ServerRefusedError) -> None:
+        if error.status == _NOT_FOUND and job.stream.tokens_sent == 0:
+            with contextlib.suppress(ServerError):
+                await self._resync()
+            self._owner.requeue(job)
+            return
+        if error.status in _OVERLOADED_STATUSES:
+            await self._refuse(job, RefusalReason.OVERLOADED, Ran.NO)
+            return
+        if error.status < _SERVER_FAULT and job.stream.tokens_sent == 0:
+            await self._refuse(job, RefusalReason.BAD_REQUEST, Ran.NO)
+            return
+        await self._check_crash()
+        await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
+
+    async def _resume(self, job: Job, copy: str) -> bool:
+        """Continue a cut stream where it ended, if the engine still has it."""
+        if await self._check_crash():
+            await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
+            return True
+        request = self._request(job, copy)
+        try:
+            await self._stream(job, self._engine.resume(request))
+        except ServerError:
+            await self._refuse(job, RefusalReason.STREAM_CUT, Ran.UNKNOWN)
+            return False
+        self._context.journal.note(
+            f"stream resumed at token {request.offset}", job.item.request_id
+        )
+        return True
+
+    async def _refuse(self, job: Job, reason: RefusalReason, ran: Ran) -> None:
+        self._context.metrics.refused(reason)
+        self._context.journal.note(f"ended: {reason.value}", job.item.request_id)
+        await job.stream.refuse(Refusal(reason, ran))
+
+    async def _check_crash(self) -> bool:
+        """Return whether the engine has crashed, and suspect what ran on it."""
+        jobs = self._owner.running
+        try:
+            state = await self._engine.state()
+        except ServerError:
+            self._set_reachable(is_reachable=False)
+        else:
+            known = {c.name for c in self._slots.copies if c.state is CopyState.READY}
+            if known <= state.copies.keys():
+                return False
+            self._slots.reconcile(state)
+        self._note_crash(jobs)
+        return True
+
+    def _note_crash(self, jobs: list[Job]) -> None:
+        now = self._now()
+        if now - self._crash_noted_at < _POLL_SECONDS:
+            return
+        self._crash_noted_at = now
+        name = self._owner.declared.name
+        logger.error("engine crashed", extra={"server": name})
+        for job in jobs:
+            if job.submit.fingerprint:
+                self._context.share_suspect(
+                    job.submit.fingerprint, name, len(jobs) == 1
+                )
+        self._context.report_changed()
+
+    async def _settle(self, job: Job, copy: str) -> None:
+        """Hold a copy until the engine no longer runs an abandoned request."""
+        while True:
+            with contextlib.suppress(ServerError):
+                with contextlib.suppress(ServerRefusedError):
+                    await self._engine.cancel(job.item.request_id)
+                state = await self._engine.state()
+                found = self._slots.get(copy)
+                if found is None or state.running.get(copy, 0) < found.in_use:
+                    break
+            await asyncio.sleep(_SETTLE_SECONDS)
+        self._end_use(copy)
+
+    def _end_use(self, copy: str) -> None:
+        self._slots.end_use(copy, self._now())
+        self._loader.slot_changed()
+        self._owner.pump()
+
+    async def _resync(self) -> None:
+        state = await self._engine.state()
+        self._slots.reconcile(state)
+        self._set_reachable(is_reachable=True)
+        self._loader.slot_changed()
+        self._owner.pump()
+
+    async def _poll(self) -> None:
+        while True:
+            pause = _POLL_SECONDS if self._is_reachable else _RECOVER_SECONDS
+            await asyncio.sleep(pause * random.uniform(0.9, 1.1))
+            try:
+                await self._resync()
+            except ServerError:
+                self._set_reachable(is_reachable=False)
+
+    def _set_reachable(self, *, is_reachable: bool) -> None:
+        if is_reachable == self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        logger.info(
+            "engine is %s",
+            "reachable" if is_reachable else "unreachable",
+            extra={"server": self._owner.declared.name},
+        )
+        self._context.report_changed()
+
+    def _now(self) -> float:
+        return self._context.clock.monotonic()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -0,0 +1,363 @@
+"""Join the tasks of a keeper."""
+
+import asyncio
+import logging
+from typing import Final
+
+from gooseberrydeal._internal.models.backend_server import BackendServer
+from gooseberrydeal._internal.models.configuration import Configuration
+from gooseberrydeal._internal.models.host_record import HostRecord
+from gooseberrydeal._internal.models.ids import FencingNumber
+from gooseberrydeal._internal.models.lifecycle import Lifecycle
+from gooseberrydeal._internal.models.messages.hello import Hello
+from gooseberrydeal._internal.models.messages.host_report import HostReport
+from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
+from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.platform_limits import PlatformLimits
+from gooseberrydeal._internal.models.settings import KeeperSettings
+from gooseberrydeal._internal.models.work_class import WorkClass
+from gooseberrydeal._internal.network.metrics import Metrics
+from gooseberrydeal._internal.network.peer_dialer import PeerDialer
+from gooseberrydeal._internal.network.peer_listener import PeerListener
+from gooseberrydeal._internal.operations.alarms import Alarms
+from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
+from gooseberrydeal._internal.operations.keeper.budget_division import BudgetDivision
+from gooseberrydeal._internal.operations.keeper.claim_desk import ClaimDesk
+from gooseberrydeal._internal.operations.keeper.claim_lease import ClaimLease
+from gooseberrydeal._internal.operations.keeper.host_lease import HostLease
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.message_router import MessageRouter
+from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.keeper.ownership import Ownership
+from gooseberrydeal._internal.operations.keeper.server_factory import ServerFactory
+from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
+from gooseberrydeal._internal.operations.keeper.suspect_sharing import SuspectSharing
+from gooseberrydeal._internal.operations.keeper.view_exchange import ViewExchange
+from gooseberrydeal._internal.operations.peers import Peers
+from gooseberrydeal._internal.policy.crash_suspects import CrashSuspects
+from gooseberrydeal._internal.policy.demand import DemandTracker
+from gooseberrydeal._internal.policy.fleet_view import FleetView
+from gooseberrydeal._internal.policy.permit_pool import PermitPool
+from gooseberrydeal._internal.utils import rendezvous
+from gooseberrydeal._internal.utils.clock import Clock
+from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
+from gooseberrydeal._internal.utils.journal import Journal
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+from gooseberrydeal._internal.utils.tls import client_context, server_context
+
+logger = logging.getLogger(__name__)
+
+_READERS_PER_DOMAIN: Final = 2
+_FOLLOW_SECONDS: Final = 0.1
+
+
+class KeeperNode:
+    """Own backend servers of this host's failure domain."""
+
+    def __init__(
+        self, settings: KeeperSettings, outside: Outside, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._outside = outside
+        self._clock = clock
+        self._incarnation = clock.wall()
+        self._lifecycle = Lifecycle()
+        self._tasks = TaskOwner()
+        self._owners: dict[str, ServerOwner] = {}
+        self._old_owners: list[ServerOwner] = []
+        self._metrics = Metrics("keeper")
+        self._alarms = Alarms(self._metrics)
+        self._context = KeeperContext(
+            host=settings.host,
+            domain=settings.domain,
+            address=settings.listen,
+            clock=clock,
+            metrics=self._metrics,
+            journal=Journal(clock),
+            suspects=CrashSuspects(),
+            demand=DemandTracker(),
+            view=FleetView(),
+        )
+        self._router = MessageRouter(self._context, self._owners)
+        hello = Hello(
+            settings.host,
+            settings.domain,
+            "keeper",
+            settings.listen,
+            f"{self._incarnation:.6f}",
+        )
+        self._dialer = PeerDialer(
+            hello, self._router.receive, client_context(settings.tls)
+        )
+        self._listener = PeerListener(
+            hello, self._router.receive, server_context(settings.tls)
+        )
+        self._peers = Peers(self._dialer, self._listener)
+        self._build_tasks()
+        self._connect_tasks()
+
+    @property
+    def context(self) -> KeeperContext:
+        """Return what the tasks have in common."""
+        return self._context
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the metrics of the process."""
+        return self._metrics
+
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """Return the phase of the process."""
+        return self._lifecycle
+
+    @property
+    def owners(self) -> dict[str, ServerOwner]:
+        """Return the owned servers."""
+        return self._owners
+
+    @property
+    def configuration(self) -> ConfigurationTask:
+        """Return the task that follows the configuration."""
+        return self._configuration
+
+    @property
+    def gate(self) -> LoadGate:
+        """Return the task that lets loads start."""
+        return self._gate
+
+    @property
+    def lease(self) -> HostLease:
+        """Return the task that keeps this host's record."""
+        return self._lease
+
+    @property
+    def peers(self) -> Peers:
+        """Return the connections to peers."""
+        return self._peers
+
+    async def start(self) -> None:
+        """Listen and begin all tasks."""
+        host, port = split_ip_and_port(self._settings.listen)
+        await self._listener.start(host, port)
+        self._view.start()
+        self._configuration.start()
+        self._lease.start()
+        self._ownership.start()
+        self._budget.start()
+        self._gate.start()
+        self._claims.start()
+        self._tasks.start(self._follow_view(), "follow view")
+        self._tasks.start(self._follow_list(), "follow host list")
+        self._lifecycle.serve()
+        logger.info("keeper is serving", extra={"host": self._settings.host})
+
+    async def stop(self) -> int:
+        """Hand servers over, let running work end; return how many streams were cut."""
+        self._lifecycle.drain()
+        await self._view.announce()
+        await self._ownership.stop()
+        cut = await self._finish_work()
+        await self._budget.stop()
+        await self._lease.stop()
+        for owner in [*self._owners.values(), *self._old_owners]:
+            await owner.stop()
+        await self._stop_tasks()
+        self._lifecycle.stop()
+        return cut
+
+    async def abort(self) -> None:
+        """End at once without handing anything over, as a crash would."""
+        await self._ownership_abort()
+        for owner in [*self._owners.values(), *self._old_owners]:
+            await owner.stop()
+        await self._stop_tasks()
+        self._lifecycle.stop()
+
+    async def acquired(
+        self, server: BackendServer, epoch: FencingNumber, *, may_adopt: bool
+    ) -> None:
+        """Begin to own a server."""
+        owner = self._factory.build(server, epoch, may_adopt=may_adopt)
+        self._owners[server.name] = owner
+        self._tasks.start(owner.start(), f"own {server.name}")
+
+    async def released(self, server: str) -> None:
+        """Give no more orders to a server; running work ends by itself."""
+        owner = self._owners.pop(server, None)
+        if owner is None:
+            return
+        self._old_owners.append(owner)
+        self._tasks.start(self._retire(owner), f"retire {server}")
+        self._context.report_changed()
+
+    def may_adopt(self, server: str) -> None:
+        """Note that an earlier owner can give no more orders."""
+        self._factory.allow_adoption(server)
+
+    def _build_tasks(self) -> None:
+        settings = self._settings
+        self._view = ViewExchange(
+            self._context,
+            self._peers,
+            settings.peers,
+            self._host_report,
+            self._server_reports,
+        )
+        self._configuration = ConfigurationTask(
+            self._outside.store,
+            self._is_reader,
+            self._peers.connections,
+            self._alarms,
+            self._configured,
+        )
+        record = HostRecord(
+            settings.host,
+            settings.domain,
+            settings.listen,
+            f"{settings.listen}/{self._incarnation:.6f}",
+        )
+        self._lease = HostLease(self._outside.store, record, self._lease_changed)
+        self._ownership = Ownership(
+            self._outside.store,
+            self._outside.host_list,
+            record,
+            self,
+            self._declared_servers,
+            lambda: self._lease.is_held,
+        )
+        pool = PermitPool()
+        self._gate = LoadGate(self._context, pool, self._ask_permits)
+        self._budget = BudgetDivision(
+            self._outside.store,
+            self._outside.host_list,
+            self._context,
+            pool,
+            self._limits,
+        )
+        self._claims = ClaimDesk(
+            self._outside.store,
+            ClaimLease(self._outside.store, self._clock, self._claim_window),
+        )
+        self._suspects = SuspectSharing(self._context, self._peers)
+        self._factory = ServerFactory(
+            self._context, self._outside, self._gate, self._work_class
+        )
+
+    def _connect_tasks(self) -> None:
+        self._context.report_changed = self._view.flush_soon
+        self._context.share_suspect = self._suspects.share
+        self._context.configuration = self._current
+        self._router.connect(
+            self._configuration, self._claims, self._gate, self._suspects, self._view
+        )
+
+    def _current(self) -> Configuration:
+        return self._configuration.configuration or Configuration(())
+
+    def _limits(self) -> PlatformLimits | None:
+        configuration = self._configuration.configuration
+        return None if configuration is None else configuration.limits
+
+    def _claim_window(self) -> int:
+        return self._current().limits.claim_window_seconds
+
+    def _work_class(self, name: str) -> WorkClass:
+        return self._current().work_class(name)
+
+    def _declared_servers(self) -> list[BackendServer]:
+        return self._current().servers
+
+    def _configured(self, configuration: Configuration, number: int) -> None:
+        self._metrics.set_revision(number)
+        for name, owner in self._owners.items():
+            declared = configuration.server(name)
+            if declared is not None:
+                owner.redeclare(declared)
+        self._ownership.wake()
+        self._view.flush_soon()
+
+    def _lease_changed(self) -> None:
+        self._ownership.wake()
+        self._view.flush_soon()
+
+    def _is_reader(self) -> bool:
+        now = self._clock.monotonic()
+        live = {
+            report.host
+            for report in self._context.view.live_hosts(now)
+            if report.domain == self._settings.domain
+        }
+        live.add(self._settings.host)
+        ranked = rendezvous.ranked("configuration readers", live)
+        return self._settings.host in ranked[:_READERS_PER_DOMAIN]
+
+    def _host_report(self, sequence: int) -> HostReport:
+        return HostReport(
+            host=self._settings.host,
+            domain=self._settings.domain,
+            address=self._settings.listen,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            revision=self._configuration.number,
+            is_leaving=not self._lifecycle.is_serving,
+            waiting_loads=self._gate.waiting,
+            spare_permits=self._gate.spare,
+            budget_epoch=self._gate.pool.epoch,
+            platform_reachable=self._lease.is_reachable,
+            alarms=self._alarms.names,
+        )
+
+    def _server_reports(self) -> list[ServerReport]:
+        return [owner.report() for owner in self._owners.values()]
+
+    async def _ask_permits(self, address: str, request: PermitRequest) -> None:
+        await self._router.send_to(self._peers, address, request)
+
+    async def _follow_view(self) -> None:
+        """Act soon when hosts come or go, instead of at the next poll."""
+        known: set[str] = set()
+        while True:
+            self._budget.confirm()
+            now = self._clock.monotonic()
+            live = {report.host for report in self._context.view.live_hosts(now)}
+            if live != known:
+                known = live
+                self._ownership.wake()
+            await asyncio.sleep(_FOLLOW_SECONDS)
+
+    async def _follow_list(self) -> None:
+        await self._factory.follow_host_list(self._owners)
+
+    async def _retire(self, owner: ServerOwner) -> None:
+        await owner.drain()
+        await owner.stop()
+        if owner in self._old_owners:
+            self._old_owners.remove(owner)
+
+    async def _finish_work(self) -> int:
+        owners = [*self._owners.values(), *self._old_owners]
+        try:
+            async with asyncio.timeout(self._settings.drain_seconds):
+                await asyncio.gather(*(owner.drain() for owner in owners))
+        except TimeoutError:
+            return sum(len(owner.running) for owner in owners)
+        return 0
+
+    async def _ownership_abort(self) -> None:
+        await self._ownership.abort()
+        await self._budget.stop()
+        await self._lease.abort()
+
+    async def _stop_tasks(self) -> None:
+        await self._tasks.stop()
+        await self._claims.stop()
+        await self._gate.stop()
+        await self._configuration.stop()
+        await self._view.stop()
+        await self._dialer.stop()
+        await self._listener.stop()
+        await self._router.stop()
+        await self._suspects.stop()
+        await self._outside.close()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/message_router.py
@@ -0,0 +1,156 @@
+"""Hand the messages of peers to the tasks that answer them."""
+
+import contextlib
+import logging
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+from gooseberrydeal._internal.exceptions import PeerError
+from gooseberrydeal._internal.models.messages.cancel import Cancel
+from gooseberrydeal._internal.models.messages.chunk_reply import ChunkReply
+from gooseberrydeal._internal.models.messages.chunk_request import ChunkRequest
+from gooseberrydeal._internal.models.messages.claim_request import ClaimRequest
+from gooseberrydeal._internal.models.messages.claim_result import ClaimResult
+from gooseberrydeal._internal.models.messages.credit import Credit
+from gooseberrydeal._internal.models.messages.explain_reply import ExplainReply
+from gooseberrydeal._internal.models.messages.explain_request import ExplainRequest
+from gooseberrydeal._internal.models.messages.permit_grant import PermitGrant
+from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
+from gooseberrydeal._internal.models.messages.revision_offer import RevisionOffer
+from gooseberrydeal._internal.models.messages.submit import Submit
+from gooseberrydeal._internal.models.messages.suspect_notice import SuspectNotice
+from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.network.codec import Message
+from gooseberrydeal._internal.network.peer_connection import PeerConnection
+from gooseberrydeal._internal.network.served_stream import ServedStream
+from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
+from gooseberrydeal._internal.operations.keeper.claim_desk import ClaimDesk
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
+from gooseberrydeal._internal.operations.keeper.suspect_sharing import SuspectSharing
+from gooseberrydeal._internal.operations.keeper.view_exchange import ViewExchange
+from gooseberrydeal._internal.operations.peers import Peers
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+logger = logging.getLogger(__name__)
+
+StreamKey = tuple[PeerConnection, int]
+Handler = Callable[[PeerConnection, Any], None]
+
+
+class MessageRouter:
+    """Know which task each message is for, and which stream each job answers."""
+
+    def __init__(
+        self, context: KeeperContext, owners: Mapping[str, ServerOwner]
+    ) -> None:
+        self._context = context
+        self._owners = owners
+        self._streams: dict[StreamKey, tuple[ServedStream, ServerOwner]] = {}
+        self._watched: set[PeerConnection] = set()
+        self._tasks = TaskOwner()
+        self._handlers: dict[type[Any], Handler] = {}
+
+    def connect(
+        self,
+        configuration: ConfigurationTask,
+        claims: ClaimDesk,
+        gate: LoadGate,
+        suspects: SuspectSharing,
+        view: ViewExchange,
+    ) -> None:
+        """Set the tasks that answer."""
+        self._gate = gate
+        self._view = view
+        self._handlers = {
+            Submit: self._submit,
+            Cancel: self._cancel,
+            Credit: self._credit,
+            ViewUpdate: self._merge,
+            PermitRequest: self._lend,
+            ExplainRequest: self._explain,
+            RevisionOffer: lambda peer, offer: configuration.offered(offer, peer),
+            ChunkRequest: lambda peer, ask: configuration.requested(ask, peer),
+            ChunkReply: lambda peer, reply: configuration.received(reply),
+            PermitGrant: lambda peer, grant: gate.granted(grant),
+            ClaimRequest: lambda peer, request: claims.claim(request, peer),
+            ClaimResult: lambda peer, result: claims.record(result),
+            SuspectNotice: lambda peer, notice: suspects.received(notice),
+        }
+
+    async def stop(self) -> None:
+        """End."""
+        await self._tasks.stop()
+
+    def receive(self, connection: PeerConnection, message: Message) -> None:
+        """Hand a message on; kinds that a keeper does not answer are ignored."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(connection, message)
+
+    async def send_to(self, peers: Peers, address: str, message: Message) -> None:
+        """Send a message to the peer at an address, if it can be reached."""
+        with contextlib.suppress(PeerError):
+            known = peers.at_address(address)
+            connection = known or await peers.dialer.connection(address)
+            await connection.send(message)
+
+    def _submit(self, connection: PeerConnection, submit: Submit) -> None:
+        key = (connection, submit.stream)
+        stream = ServedStream(connection, submit, lambda: self._streams.pop(key, None))
+        owner = self._owners.get(submit.server)
+        if owner is None:
+            refusal = Refusal(RefusalReason.NOT_OWNER, Ran.NO)
+            self._context.metrics.refused(refusal.reason)
+            self._start(stream.refuse(refusal), "refuse")
+            return
+        if submit.adapter:
+            name = f"{submit.adapter}@{submit.version}"
+            self._context.demand.note(name, self._context.clock.monotonic())
+        if connection not in self._watched:
+            self._watched.add(connection)
+            connection.on_close(self._connection_lost)
+        self._streams[key] = (stream, owner)
+        self._start(owner.submit(submit, stream), "submit")
+
+    def _merge(self, connection: PeerConnection, update: ViewUpdate) -> None:
+        if self._context.view.merge(update, self._context.clock.monotonic()):
+            self._view.note_news()
+
+    def _cancel(self, connection: PeerConnection, cancel: Cancel) -> None:
+        found = self._streams.pop((connection, cancel.stream), None)
+        if found is not None:
+            stream, owner = found
+            owner.cancel(stream)
+
+    def _credit(self, connection: PeerConnection, credit: Credit) -> None:
+        found = self._streams.get((connection, credit.stream))
+        if found is not None:
+            found[0].add_credit(credit.frames)
+
+    def _connection_lost(self, connection: PeerConnection) -> None:
+        self._watched.discard(connection)
+        for key in [key for key in self._streams if key[0] is connection]:
+            stream, owner = self._streams.pop(key)
+            owner.connection_lost(stream)
+
+    def _lend(self, connection: PeerConnection, request: PermitRequest) -> None:
+        grant = self._gate.lend(request)
+        if grant is not None:
+            self._start(connection.send(grant), "lend permits")
+
+    def _explain(self, connection: PeerConnection, request: ExplainRequest) -> None:
+        lines = self._context.journal.about(request.subject)
+        reply = ExplainReply(request.number, self._context.host, lines)
+        self._start(connection.send(reply), "explain")
+
+    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        self._tasks.start(self._quietly(work), name)
+
+    async def _quietly(self, work: Coroutine[Any, Any, None]) -> None:
+        with contextlib.suppress(PeerError):
+            await work
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
@@ -0,0 +1,103 @@
+"""Build the owners of servers."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import HostListError
+from gooseberrydeal._internal.models.backend_server import BackendServer
+from gooseberrydeal._internal.models.ids import FencingNumber
+from gooseberrydeal._internal.models.work_class import WorkClass
+from gooseberrydeal._internal.operations.keeper.adapter_loader import AdapterLoader
+from gooseberrydeal._internal.operations.keeper.engine_backend import EngineBackend
+from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.keeper.plain_backend import PlainBackend
+from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
+from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
+
+logger = logging.getLogger(__name__)
+
+_USUAL_FIRST_SECONDS: Final = 0.1
+_USUAL_GAP_SECONDS: Final = 0.03
+_LIST_SECONDS: Final = 1.0
+
+
+class ServerFactory:
+    """Give each kind of server its backend."""
+
+    def __init__(
+        self,
+        context: KeeperContext,
+        outside: Outside,
+        gate: LoadGate,
+        class_of: Callable[[str], WorkClass],
+    ) -> None:
+        self._context = context
+        self._outside = outside
+        self._gate = gate
+        self._class_of = class_of
+        self._slots: dict[str, EngineSlots] = {}
+
+    def build(
+        self, server: BackendServer, epoch: FencingNumber, *, may_adopt: bool
+    ) -> ServerOwner:
+        """Return the owner of a server, not yet started."""
+        pace = PaceTracker(_USUAL_FIRST_SECONDS, _USUAL_GAP_SECONDS)
+        owner = ServerOwner(server, epoch, self._context, pace, self._class_of)
+        service = self._context.configuration().service(server.service)
+        if service is not None and service.type == "plain":
+            plain = self._outside.plain_server(server.address)
+            owner.attach(PlainBackend(owner, plain, self._context))
+            return owner
+        owner.attach(self._engine_backend(owner, server, epoch, may_adopt=may_adopt))
+        return owner
+
+    def allow_adoption(self, server: str) -> None:
+        """Let the owner of a server use the copies of an earlier one."""
+        slots = self._slots.get(server)
+        if slots is not None:
+            slots.allow_adoption()
+
+    async def follow_host_list(self, owners: Mapping[str, ServerOwner]) -> None:
+        """Give no new work to servers that the platform lists as leaving."""
+        while True:
+            await asyncio.sleep(_LIST_SECONDS)
+            if not owners:
+                continue
+            try:
+                listed = await self._outside.host_list.read()
+            except HostListError:
+                continue
+            leaving = {item.address for item in listed if item.is_leaving}
+            for owner in owners.values():
+                owner.set_listed_leaving(is_leaving=owner.declared.address in leaving)
+
+    def _engine_backend(
+        self,
+        owner: ServerOwner,
+        server: BackendServer,
+        epoch: FencingNumber,
+        *,
+        may_adopt: bool,
+    ) -> EngineBackend:
+        engine = self._outside.engine(server.address)
+        slots = EngineSlots(server.adapter_slots, epoch, self._context.clock)
+        if may_adopt:
+            slots.allow_adoption()
+        self._slots[server.name] = slots
+        loader = AdapterLoader(
+            server.name,
+            epoch,
+            engine,
+            slots,
+            self._gate,
+            self._outside.weights,
+            self._context,
+        )
+        backend = EngineBackend(owner, engine, slots, loader, self._context)
+        loader.listen(owner.pump, owner.refuse_adapter, owner.fenced)
+        return backend
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
@@ -0,0 +1,213 @@
+"""Exchange reports with other keepers and with entries."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import PeerLostError, PeerUnreachableError
+from gooseberrydeal._internal.models.messages.host_report import HostReport
+from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
+from gooseberrydeal._internal.network.peer_connection import PeerConnection
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.peers import Peers
+from gooseberrydeal._internal.policy.fleet_view import FleetView, Marks
+from gooseberrydeal._internal.utils import rendezvous
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+logger = logging.getLogger(__name__)
+
+RELAYS_PER_DOMAIN: Final = 3
+_LEAST_REPORT_SECONDS: Final = 0.2
+_REPORT_SECONDS_A_HOST: Final = 0.02
+_HOST_REPORT_SECONDS: Final = 1.0
+_FLUSH_SECONDS: Final = 0.01
+_DIAL_SECONDS: Final = 1.0
+
+MakeHost = Callable[[int], HostReport]
+MakeServers = Callable[[], list[ServerReport]]
+
+
+class ViewExchange:
+    """Send each neighbour what it has not been sent.
+
+    Within a failure domain every keeper sends its own reports to every other. A few
+    relays a domain exchange the reports of their domains and pass the others' on, so
+    that a node's connections grow with its domain and not with the fleet.
+    """
+
+    def __init__(
+        self,
+        context: KeeperContext,
+        peers: Peers,
+        seeds: tuple[str, ...],
+        make_host: MakeHost,
+        make_servers: MakeServers,
+    ) -> None:
+        self._context = context
+        self._peers = peers
+        self._seeds = seeds
+        self._make_host = make_host
+        self._make_servers = make_servers
+        self._marks: dict[PeerConnection, Marks] = {}
+        self._sequence = 0
+        self._urgent = asyncio.Event()
+        self._known_addresses: set[str] = set()
+        self._tasks = TaskOwner()
+
+    def start(self) -> None:
+        """Begin to exchange."""
+        self._tasks.start(self._report(), "report")
+        self._tasks.start(self._report_host(), "report host")
+        self._tasks.start(self._dial(), "dial peers")
+
+    async def stop(self) -> None:
+        """End."""
+        await self._tasks.stop()
+
+    def flush_soon(self) -> None:
+        """Send reports without waiting for their turn."""
+        self._urgent.set()
+
+    def note_news(self) -> None:
+        """Pass on what peers have reported, if someone depends on this host for it."""
+        if self._peers.with_role("entry") or self.is_relay():
+            self._urgent.set()
+
+    async def announce(self) -> None:
+        """Send this host's report to all neighbours at once."""
+        self._note_host()
+        await self._flush()
+
+    def add_addresses(self, addresses: set[str]) -> None:
+        """Learn of peers to dial."""
+        self._known_addresses |= addresses
+
+    def is_relay(self) -> bool:
+        """Return whether this host passes reports between failure domains."""
+        return self._context.host in self._relays(self._context.domain)
+
+    def _relays(self, domain: str) -> list[str]:
+        now = self._context.clock.monotonic()
+        live = {
+            report.host
+            for report in self._context.view.live_hosts(now)
+            if report.domain == domain
+        }
+        if domain == self._context.domain:
+            live.add(self._context.host)
+        return rendezvous.ranked(domain, live)[:RELAYS_PER_DOMAIN]
+
+    async def _report(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._pause()):
+                    await self._urgent.wait()
+                    await asyncio.sleep(_FLUSH_SECONDS)
+            self._urgent.clear()
+            now = self._context.clock.monotonic()
+            reports = ViewUpdate(servers=tuple(self._make_servers()))
+            self._context.view.merge(reports, now)
+            await self._flush()
+
+    def _pause(self) -> float:
+        """Report less often in a large failure domain, so that costs stay flat."""
+        own = self._context.domain
+        hosts = sum(1 for r in self._context.view.hosts.values() if r.domain == own)
+        return max(_LEAST_REPORT_SECONDS, hosts * _REPORT_SECONDS_A_HOST)
+
+    async def _report_host(self) -> None:
+        while True:
+            self._note_host()
+            self._urgent.set()
+            await asyncio.sleep(_HOST_REPORT_SECONDS)
+
+    def _note_host(self) -> None:
+        self._sequence += 1
+        update = ViewUpdate(hosts=(self._make_host(self._sequence),))
+        self._context.view.merge(update, self._context.clock.monotonic())
+
+    async def _flush(self) -> None:
+        connections = self._neighbours()
+        self._marks = {c: m for c, m in self._marks.items() if c in connections}
+        is_relay = self.is_relay()
+        sends = []
+        for connection in connections:
+            marks = self._marks.setdefault(connection, FleetView.new_marks())
+            update = self._delta_for(connection, marks, is_relay=is_relay)
+            if update is not None:
+                sends.append(self._send(connection, update))
+        if sends:
+            await asyncio.gather(*sends)
+
+    def _neighbours(self) -> list[PeerConnection]:
+        return [
+            *self._peers.with_role("keeper"),
+            *self._peers.with_role("entry"),
+            *self._peers.with_role("ctl"),
+        ]
+
+    def _delta_for(
+        self, connection: PeerConnection, marks: Marks, *, is_relay: bool
+    ) -> ViewUpdate | None:
+        peer = connection.peer
+        view = self._context.view
+        if peer is None:
+            return None
+        if peer.role != "keeper":
+            return view.delta(marks, lambda host: True, lambda server: True)
+        own = self._context.domain
+        if peer.domain == own:
+            return view.delta(
+                marks,
+                lambda host: (
+                    self._is_own(host.host) or (is_relay and host.domain != own)
+                ),
+                lambda server: (
+                    self._is_own(server.owner)
+                    or (is_relay and self._domain_of(server.owner) != own)
+                ),
+            )
+        return view.delta(
+            marks,
+            lambda host: self._is_own(host.host) or (is_relay and host.domain == own),
+            lambda server: (
+                self._is_own(server.owner)
+                or (is_relay and self._domain_of(server.owner) == own)
+            ),
+        )
+
+    def _is_own(self, host: str) -> bool:
+        return host == self._context.host
+
+    def _domain_of(self, host: str) -> str:
+        report = self._context.view.hosts.get(host)
+        return "" if report is None else report.domain
+
+    async def _send(self, connection: PeerConnection, update: ViewUpdate) -> None:
+        with contextlib.suppress(PeerLostError):
+            await connection.send(update)
+
+    async def _dial(self) -> None:
+        while True:
+            for address in self._wanted_addresses():
+                with contextlib.suppress(PeerUnreachableError):
+                    await self._peers.dialer.connection(address)
+            await asyncio.sleep(_DIAL_SECONDS)
+
+    def _wanted_addresses(self) -> list[str]:
+        connected = {
+            connection.peer.address
+            for connection in self._peers.connections()
+            if connection.peer is not None
+        }
+        wanted = set(self._seeds) | self._known_addresses
+        is_relay = self.is_relay()
+        for report in self._context.view.hosts.values():
+            is_near = report.domain == self._context.domain
+            is_far_relay = is_relay and report.host in self._relays(report.domain)
+            if (is_near or is_far_relay) and not report.is_leaving:
+                wanted.add(report.address)
+        return sorted(wanted - connected - {self._context.address})
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/publisher.py
@@ -0,0 +1,185 @@
+"""Publish configuration revisions to the platform."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+from uuid import uuid4
+
+from gooseberrydeal._internal.exceptions import ConflictError, StoreError
+from gooseberrydeal._internal.models.conditional_write import ConditionalWrite
+from gooseberrydeal._internal.models.entries import Entry
+from gooseberrydeal._internal.models.ids import EntryKey, RevisionNumber
+from gooseberrydeal._internal.models.record import Record
+from gooseberrydeal._internal.models.revision import Revision
+from gooseberrydeal._internal.network.interfaces.key_value_store import KeyValueStore
+from gooseberrydeal._internal.operations.configuration_task import (
+    CHUNK_PREFIX,
+    ROOT_KEY,
+)
+from gooseberrydeal._internal.operations.resolved_write import write_resolved
+from gooseberrydeal._internal.policy.configuration_chunks import (
+    canonical,
+    digest_of,
+    join,
+    raw_entries,
+    split,
+)
+from gooseberrydeal._internal.policy.configuration_diff import ConfigurationDiff
+
+HISTORY_PREFIX: Final = "config/history/"
+_CHUNKS_A_WRITE: Final = 16
+
+RawMap = dict[EntryKey, dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """Hold a revision together with its entries and its record's number."""
+
+    revision: Revision | None
+    entries: RawMap
+    modified: int
+
+    @property
+    def number(self) -> RevisionNumber:
+        """Return the revision's number, 0 if there is none."""
+        return RevisionNumber(0 if self.revision is None else self.revision.number)
+
+
+class Publisher:
+    """Write chunks first and the root last, by compare-and-swap."""
+
+    def __init__(self, store: KeyValueStore, author: str) -> None:
+        self._store = store
+        self._author = author
+
+    async def current(self) -> Published:
+        """Return the newest revision."""
+        record = await self._store.get(ROOT_KEY)
+        if record is None:
+            return Published(None, {}, 0)
+        revision = decode_revision(record)
+        return Published(revision, await self._entries(revision), record.modified)
+
+    async def submit(
+        self, entries: Sequence[Entry], base: int, *, rebases: bool
+    ) -> Revision:
+        """Publish entries that were reviewed against a base revision.
+
+        Raises :class:`ConflictError` if the configuration has changed since, unless
+        the changes touch other entries and ``rebases`` is set.
+        """
+        current = await self.current()
+        wanted: RawMap = raw_entries(entries)
+        if current.number != base:
+            wanted = await self._rebased(current, wanted, base, rebases=rebases)
+        return await self.publish(current, wanted, RevisionNumber(current.number + 1))
+
+    async def publish(
+        self, current: Published, entries: RawMap, number: RevisionNumber
+    ) -> Revision:
+        """Replace the root that was read by a new revision."""
+        chunks = split(entries)
+        digests = tuple(digest_of(chunk) for chunk in chunks)
+        known = set(current.revision.chunks) if current.revision is not None else set()
+        fresh = {d: c for d, c in zip(digests, chunks, strict=True) if d not in known}
+        await self._write_chunks(fresh)
+        revision = Revision(number, digests, uuid4().hex, self._author)
+        data = encode_revision(revision)
+        result = await write_resolved(
+            self._store,
+            ConditionalWrite(ROOT_KEY, current.modified, data),
+            lambda value: value == data,
+        )
+        if not result.applied:
+            raise ConflictError(await self._conflict_text(current))
+        await self._keep_history(revision, data)
+        return revision
+
+    async def _write_chunks(self, chunks: dict[str, bytes]) -> None:
+        items = list(chunks.items())
+        for start in range(0, len(items), _CHUNKS_A_WRITE):
+            part = items[start : start + _CHUNKS_A_WRITE]
+            writes = [ConditionalWrite(CHUNK_PREFIX + d, 0, c) for d, c in part]
+            await self._store.commit(writes)
+
+    async def _keep_history(self, revision: Revision, data: bytes) -> None:
+        write = ConditionalWrite(f"{HISTORY_PREFIX}{revision.number:010d}", 0, data)
+        await self._store.commit([write])
+
+    async def _rebased(
+        self, current: Published, wanted: RawMap, base: int, *, rebases: bool
+    ) -> RawMap:
+        old = await self._at(base)
+        theirs = ConfigurationDiff.between(old, current.entries)
+        own = ConfigurationDiff.between(old, wanted)
+        both = sorted(theirs.keys & own.keys)
+        if both or not rebases:
+            named = ", ".join(both or sorted(theirs.keys)[:10])
+            advice = "review them" if both else "review them, or add --rebase"
+            raise ConflictError(
+                f"revision {current.number} is newer than your base {base} and has "
+                f"changed: {named}; {advice} and submit again"
+            )
+        merged = dict(current.entries)
+        for key in own.removed:
+            merged.pop(key, None)
+        for key in own.added + own.changed:
+            merged[key] = wanted[key]
+        return merged
+
+    async def _at(self, number: int) -> RawMap:
+        if number == 0:
+            return {}
+        record = await self._store.get(f"{HISTORY_PREFIX}{number:010d}")
+        if record is None:
+            raise ConflictError(
+                f"revision {number} is not kept any more; run diff again and use its "
+                "revision as your base"
+            )
+        return await self._entries(decode_revision(record))
+
+    async def _conflict_text(self, before: Published) -> str:
+        now = await self.current()
+        diff = ConfigurationDiff.between(before.entries, now.entries)
+        named = ", ".join(sorted(diff.keys)[:10])
+        return (
+            f"another operator published revision {now.number} at the same time and "
+            f"changed: {named}; run diff and submit again"
+        )
+
+    async def _entries(self, revision: Revision) -> RawMap:
+        chunks = []
+        for digest in revision.chunks:
+            record = await self._store.get(CHUNK_PREFIX + digest)
+            if record is None:
+                raise StoreError(f"the platform lacks configuration chunk {digest}")
+            chunks.append(record.value)
+        return join(chunks)
+
+
+def encode_revision(revision: Revision) -> bytes:
+    """Return the stored form of a root."""
+    return canonical(
+        {
+            "number": revision.number,
+            "chunks": list(revision.chunks),
+            "attempt": revision.attempt,
+            "author": revision.author,
+        }
+    )
+
+
+def decode_revision(record: Record) -> Revision:
+    """Return the root of a record, or raise :class:`StoreError`."""
+    try:
+        value = json.loads(record.value)
+        return Revision(
+            RevisionNumber(int(value["number"])),
+            tuple(str(item) for item in value["chunks"]),
+            str(value["attempt"]),
+            str(value["author"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise StoreError(f"{record.key} is malformed") from error
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Hold pure decisions: state in, decision out, no input or output."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/admission.py
@@ -0,0 +1,35 @@
+"""Decide whether waiting for a server is of use."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+
+_DEADLINE_PART: Final = 0.6
+_LEAST_RETRY_SECONDS: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Say whether work is taken, or why not and when to come back."""
+
+    is_admitted: bool
+    reason: RefusalReason | None = None
+    retry_after: float = 0.0
+
+
+def admit(predicted_wait: float, deadline_left: float) -> Admission:
+    """Take work only if it is expected to start well before its deadline.
+
+    A part of the deadline is left for what the prediction can't know, so that
+    admitted work still meets it when the queue is at its fullest.
+    """
+    if deadline_left <= 0:
+        return Admission(False, RefusalReason.DEADLINE)
+    allowed = deadline_left * _DEADLINE_PART
+    if predicted_wait <= allowed:
+        return Admission(True)
+    surplus = predicted_wait - allowed
+    return Admission(
+        False, RefusalReason.OVERLOADED, max(_LEAST_RETRY_SECONDS, surplus)
+    )
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/configuration_view.py
@@ -0,0 +1,60 @@
+"""Build a usable configuration from chunks."""
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from pydantic import ValidationError
+
+from gooseberrydeal._internal.models.configuration import Configuration
+from gooseberrydeal._internal.models.entries import ENTRY_ADAPTER, Entry, key_of
+from gooseberrydeal._internal.models.ids import EntryKey
+from gooseberrydeal._internal.policy.chunked_entries import ChunkedEntries
+from gooseberrydeal._internal.policy.declaration_check import entry_problems
+
+_LAZY_KINDS: Final = ("adapter/", "alias/")
+
+
+@dataclass(frozen=True)
+class ConfigurationView:
+    """Hold the entries that a node can use and the problems of the others."""
+
+    configuration: Configuration
+    skipped: dict[EntryKey, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_chunks(cls, chunks: Sequence[bytes]) -> "ConfigurationView":
+        """Keep every entry that stands on its own, so that a bad one fails alone."""
+        raw: dict[EntryKey, Any] = {}
+        for chunk in chunks:
+            for key, value in json.loads(chunk).items():
+                if not key.startswith(_LAZY_KINDS):
+                    raw[EntryKey(key)] = value
+        entries, skipped = _parsed(raw)
+        source = ChunkedEntries(chunks)
+        whole = Configuration(entries.values(), source)
+        for key, entry in entries.items():
+            problems = entry_problems(entry, whole)
+            if problems:
+                skipped[key] = problems[0]
+        usable = [entry for key, entry in entries.items() if key not in skipped]
+        return cls(Configuration(usable, source), skipped)
+
+
+def _parsed(
+    raw: Mapping[EntryKey, Any],
+) -> tuple[dict[EntryKey, Entry], dict[EntryKey, str]]:
+    entries: dict[EntryKey, Entry] = {}
+    skipped: dict[EntryKey, str] = {}
+    for key, value in raw.items():
+        try:
+            entry = ENTRY_ADAPTER.validate_python(value)
+        except ValidationError as error:
+            skipped[key] = f"{error.error_count()} invalid fields"
+            continue
+        if key_of(entry) != key:
+            skipped[key] = f"entry names itself {key_of(entry)}"
+            continue
+        entries[key] = entry
+    return entries, skipped
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/idempotency_key.py
@@ -0,0 +1,57 @@
+"""Read idempotency keys that carry their time of issue."""
+
+import re
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from enum import Enum
+from hashlib import sha256
+from typing import Final
+
+CLOCK_SKEW_SECONDS: Final = 120.0
+_PATTERN: Final = re.compile(r"^(\d{8}T\d{6}Z)-([A-Za-z0-9_-]{8,64})$")
+_TIME_FORMAT: Final = "%Y%m%dT%H%M%SZ"
+RANGE_COUNT: Final = 16
+
+
+class KeyFault(Enum):
+    """List why a key can't be used."""
+
+    MALFORMED = "malformed"
+    EXPIRED = "expired"
+    FROM_FUTURE = "from_future"
+
+
+@dataclass(frozen=True, slots=True)
+class IdempotencyKey:
+    """Hold a checked key; ``issued`` is in seconds since the epoch."""
+
+    text: str
+    issued: float
+
+    def store_key(self, caller: str, service: str, operation: str) -> str:
+        """Return the platform's key for a claim."""
+        scope = f"{caller}\0{service}\0{operation}\0{self.text}"
+        digest = sha256(scope.encode()).hexdigest()
+        return f"claims/{int(digest[:4], 16) % RANGE_COUNT:02d}/{digest}"
+
+
+def parse(text: str, now: float, window_seconds: float) -> IdempotencyKey | KeyFault:
+    """Return the key, or why it is refused.
+
+    A key is ``YYYYMMDDTHHMMSSZ-RANDOM``, the time in UTC and at least 8 random
+    characters. An older key than the window is refused, since its claim may have
+    been forgotten.
+    """
+    match = _PATTERN.match(text)
+    if match is None:
+        return KeyFault.MALFORMED
+    try:
+        issued = datetime.strptime(match.group(1), _TIME_FORMAT).replace(tzinfo=UTC)
+    except ValueError:
+        return KeyFault.MALFORMED
+    age = now - issued.timestamp()
+    if age > window_seconds:
+        return KeyFault.EXPIRED
+    if age < -CLOCK_SKEW_SECONDS:
+        return KeyFault.FROM_FUTURE
+    return IdempotencyKey(text, issued.timestamp())
--- /dev/null
+++ b/src/gooseberrydeal/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Hold helpers that know nothing of serving."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/utils/clock.py
@@ -0,0 +1,28 @@
+"""Define the injected source of time."""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Tell monotonic and wall-clock time in seconds."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back."""
+        ...
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+        ...
+
+
+class SystemClock:
+    """Read the operating system's clocks."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+        return time.time()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/utils/json_log.py
@@ -0,0 +1,49 @@
+"""Write log records as JSON lines."""
+
+import json
+import logging
+import sys
+from typing import Final
+
+_CONTEXT_FIELDS: Final = (
+    "request_id",
+    "adapter",
+    "adapter_version",
+    "server",
+    "host",
+    "reason",
+    "caller",
+    "revision",
+    "epoch",
+)
+
+
+class JsonLinesFormatter(logging.Formatter):
+    """Format each record as one JSON object on one line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as JSON text."""
+        line: dict[str, object] = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        for field in _CONTEXT_FIELDS:
+            value = record.__dict__.get(field)
+            if value is not None:
+                line[field] = value
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, ensure_ascii=False)
+
+
+def configure_logging(level: str) -> None:
+    """Send all log records to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonLinesFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    for noisy in ("uvicorn.access", "uvicorn.error", "websockets", "transitions"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
