Prove ownership, claims, configuration and engine faults in memory

Cause: the thin path had no proof under failure.

Found and mended, each with its test: - a claim that was refused as not run could be written late and block its key for good; a claim is now given back by a record, not by deletion - an engine's state asked for before a load ended removed the loaded copy from the slot table, and the next load found no slot; a state that is out of date is now left out - a cut answer was given up because its lost owner still counted as live - a keeper that left kept its host record while its streams ended, so its servers had no owner meanwhile - each entry chose its own engine for an adapter whose load still waited

--- a/src/gooseberrydeal/_internal/cli/entry.py
+++ b/src/gooseberrydeal/_internal/cli/entry.py
@@ -31,7 +31,7 @@
         return
 
     def build() -> tuple[Node, Callable[[], Awaitable[None]]]:
-        node = EntryNode(checked, SystemClock())
+        node = EntryNode.from_settings(checked, SystemClock())
         api = OperatorApi(node, checked.operators)
         return api, api.close
 
--- a/src/gooseberrydeal/_internal/cli/keeper.py
+++ b/src/gooseberrydeal/_internal/cli/keeper.py
@@ -13,7 +13,6 @@
 )
 from gooseberrydeal._internal.models.settings import KeeperSettings
 from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
-from gooseberrydeal._internal.operations.keeper.outside import Outside
 from gooseberrydeal._internal.operations.operator_api import OperatorApi
 from gooseberrydeal._internal.utils.clock import SystemClock
 
@@ -32,7 +31,7 @@
         return
 
     def build() -> tuple[Node, Callable[[], Awaitable[None]]]:
-        node = KeeperNode(checked, Outside.from_settings(checked), SystemClock())
+        node = KeeperNode.from_settings(checked, SystemClock())
         api = OperatorApi(node, checked.operators)
         return api, api.close
 
--- a/src/gooseberrydeal/_internal/lab/lab_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -21,7 +21,6 @@
 from gooseberrydeal._internal.network.http_server import HttpServer
 from gooseberrydeal._internal.operations.entry.entry_node import EntryNode
 from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
-from gooseberrydeal._internal.operations.keeper.outside import Outside
 from gooseberrydeal._internal.operations.publisher import Publisher
 from gooseberrydeal._internal.utils.clock import SystemClock
 
@@ -136,7 +135,7 @@
     async def start_keeper(self, host: str) -> KeeperNode:
         """Start a keeper, as a new process would."""
         settings = self._keeper_settings[host]
-        keeper = KeeperNode(settings, Outside.from_settings(settings), self._clock)
+        keeper = KeeperNode.from_settings(settings, self._clock)
         await keeper.start()
         self._keepers[host] = keeper
         self._platform.hosts[settings.listen] = "live"
@@ -144,7 +143,7 @@
 
     async def start_entry(self, host: str) -> EntryNode:
         """Start an entry, as a new process would."""
-        entry = EntryNode(self._entry_settings[host], self._clock)
+        entry = EntryNode.from_settings(self._entry_settings[host], self._clock)
         await entry.start()
         self._entries[host] = entry
         return entry
@@ -185,7 +184,9 @@
         now = self._clock.monotonic()
         usable = entry.context.view.usable_servers(now)
         owned = {owner for keeper in self._keepers.values() for owner in keeper.owners}
-        budget = all(keeper.gate.pool.is_usable for keeper in self._keepers.values())
+        budget = all(
+            keeper.gate.pool.is_usable(now) for keeper in self._keepers.values()
+        )
         return len(usable) >= wanted and len(owned) >= wanted and budget
 
     async def _start_outside(self) -> None:
--- a/src/gooseberrydeal/_internal/network/peer_connection.py
+++ b/src/gooseberrydeal/_internal/network/peer_connection.py
@@ -6,13 +6,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from websockets.asyncio.connection import Connection
-from websockets.exceptions import ConnectionClosed
-
 from gooseberrydeal._internal.exceptions import PeerLostError, PeerProtocolError
 from gooseberrydeal._internal.models.messages.hello import Hello
 from gooseberrydeal._internal.models.messages.ping import Ping
 from gooseberrydeal._internal.network.codec import Message, decode, encode
+from gooseberrydeal._internal.network.interfaces.peer_transport import PeerSocket
 
 logger = logging.getLogger(__name__)
 
@@ -24,9 +22,9 @@
 
 
 class PeerConnection:
-    """Own one websocket and tell silence from idleness by heartbeats."""
+    """Own one socket and tell silence from idleness by heartbeats."""
 
-    def __init__(self, socket: Connection, on_message: MessageHandler) -> None:
+    def __init__(self, socket: PeerSocket, on_message: MessageHandler) -> None:
         self._socket = socket
         self._on_message = on_message
         self._peer: Hello | None = None
@@ -67,7 +65,7 @@
         try:
             async with asyncio.timeout(_SEND_SECONDS):
                 await self._socket.send(data)
-        except (ConnectionClosed, TimeoutError, OSError) as error:
+        except (TimeoutError, OSError) as error:
             self._mark_closed()
             raise PeerLostError("connection to the peer was lost") from error
 
@@ -75,10 +73,10 @@
         """Receive messages until the connection ends or falls silent."""
         pinging = asyncio.create_task(self._ping_until_silent())
         try:
-            async for data in self._socket:
+            async for data in self._socket.receive():
                 self._last_heard = asyncio.get_running_loop().time()
                 await self._receive(data)
-        except (ConnectionClosed, OSError):
+        except OSError:
             logger.debug("peer connection ended")
         except PeerProtocolError as error:
             logger.warning("peer sent a malformed message: %s", error)
@@ -94,9 +92,7 @@
             async with asyncio.timeout(_SEND_SECONDS):
                 await self._socket.close()
 
-    async def _receive(self, data: str | bytes) -> None:
-        if isinstance(data, str):
-            raise PeerProtocolError("text instead of CBOR")
+    async def _receive(self, data: bytes) -> None:
         message = decode(data)
         if message is None:
             return
@@ -123,7 +119,7 @@
 
     def _abort(self) -> None:
         self._mark_closed()
-        self._socket.transport.abort()
+        self._socket.abort()
 
     def _mark_closed(self) -> None:
         if not self._is_open:
--- a/src/gooseberrydeal/_internal/network/peer_dialer.py
+++ b/src/gooseberrydeal/_internal/network/peer_dialer.py
@@ -3,15 +3,11 @@
 import asyncio
 import contextlib
 import logging
-import ssl
 from typing import Final
 
-from websockets.asyncio.client import connect
-from websockets.exceptions import WebSocketException
-
 from gooseberrydeal._internal.exceptions import PeerLostError, PeerUnreachableError
 from gooseberrydeal._internal.models.messages.hello import Hello
-from gooseberrydeal._internal.network.codec import MAX_MESSAGE_BYTES
+from gooseberrydeal._internal.network.interfaces.peer_transport import PeerTransport
 from gooseberrydeal._internal.network.peer_connection import (
     MessageHandler,
     PeerConnection,
@@ -27,11 +23,11 @@
     """Own the outgoing connections of a process, one an address."""
 
     def __init__(
-        self, hello: Hello, on_message: MessageHandler, tls: ssl.SSLContext | None
+        self, hello: Hello, on_message: MessageHandler, transport: PeerTransport
     ) -> None:
         self._hello = hello
         self._on_message = on_message
-        self._tls = tls
+        self._transport = transport
         self._connections: dict[str, PeerConnection] = {}
         self._connecting: dict[str, asyncio.Task[PeerConnection]] = {}
         self._tasks = TaskOwner()
@@ -73,19 +69,10 @@
         await self._tasks.stop()
 
     async def _connect(self, address: str) -> PeerConnection:
-        scheme = "ws" if self._tls is None else "wss"
         try:
             async with asyncio.timeout(_CONNECT_SECONDS):
-                socket = await connect(
-                    f"{scheme}://{address}/",
-                    compression=None,
-                    max_size=MAX_MESSAGE_BYTES,
-                    ping_interval=None,
-                    open_timeout=None,
-                    proxy=None,
-                    ssl=self._tls,
-                )
-        except (OSError, TimeoutError, WebSocketException) as error:
+                socket = await self._transport.connect(address)
+        except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(f"no connection to peer {address}") from error
         connection = PeerConnection(socket, self._on_message)
         try:
--- a/src/gooseberrydeal/_internal/operations/entry/claims_client.py
+++ b/src/gooseberrydeal/_internal/operations/entry/claims_client.py
@@ -64,7 +64,15 @@
     ) -> None:
         """Record the outcome of a claimed request."""
         result = ClaimResult(
-            0, key, request_id, body_hash, ran.value, status, content_type, answer
+            0,
+            key,
+            request_id,
+            body_hash,
+            self._context.host,
+            ran.value,
+            status,
+            content_type,
+            answer,
         )
         for keeper in self._keepers(key)[:_TRIES]:
             try:
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 from typing import Final
 
+from starlette.types import ASGIApp
+
 from gooseberrydeal._internal.exceptions import PeerUnreachableError
 from gooseberrydeal._internal.models.configuration import Configuration
 from gooseberrydeal._internal.models.lifecycle import Lifecycle
@@ -24,9 +27,12 @@
 from gooseberrydeal._internal.models.settings import EntrySettings
 from gooseberrydeal._internal.network.codec import Message
 from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.network.interfaces.http_serving import HttpServing
+from gooseberrydeal._internal.network.interfaces.peer_transport import PeerTransport
 from gooseberrydeal._internal.network.metrics import Metrics
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
+from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
 from gooseberrydeal._internal.operations.alarms import Alarms
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
 from gooseberrydeal._internal.operations.entry.admission_desk import AdmissionDesk
@@ -62,7 +68,13 @@
 class EntryNode:
     """Meet callers, and follow the fleet over one keeper."""
 
-    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        transport: PeerTransport,
+        serve: Callable[[ASGIApp], HttpServing],
+        clock: Clock,
+    ) -> None:
         self._settings = settings
         self._clock = clock
         self._lifecycle = Lifecycle()
@@ -77,7 +89,7 @@
             "entry",
             incarnation=f"{clock.wall():.6f}",
         )
-        self._dialer = PeerDialer(hello, self._receive, client_context(settings.tls))
+        self._dialer = PeerDialer(hello, self._receive, transport)
         self._streams = RemoteStreams(self._dialer)
         self._configuration = ConfigurationTask(
             None, lambda: False, self._linked, self._alarms, self._configured
@@ -104,12 +116,20 @@
             AdmissionDesk(self._context),
             self._runner,
             self._plain_calls,
-            self._refusal_now,
+            self.refusal_now,
         )
+        self._server = serve(self._api.app())
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings, clock: Clock) -> "EntryNode":
+        """Build an entry that talks over real sockets."""
         host, port = split_ip_and_port(settings.listen)
-        self._server = HttpServer(
-            self._api.app(), host, port, connections=settings.connections
-        )
+
+        def serve(app: ASGIApp) -> HttpServing:
+            return HttpServer(app, host, port, connections=settings.connections)
+
+        transport = WebsocketTransport(client_context(settings.tls), None)
+        return cls(settings, transport, serve, clock)
 
     @property
     def context(self) -> EntryContext:
@@ -131,11 +151,30 @@
         """Return the task that follows the configuration."""
         return self._configuration
 
+    @property
+    def plain_calls(self) -> PlainCalls:
+        """Return the task that runs calls of plain services."""
+        return self._plain_calls
+
     @property
     def runner(self) -> WorkRunner:
         """Return the task that runs requests."""
         return self._runner
 
+    def refusal_now(self) -> Refusal | None:
+        """Return why no new work is taken at this moment."""
+        if not self._lifecycle.is_serving:
+            return Refusal(
+                RefusalReason.SHUTTING_DOWN, Ran.NO, "", _RETRY_AFTER_SECONDS
+            )
+        if self._is_isolated():
+            return Refusal(RefusalReason.ISOLATED, Ran.NO, "", _RETRY_AFTER_SECONDS)
+        if self._configuration.configuration is None:
+            return Refusal(
+                RefusalReason.NO_CONFIGURATION, Ran.NO, "", _RETRY_AFTER_SECONDS
+            )
+        return None
+
     async def start(self) -> None:
         """Listen and begin all tasks."""
         self._tasks.start(self._keep_link(), "keeper link")
@@ -164,20 +203,6 @@
         await self._plain_calls.stop()
         await self._stop_tasks()
 
-    def _refusal_now(self) -> Refusal | None:
-        """Return why no new work is taken at this moment."""
-        if not self._lifecycle.is_serving:
-            return Refusal(
-                RefusalReason.SHUTTING_DOWN, Ran.NO, "", _RETRY_AFTER_SECONDS
-            )
-        if self._is_isolated():
-            return Refusal(RefusalReason.ISOLATED, Ran.NO, "", _RETRY_AFTER_SECONDS)
-        if self._configuration.configuration is None:
-            return Refusal(
-                RefusalReason.NO_CONFIGURATION, Ran.NO, "", _RETRY_AFTER_SECONDS
-            )
-        return None
-
     def _is_isolated(self) -> bool:
         now = self._clock.monotonic()
         if self._link is not None and self._link.is_open:
--- a/src/gooseberrydeal/_internal/operations/entry/work_runner.py
+++ b/src/gooseberrydeal/_internal/operations/entry/work_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Final
 
 from gooseberrydeal._internal.models.answer_events import (
@@ -299,20 +299,17 @@
 
     async def _resume(
         self, order: WorkOrder, cut: Attempt, end: AnswerRefused
-    ) -> AsyncIterator[AnswerEvent]:
+    ) -> AsyncGenerator[AnswerEvent, None]:
         """Continue a cut answer at its offset, or end it with the reason."""
         if end.refusal.reason is not RefusalReason.OWNER_UNREACHABLE:
             yield end
             return
-        placement = await self._owner_again(order, cut.placement.server)
-        if placement is None:
+        found = await self._attach_again(order, cut)
+        if found is None:
             yield end
             return
-        self._context.metrics.retried(RetryReason.STREAM_RESUMED)
-        attempt = self._attempt(order, placement, cut.tokens)
+        attempt, event = found
         try:
-            refused = await attempt.send()
-            event: AnswerEvent = refused or await attempt.next()
             while isinstance(event, AnswerText):
                 yield event
                 event = await attempt.next()
@@ -320,18 +317,28 @@
         finally:
             await attempt.end()
 
-    async def _owner_again(self, order: WorkOrder, server: str) -> Placement | None:
-        """Wait until the server has an owner again."""
-
-        async def poll() -> Placement:
-            while True:
-                await asyncio.sleep(_RESUME_POLL_SECONDS)
-                for view in self._views.of_service(order.service):
-                    if view.server == server:
-                        return Placement(server, view.owner_address, 0.0, False)
+    async def _attach_again(
+        self, order: WorkOrder, cut: Attempt
+    ) -> tuple[Attempt, AnswerEvent] | None:
+        """Return an attempt at the server's next owner, once there is one."""
+        give_up = self._context.clock.monotonic() + _RESUME_SECONDS
+        while self._context.clock.monotonic() < give_up:
+            await asyncio.sleep(_RESUME_POLL_SECONDS)
+            placement = self._owner_of(order.service, cut.placement.server)
+            if placement is None:
+                continue
+            attempt = self._attempt(order, placement, cut.tokens)
+            event: AnswerEvent = await attempt.send() or await attempt.next()
+            if not isinstance(event, AnswerRefused):
+                self._context.metrics.retried(RetryReason.STREAM_RESUMED)
+                return attempt, event
+            await attempt.end()
+            if event.refusal.ran is not Ran.NO:
+                return None
+        return None
 
-        try:
-            async with asyncio.timeout(_RESUME_SECONDS):
-                return await poll()
-        except TimeoutError:
-            return None
+    def _owner_of(self, service: str, server: str) -> Placement | None:
+        for view in self._views.of_service(service):
+            if view.server == server:
+                return Placement(server, view.owner_address, 0.0, needs_load=False)
+        return None
--- a/src/gooseberrydeal/_internal/operations/fleet_client.py
+++ b/src/gooseberrydeal/_internal/operations/fleet_client.py
@@ -18,6 +18,7 @@
 from gooseberrydeal._internal.network.codec import Message
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
+from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
 from gooseberrydeal._internal.policy.configuration_chunks import digest_of
 from gooseberrydeal._internal.policy.fleet_view import FleetView
 from gooseberrydeal._internal.utils.clock import Clock
@@ -36,7 +37,11 @@
         self._settings = settings
         self._clock = clock
         hello = Hello("ctl", "", "ctl", incarnation=uuid4().hex)
-        self._dialer = PeerDialer(hello, self._receive, client_context(settings.tls))
+        self._dialer = PeerDialer(
+            hello,
+            self._receive,
+            WebsocketTransport(client_context(settings.tls), None),
+        )
         self._view = FleetView()
         self._has_view = asyncio.Event()
         self._offer: RevisionOffer | None = None
--- a/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
@@ -31,6 +31,7 @@
 _NOT_FOUND: Final = 404
 _IMPORTANCE_SECONDS: Final = 0.25
 _REPLICA_SECONDS: Final = 5.0
+_RESYNC_TRIES: Final = 5
 
 OnFailure = Callable[[AdapterRef, Refusal], None]
 
@@ -88,6 +89,10 @@
             LoadWant(self._server, adapter, urgency, self.has_slot, self._start)
         )
 
+    def wanted(self) -> list[AdapterRef]:
+        """Return the adapters whose loads wait for a permit or a slot."""
+        return self._gate.wanted(self._server)
+
     def withdraw(self, adapter: AdapterRef) -> None:
         """Ask no longer for a load."""
         self._gate.withdraw(self._server, adapter)
@@ -199,7 +204,7 @@
     ) -> None:
         self._slots.remove(copy)
         with contextlib.suppress(ServerError):
-            self._slots.reconcile(await self._engine.state())
+            await self._resync()
         if self._slots.ready_copy(adapter) is not None:
             return
         self._context.metrics.loaded("failed", self._now() - started)
@@ -223,6 +228,12 @@
             adapter, Refusal(RefusalReason.LOAD_FAILED, Ran.NO, detail, pause)
         )
 
+    async def _resync(self) -> None:
+        for _ in range(_RESYNC_TRIES):
+            changes = self._slots.changes
+            if self._slots.reconcile(await self._engine.state(), changes):
+                return
+
     def _path_of(self, adapter: AdapterRef) -> str:
         declared = self._context.configuration().adapter(adapter.name)
         if declared is None:
--- a/src/gooseberrydeal/_internal/operations/keeper/claim_desk.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/claim_desk.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import (
@@ -18,6 +18,7 @@
 from gooseberrydeal._internal.models.messages.claim_request import ClaimRequest
 from gooseberrydeal._internal.models.messages.claim_result import ClaimResult
 from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.record import Record
 from gooseberrydeal._internal.models.write_result import WriteResult
 from gooseberrydeal._internal.network.interfaces.key_value_store import KeyValueStore
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
@@ -102,12 +103,30 @@
             await self._answer(waiting, _reply(waiting.request, result))
 
     async def _write(self, batch: list[_Waiting]) -> tuple[WriteResult, ...]:
-        """Write a batch; a lost answer is resolved by writing the same again."""
+        """Write a batch, and take over claims that were given back."""
         lease = await self._lease.current()
         writes = [
             ConditionalWrite(item.request.key, 0, _first_record(item.request), lease)
             for item in batch
         ]
+        results = await self._commit_again(writes)
+        retaken = {
+            index: replace(writes[index], expected=result.current.modified)
+            for index, result in enumerate(results)
+            if result.current is not None and _is_given_back(result.current)
+        }
+        if not retaken:
+            return results
+        again = await self._commit_again(list(retaken.values()))
+        merged = list(results)
+        for index, result in zip(retaken, again, strict=True):
+            merged[index] = result
+        return tuple(merged)
+
+    async def _commit_again(
+        self, writes: list[ConditionalWrite]
+    ) -> tuple[WriteResult, ...]:
+        """Commit; a lost answer is resolved by writing the same again."""
         error: StoreError | None = None
         for number in range(_TRIES):
             try:
@@ -128,7 +147,12 @@
             request = waiting.request
             await self._record(
                 ClaimResult(
-                    0, request.key, request.request_id, request.body_hash, Ran.NO.value
+                    0,
+                    request.key,
+                    request.request_id,
+                    request.body_hash,
+                    request.entry_host,
+                    Ran.NO.value,
                 )
             )
 
@@ -145,15 +169,19 @@
         )
 
     async def _try_record(self, result: ClaimResult) -> bool:
+        """Replace the record of the claim, or take its place.
+
+        A claim that is given back stays as a record that says so, since a write of
+        it may still be on its way and would find an empty key.
+        """
         found = await self._store.get(result.key)
-        if found is None:
-            return True
-        record = ClaimRecord.decode(found.value)
-        if record.attempt != result.request_id or record.ran is Ran.YES:
-            return True
-        value = None if result.ran == Ran.NO.value else _outcome(record, result)
+        if found is not None:
+            record = ClaimRecord.decode(found.value)
+            if record.attempt != result.request_id or record.ran is Ran.YES:
+                return True
         lease = await self._lease.current()
-        write = ConditionalWrite(result.key, found.modified, value, lease)
+        expected = 0 if found is None else found.modified
+        write = ConditionalWrite(result.key, expected, _outcome(result), lease)
         return (await self._store.commit([write]))[0].applied
 
     async def _answer(self, waiting: _Waiting, reply: ClaimReply) -> None:
@@ -161,6 +189,10 @@
             await waiting.connection.send(reply)
 
 
+def _is_given_back(record: Record) -> bool:
+    return ClaimRecord.decode(record.value).ran is Ran.NO
+
+
 def _first_record(request: ClaimRequest) -> bytes:
     return ClaimRecord(
         request_id=request.request_id,
@@ -170,12 +202,12 @@
     ).encode()
 
 
-def _outcome(record: ClaimRecord, result: ClaimResult) -> bytes:
+def _outcome(result: ClaimResult) -> bytes:
     return ClaimRecord(
-        request_id=record.request_id,
-        body_hash=record.body_hash,
-        entry_host=record.entry_host,
-        attempt=record.attempt,
+        request_id=result.request_id,
+        body_hash=result.body_hash,
+        entry_host=result.entry_host,
+        attempt=result.request_id,
         ran=Ran(result.ran),
         status=result.status,
         content_type=result.content_type,
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -143,8 +143,8 @@
                 self._tasks.start(self._settle(job, copy.name), "settle")
 
     def copies(self) -> tuple[CopyReport, ...]:
-        """Return the loaded copies that may serve."""
-        return tuple(
+        """Return the copies that may serve, now or after their load."""
+        held = [
             CopyReport(
                 copy.adapter.name,
                 copy.adapter.version,
@@ -154,7 +154,12 @@
             for copy in self._slots.copies
             if copy.adapter is not None
             and copy.state in (CopyState.READY, CopyState.LOADING)
-        )
+        ]
+        wanted = [
+            CopyReport(item.name, item.version, is_ready=False, is_busy=False)
+            for item in self._loader.wanted()
+        ]
+        return tuple(held + wanted)
 
     def victim_demand(self) -> float | None:
         """Return the demand that the next load would evict."""
@@ -267,6 +272,7 @@
     async def _check_crash(self) -> bool:
         """Return whether the engine has crashed, and suspect what ran on it."""
         jobs = self._owner.running
+        changes = self._slots.changes
         try:
             state = await self._engine.state()
         except ServerError:
@@ -275,7 +281,7 @@
             known = {c.name for c in self._slots.copies if c.state is CopyState.READY}
             if known <= state.copies.keys():
                 return False
-            self._slots.reconcile(state)
+            self._slots.reconcile(state, changes)
         self._note_crash(jobs)
         return True
 
@@ -312,8 +318,9 @@
         self._owner.pump()
 
     async def _resync(self) -> None:
+        changes = self._slots.changes
         state = await self._engine.state()
-        self._slots.reconcile(state)
+        self._slots.reconcile(state, changes)
         self._set_reachable(is_reachable=True)
         self._loader.slot_changed()
         self._owner.pump()
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_slots.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_slots.py
@@ -42,8 +42,14 @@
                 copy.state = CopyState.READY
                 self._hold(copy.name)
 
-    def reconcile(self, state: EngineState) -> None:
-        """Take over what the engine itself says."""
+    def reconcile(self, state: EngineState, changes_before: int) -> bool:
+        """Take over what the engine says, unless it is out of date.
+
+        A state that was asked for before a load or an unload ended may show either;
+        ``changes_before`` is the count of changes when it was asked for.
+        """
+        if self.changes != changes_before:
+            return False
         for copy in self.copies:
             is_settled = copy.state in (CopyState.READY, CopyState.FOREIGN)
             if is_settled and copy.name not in state.copies:
@@ -52,9 +58,11 @@
             known = self.get(name)
             if known is None:
                 self.add(name, AdapterRef.from_copy_name(name), self._state_of(name))
+                if not self._is_own(name):
+                    self._hold(name)
+            elif not self._is_own(name) and state.running.get(name, 0) > known.in_use:
                 self._hold(name)
-            elif state.running.get(name, 0) > known.in_use:
-                self._hold(name)
+        return True
 
     def _is_evictable(self, copy: SlotCopy) -> bool:
         if self._clock.monotonic() < self._busy_until.get(copy.name, 0.0):
@@ -66,7 +74,9 @@
         self._busy_until[name] = self._clock.monotonic() + _REPORT_LAG_SECONDS
 
     def _state_of(self, name: str) -> CopyState:
-        is_own = name.endswith(f"{_SEPARATOR}{self._epoch}")
-        if is_own or self._may_adopt:
+        if self._is_own(name) or self._may_adopt:
             return CopyState.READY
         return CopyState.FOREIGN
+
+    def _is_own(self, name: str) -> bool:
+        return name.endswith(f"{_SEPARATOR}{self._epoch}")
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -16,9 +16,11 @@
 from gooseberrydeal._internal.models.platform_limits import PlatformLimits
 from gooseberrydeal._internal.models.settings import KeeperSettings
 from gooseberrydeal._internal.models.work_class import WorkClass
+from gooseberrydeal._internal.network.interfaces.peer_transport import PeerTransport
 from gooseberrydeal._internal.network.metrics import Metrics
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
 from gooseberrydeal._internal.network.peer_listener import PeerListener
+from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
 from gooseberrydeal._internal.operations.alarms import Alarms
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
 from gooseberrydeal._internal.operations.keeper.budget_division import BudgetDivision
@@ -41,7 +43,6 @@
 from gooseberrydeal._internal.policy.permit_pool import PermitPool
 from gooseberrydeal._internal.utils import rendezvous
 from gooseberrydeal._internal.utils.clock import Clock
-from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 from gooseberrydeal._internal.utils.journal import Journal
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 from gooseberrydeal._internal.utils.tls import client_context, server_context
@@ -56,7 +57,11 @@
     """Own backend servers of this host's failure domain."""
 
     def __init__(
-        self, settings: KeeperSettings, outside: Outside, clock: Clock
+        self,
+        settings: KeeperSettings,
+        outside: Outside,
+        transport: PeerTransport,
+        clock: Clock,
     ) -> None:
         self._settings = settings
         self._outside = outside
@@ -87,16 +92,20 @@
             settings.listen,
             f"{self._incarnation:.6f}",
         )
-        self._dialer = PeerDialer(
-            hello, self._router.receive, client_context(settings.tls)
-        )
-        self._listener = PeerListener(
-            hello, self._router.receive, server_context(settings.tls)
-        )
+        self._dialer = PeerDialer(hello, self._router.receive, transport)
+        self._listener = PeerListener(hello, self._router.receive, transport)
         self._peers = Peers(self._dialer, self._listener)
         self._build_tasks()
         self._connect_tasks()
 
+    @classmethod
+    def from_settings(cls, settings: KeeperSettings, clock: Clock) -> "KeeperNode":
+        """Build a keeper that talks over real sockets."""
+        transport = WebsocketTransport(
+            client_context(settings.tls), server_context(settings.tls)
+        )
+        return cls(settings, Outside.from_settings(settings), transport, clock)
+
     @property
     def context(self) -> KeeperContext:
         """Return what the tasks have in common."""
@@ -139,8 +148,7 @@
 
     async def start(self) -> None:
         """Listen and begin all tasks."""
-        host, port = split_ip_and_port(self._settings.listen)
-        await self._listener.start(host, port)
+        await self._listener.start(self._settings.listen)
         self._view.start()
         self._configuration.start()
         self._lease.start()
@@ -158,9 +166,9 @@
         self._lifecycle.drain()
         await self._view.announce()
         await self._ownership.stop()
+        await self._lease.stop()
         cut = await self._finish_work()
         await self._budget.stop()
-        await self._lease.stop()
         for owner in [*self._owners.values(), *self._old_owners]:
             await owner.stop()
         await self._stop_tasks()
--- a/src/gooseberrydeal/_internal/operations/keeper/load_gate.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/load_gate.py
@@ -61,6 +61,10 @@
             self._wants[key] = want
         self.pump()
 
+    def wanted(self, server: str) -> list[AdapterRef]:
+        """Return the adapters that wait for a load on a server."""
+        return [want.adapter for want in self._wants.values() if want.server == server]
+
     def withdraw(self, server: str, adapter: AdapterRef) -> None:
         """Ask no longer."""
         self._wants.pop((server, adapter), None)
--- a/src/gooseberrydeal/_internal/policy/cost_placement.py
+++ b/src/gooseberrydeal/_internal/policy/cost_placement.py
@@ -74,6 +74,7 @@
         wait += self._load_seconds
         cost += self._load_seconds
         if query.adapter in view.loading:
+            cost += query.load_wait_seconds / 2
             return _Option(view, wait, needs_load=False, cost=cost)
         wait += query.load_wait_seconds
         cost += query.load_wait_seconds
--- a/src/gooseberrydeal/_internal/policy/permit_pool.py
+++ b/src/gooseberrydeal/_internal/policy/permit_pool.py
@@ -35,10 +35,9 @@
         """Return how many permits this keeper owns."""
         return len(self._own)
 
-    @property
-    def is_usable(self) -> bool:
-        """Return whether a division is in force and confirmed by all members."""
-        return self._epoch > 0 and all(p.ready_at < math.inf for p in self._own)
+    def is_usable(self, now: float) -> bool:
+        """Return whether a division is in force and its permits have rested."""
+        return self._epoch > 0 and all(p.ready_at <= now for p in self._own)
 
     def adopt(self, epoch: int, share: int) -> None:
         """Take a new division into force.
--- a/src/gooseberrydeal/_internal/policy/slot_table.py
+++ b/src/gooseberrydeal/_internal/policy/slot_table.py
@@ -28,6 +28,12 @@
         self._slots = slots
         self._copies: dict[str, SlotCopy] = {}
         self._reserved: Counter[AdapterRef] = Counter()
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """Return how often a copy was added, removed or changed its state."""
+        return self._changes
 
     @property
     def copies(self) -> list[SlotCopy]:
@@ -93,12 +99,14 @@
 
     def add(self, name: str, adapter: AdapterRef | None, state: CopyState) -> SlotCopy:
         """Put a copy into a slot."""
+        self._changes += 1
         copy = SlotCopy(name, adapter, state)
         self._copies[name] = copy
         return copy
 
     def mark(self, name: str, state: CopyState, now: float) -> None:
         """Change the state of a copy."""
+        self._changes += 1
         copy = self._copies.get(name)
         if copy is not None:
             copy.state = state
@@ -106,6 +114,7 @@
 
     def remove(self, name: str) -> None:
         """Empty the slot of a copy."""
+        self._changes += 1
         self._copies.pop(name, None)
 
     def get(self, name: str) -> SlotCopy | None:
--- a/src/gooseberrydeal/_internal/utils/json_log.py
+++ b/src/gooseberrydeal/_internal/utils/json_log.py
@@ -46,4 +46,4 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     for noisy in ("uvicorn.access", "uvicorn.error", "websockets", "transitions"):
-        logging.getLogger(noisy).setLevel(logging.WARNING)
+        logging.getLogger(noisy).setLevel(logging.ERROR)
--- /dev/null
+++ b/tests/unit/test_small_policies.py
@@ -0,0 +1,220 @@
+"""Check the smaller decisions."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.messages.finished import Finished
+from gooseberrydeal._internal.models.messages.tokens import Tokens
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.policy.admission import admit
+from gooseberrydeal._internal.policy.answer_check import AnswerCheck
+from gooseberrydeal._internal.policy.crash_suspects import CrashSuspects, Suspicion
+from gooseberrydeal._internal.policy.demand import DemandTracker
+from gooseberrydeal._internal.policy.idempotency_key import (
+    IdempotencyKey,
+    KeyFault,
+    parse,
+)
+from gooseberrydeal._internal.policy.load_failures import LoadFailures
+from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
+from gooseberrydeal._internal.policy.rate_limiter import RateLimiter
+from gooseberrydeal._internal.policy.retry_budget import RetryBudget
+from gooseberrydeal._internal.policy.retry_rules import retry_reason
+from gooseberrydeal._internal.policy.server_assignment import assign
+from tests.lib.builders import adapter_ref
+
+
+def test_demand_decays_and_follows() -> None:
+    demand = DemandTracker(fast_seconds=10, slow_seconds=100)
+    for second in range(50):
+        demand.note("a", float(second))
+    assert 0.4 < demand.rate("a", 50.0) < 1.2
+    assert demand.rate("a", 1000.0) < 0.01
+    assert demand.rate("unknown", 0.0) == 0.0
+
+
+def test_a_one_time_request_is_worth_less_than_a_steady_adapter() -> None:
+    demand = DemandTracker()
+    for second in range(0, 200, 5):
+        demand.note("steady", float(second))
+    demand.note("once", 199.0)
+    assert demand.rate("steady", 200.0) > demand.rate("once", 200.0)
+
+
+@given(st.integers(0, 40), st.integers(1, 9))
+def test_assignment_is_even_and_whole(servers: int, keepers: int) -> None:
+    names = [f"s{n}" for n in range(servers)]
+    hosts = [f"h{n}" for n in range(keepers)]
+    result = assign(names, hosts)
+    assert set(result) == set(names)
+    counts = [list(result.values()).count(host) for host in hosts]
+    assert max(counts) <= -(-servers // keepers) if servers else True
+
+
+def test_the_loss_of_a_keeper_moves_few_servers() -> None:
+    names = [f"s{n}" for n in range(90)]
+    hosts = [f"h{n}" for n in range(9)]
+    before = assign(names, hosts)
+    after = assign(names, hosts[:-1])
+    moved = sum(before[n] != after[n] for n in names if before[n] != "h8")
+    assert moved <= 45
+
+
+def test_admission_leaves_a_part_of_the_deadline() -> None:
+    assert admit(0.5, 1.7).is_admitted
+    late = admit(1.6, 1.7)
+    assert not late.is_admitted
+    assert late.reason is RefusalReason.OVERLOADED
+    assert late.retry_after > 0
+    assert admit(0.0, 0.0).reason is RefusalReason.DEADLINE
+
+
+@pytest.mark.parametrize(
+    ("ran", "is_repeatable", "delivered", "may"),
+    [
+        (Ran.NO, False, 0, True),
+        (Ran.NO, True, 0, True),
+        (Ran.UNKNOWN, True, 0, True),
+        (Ran.UNKNOWN, False, 0, False),
+        (Ran.YES, True, 0, False),
+        (Ran.UNKNOWN, True, 1, False),
+        (Ran.NO, True, 1, False),
+    ],
+)
+def test_only_work_that_may_run_again_is_retried(
+    ran: Ran, is_repeatable: bool, delivered: int, may: bool
+) -> None:
+    for reason in (RefusalReason.SERVER_FAILED, RefusalReason.OWNER_UNREACHABLE):
+        found = retry_reason(
+            Refusal(reason, ran), is_repeatable=is_repeatable, delivered=delivered
+        )
+        assert (found is not None) == may
+
+
+def test_reasons_that_no_other_server_can_help_are_final() -> None:
+    for reason in (RefusalReason.CRASH_SUSPECT, RefusalReason.BAD_REQUEST):
+        refusal = Refusal(reason, Ran.NO)
+        assert retry_reason(refusal, is_repeatable=True, delivered=0) is None
+
+
+def test_retries_are_a_fraction_of_first_attempts() -> None:
+    budget = RetryBudget(0.1, 5.0)
+    taken = sum(budget.take() for _ in range(100))
+    assert taken == 5
+    for _ in range(100):
+        budget.note_first()
+        taken += budget.take()
+    assert taken <= 5 + 10
+
+
+def test_a_crash_alone_on_two_servers_is_refused() -> None:
+    suspects = CrashSuspects()
+    suspects.note_crash("bad", "s1", 0.0, was_alone=False)
+    assert suspects.judge("bad", 1.0) is Suspicion.RUN_ALONE
+    suspects.note_crash("bad", "s2", 1.0, was_alone=True)
+    assert suspects.judge("bad", 2.0) is Suspicion.REFUSE
+    assert suspects.judge("bad", 1000.0) is Suspicion.NONE
+
+
+def test_bystanders_of_two_crashes_are_never_refused() -> None:
+    suspects = CrashSuspects()
+    suspects.note_crash("innocent", "s1", 0.0, was_alone=False)
+    suspects.note_crash("innocent", "s2", 0.0, was_alone=False)
+    assert suspects.judge("innocent", 1.0) is Suspicion.RUN_ALONE
+    suspects.clear("innocent")
+    assert suspects.judge("innocent", 1.0) is Suspicion.NONE
+
+
+def test_a_flood_of_suspects_keeps_the_proven_one() -> None:
+    suspects = CrashSuspects()
+    suspects.note_crash("bad", "s1", 0.0, was_alone=True)
+    suspects.note_crash("bad", "s2", 0.0, was_alone=True)
+    for number in range(6000):
+        suspects.note_crash(f"f{number}", "s1", 1.0, was_alone=False)
+    assert suspects.judge("bad", 2.0) is Suspicion.REFUSE
+    assert suspects.count <= 4096
+
+
+def test_failed_loads_wait_longer_each_time() -> None:
+    failures = LoadFailures()
+    ref = adapter_ref()
+    pauses = [failures.note_failure(ref, 0.0, 0.5, is_missing=False) for _ in range(9)]
+    assert pauses[0] == 1.0
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == 60.0
+    assert failures.pause_left(ref, 10.0) == 50.0
+    failures.note_success(ref)
+    assert failures.pause_left(ref, 10.0) == 0.0
+
+
+def test_a_stall_shows_before_it_ends() -> None:
+    pace = PaceTracker(usual_first=0.1, usual_gap=0.03)
+    for number in range(3):
+        pace.started(RequestId(f"r{number}"), 0.0)
+        pace.progressed(RequestId(f"r{number}"), 1, 0.1)
+    assert pace.slowdown(0.12) == 1.0
+    assert pace.slowdown(0.4) > 4.0
+    for number in range(3):
+        pace.progressed(RequestId(f"r{number}"), 1, 0.4)
+        pace.ended(RequestId(f"r{number}"))
+    assert pace.slowdown(0.41) > 2.0
+    for second in range(2, 12):
+        pace.slowdown(float(second))
+    assert pace.slowdown(12.0) == 1.0
+
+
+def test_one_silent_request_alone_counts_for_less() -> None:
+    pace = PaceTracker(usual_first=0.1, usual_gap=0.03)
+    pace.started(RequestId("r1"), 0.0)
+    pace.started(RequestId("r2"), 0.3)
+    assert pace.slowdown(0.45) == 1.0
+
+
+def _frame(number: int, text: str) -> Tokens:
+    return Tokens(1, number, 1, text)
+
+
+def test_missing_doubled_and_swapped_frames_are_noticed() -> None:
+    check = AnswerCheck()
+    assert check.accept(_frame(0, "a"))
+    assert not check.accept(_frame(0, "a"))
+    assert not check.accept(_frame(2, "c"))
+    assert check.accept(_frame(1, "b"))
+    end = Finished(1, "r", 2, 2, check.checksum, "stop")
+    assert check.is_whole(end)
+    assert not check.is_whole(Finished(1, "r", 3, 2, check.checksum, "stop"))
+    assert not check.is_whole(Finished(1, "r", 2, 2, check.checksum + 1, "stop"))
+    assert not check.is_whole(Finished(1, "r", 2, 1, check.checksum, "stop"))
+
+
+def test_rate_limits_tell_when_to_come_back() -> None:
+    limiter = RateLimiter()
+    waits = [limiter.wait_for("c", 2.0, 0.0) for _ in range(6)]
+    assert waits[:4] == [0.0] * 4
+    assert waits[4] == 0.5
+    assert limiter.wait_for("c", 2.0, 0.6) == 0.0
+    assert limiter.wait_for("d", 2.0, 0.0) == 0.0
+
+
+def test_keys_carry_their_time() -> None:
+    now = 1_780_000_000.0
+    assert isinstance(parse("20260528T202640Z-abcdefgh", now, 3600), IdempotencyKey)
+    assert parse("20260528T182640Z-abcdefgh", now, 3600) is KeyFault.EXPIRED
+    assert parse("20260528T212640Z-abcdefgh", now, 3600) is KeyFault.FROM_FUTURE
+    assert parse("x", now, 3600) is KeyFault.MALFORMED
+
+
+@given(st.text(max_size=90))
+def test_any_text_is_a_key_or_a_fault(text: str) -> None:
+    assert isinstance(parse(text, 1_780_000_000.0, 3600.0), (IdempotencyKey, KeyFault))
+
+
+def test_keys_of_different_callers_never_meet() -> None:
+    key = IdempotencyKey("20260528T202640Z-abcdefgh", 0.0)
+    one = key.store_key("anna", "booking", "redeem")
+    assert one != key.store_key("bert", "booking", "redeem")
+    assert one != key.store_key("anna", "booking", "transfer")
