--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the experiments."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/bench/bench_command.py
@@ -0,0 +1,109 @@
+"""Run a scenario under our policy and the baselines."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import typer
+
+from gooseberrydeal._internal.lab.bench.batch import Batch
+from gooseberrydeal._internal.lab.bench.blocking import Blocking
+from gooseberrydeal._internal.lab.bench.crest import Crest
+from gooseberrydeal._internal.lab.bench.deployments import DEPLOYMENTS
+from gooseberrydeal._internal.lab.bench.run_record import RunRecord
+from gooseberrydeal._internal.lab.bench.scenario import Figures, Scenario
+from gooseberrydeal._internal.lab.bench.stalls import Stalls
+from gooseberrydeal._internal.lab.bench.stragglers import Stragglers
+from gooseberrydeal._internal.lab.bench.violations import count_violations
+from gooseberrydeal._internal.lab.lab_plan import LabPlan
+
+SCENARIOS: Final[dict[str, Callable[[LabPlan, int], Scenario]]] = {
+    "stalls": Stalls,
+    "crest": Crest,
+    "blocking": Blocking,
+    "stragglers": Stragglers,
+    "batch": Batch,
+}
+_OURS: Final = "cost"
+
+
+class BenchCommand:
+    """Run, judge, print, and keep the series for the report."""
+
+    def __init__(
+        self, name: str, deployment: str, seed: int, folder: Path | None
+    ) -> None:
+        self._name = name
+        self._deployment = deployment
+        self._seed = seed
+        self._folder = folder
+        self._scenario = SCENARIOS[name](DEPLOYMENTS[deployment], seed)
+
+    async def run(self, policy: str | None) -> dict[str, Any]:
+        """Return the result, with one policy alone or all compared."""
+        if policy is not None:
+            record, figures = await self._run(policy)
+            return self._head() | {"ours": figures, "violations": _broken(record)}
+        record, ours = await self._run(_OURS)
+        baselines = {}
+        for name in self._scenario.baselines:
+            _, baselines[name] = await self._run(name)
+        ratios = self._scenario.ratios(ours, baselines)
+        targets = self._scenario.targets()
+        is_met = all(
+            ratios[key] <= bound if sign == "<=" else ratios[key] >= bound
+            for key, (sign, bound) in targets.items()
+        )
+        violations = _broken(record)
+        return self._head() | {
+            "ours": ours,
+            "baselines": baselines,
+            "ratio": {key: round(value, 4) for key, value in ratios.items()},
+            "target": {
+                key: f"{sign} {bound}" for key, (sign, bound) in targets.items()
+            },
+            "met": is_met and violations == 0,
+            "violations": violations,
+        }
+
+    async def _run(self, policy: str) -> tuple[RunRecord, Figures]:
+        typer.echo(f"{self._name}: running {policy}", err=True)
+        record, figures = await self._scenario.run(policy)
+        typer.echo(f"  {json.dumps(figures)}", err=True)
+        if self._folder is not None:
+            self._keep(policy, record, figures)
+        return record, figures
+
+    def _keep(self, policy: str, record: RunRecord, figures: Figures) -> None:
+        assert self._folder is not None
+        self._folder.mkdir(parents=True, exist_ok=True)
+        value = {
+            **self._head(),
+            "policy": policy,
+            "figures": figures,
+            "series": record.series,
+            "fetch_times": record.fetch_times,
+            "first_seconds": [
+                [s.arrival.at, s.first_seconds, s.arrival.work_class]
+                for s in record.samples
+            ],
+            "refused_at": [
+                [s.arrival.at, s.result.reason]
+                for s in record.samples
+                if not s.result.is_whole
+            ],
+        }
+        name = f"{self._name}-{self._deployment}-{self._seed}-{policy}.json"
+        (self._folder / name).write_text(json.dumps(value))
+
+    def _head(self) -> dict[str, Any]:
+        return {
+            "scenario": self._name,
+            "deployment": self._deployment,
+            "seed": self._seed,
+        }
+
+
+def _broken(record: RunRecord) -> int:
+    return count_violations(record)
--- a/src/gooseberrydeal/_internal/lab/lab_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -230,6 +230,7 @@
                     listen=free_address(),
                     operators=free_address(),
                     platform=self._platform_settings(),
+                    policy="cost" if plan.policy == "cost" else "plain",
                 )
         addresses = tuple(item.listen for item in self._keeper_settings.values())
         for host, settings in list(self._keeper_settings.items()):
--- a/src/gooseberrydeal/_internal/models/settings.py
+++ b/src/gooseberrydeal/_internal/models/settings.py
@@ -63,6 +63,7 @@
     tls: TlsSettings | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     drain_seconds: float = Field(default=600.0, gt=0)
+    policy: Literal["cost", "plain"] = "cost"
 
 
 class EntrySettings(_Settings):
--- a/src/gooseberrydeal/_internal/network/http_engine.py
+++ b/src/gooseberrydeal/_internal/network/http_engine.py
@@ -123,6 +123,7 @@
         request: EngineRequest,
     ) -> AsyncIterator[EngineTokens]:
         if response.status_code >= _ERROR_STATUS:
+            await self._session.read(response)
             raise ServerRefusedError(
                 f"the engine answered {response.status_code}", response.status_code
             )
--- a/src/gooseberrydeal/_internal/network/http_session.py
+++ b/src/gooseberrydeal/_internal/network/http_session.py
@@ -7,13 +7,12 @@
 from typing import Any, Final
 
 import aiosonic
+from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import (
+    AiosonicError,
     ConnectionPoolAcquireTimeout,
     ConnectTimeout,
-    HttpParsingError,
-    ReadTimeout,
-    RequestTimeout,
 )
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
@@ -28,6 +27,23 @@
 _POOL_SECONDS: Final = 1.0
 _ERROR_STATUS: Final = 400
 _MAX_ERROR_BYTES: Final = 400
+_FAILURES: Final = (
+    AiosonicError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    asyncio.IncompleteReadError,
+)
+
+
+class _ClosingConnection(Connection):  # type: ignore[misc]
+    """Close after a call that did not end, so that nobody reads its answer."""
+
+    async def __aexit__(self, kind: object, error: object, trace: object) -> None:
+        if kind is not None:
+            self.keep = False
+            self.close()
+        await super().__aexit__(kind, error, trace)
 
 
 class HttpSession:
@@ -51,6 +67,7 @@
         self._tls = tls
         self._client = aiosonic.HTTPClient(
             TCPConnector(
+                connection_cls=_ClosingConnection,
                 pool_configs={
                     ":default": PoolConfig(
                         size=pool_size, max_conn_requests=None if reuse else 1
@@ -128,15 +145,7 @@
             raise ServerUnreachableError(
                 f"no connection to {self._base_url}"
             ) from error
-        except (
-            ReadTimeout,
-            RequestTimeout,
-            HttpParsingError,
-            TimeoutError,
-            OSError,
-            ValueError,
-            asyncio.IncompleteReadError,
-        ) as error:
+        except _FAILURES as error:
             raise ServerBrokenError(f"{path} gave no answer") from error
 
     async def chunks(
@@ -152,15 +161,8 @@
                 except StopAsyncIteration:
                     return
                 yield part
-        except (
-            OSError,
-            TimeoutError,
-            ValueError,
-            asyncio.IncompleteReadError,
-        ) as error:
+        except _FAILURES as error:
             raise ServerBrokenError("the stream was cut or went silent") from error
-        except (ReadTimeout, HttpParsingError) as error:
-            raise ServerBrokenError("the stream was cut") from error
         finally:
             await parts.aclose()
 
@@ -176,12 +178,5 @@
         try:
             async with asyncio.timeout(self._read_seconds):
                 return bytes(await response.content())
-        except (
-            OSError,
-            TimeoutError,
-            ValueError,
-            HttpParsingError,
-            ReadTimeout,
-            asyncio.IncompleteReadError,
-        ) as error:
+        except _FAILURES as error:
             raise ServerBrokenError(f"the answer of {path} was cut") from error
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -104,7 +104,7 @@
             configuration=lambda: self._configuration.configuration,
         )
         is_own = settings.policy == "cost"
-        self._policy = _policy_of(settings.policy)
+        self._policy = _policy_of(settings.policy, clock)
         self._runner = WorkRunner(
             self._context, self._streams, self._policy, hedges=is_own, admits=is_own
         )
@@ -255,11 +255,11 @@
         self._lifecycle.stop()
 
 
-def _policy_of(name: str) -> PlacementPolicy:
+def _policy_of(name: str, clock: Clock) -> PlacementPolicy:
     if name == "round-robin":
         return RoundRobinPlacement()
     if name == "least-loaded-lagged":
-        return LeastLoadedPlacement()
+        return LeastLoadedPlacement(clock)
     if name == "hash-only":
         return HashPlacement()
     return CostPlacement(_LOAD_SECONDS)
--- a/src/gooseberrydeal/_internal/operations/entry/work_runner.py
+++ b/src/gooseberrydeal/_internal/operations/entry/work_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import AsyncGenerator
 from typing import Final
 
@@ -42,6 +43,7 @@
 _RESUME_SECONDS: Final = 12.0
 _RESUME_POLL_SECONDS: Final = 0.1
 _PAUSE_SECONDS: Final = 0.02
+_KEPT_WAITS: Final = 10_000
 _SLOT_SECONDS_A_TOKEN: Final = 0.03
 _SLOT_SECONDS: Final = 0.1
 
@@ -68,6 +70,12 @@
         self._hedges = hedges
         self._admits = admits
         self._hedged = 0
+        self._waited: deque[str] = deque(maxlen=_KEPT_WAITS)
+
+    @property
+    def waited_for_load(self) -> set[str]:
+        """Return the latest requests that waited for an adapter's load."""
+        return set(self._waited)
 
     @property
     def hedged(self) -> int:
@@ -181,6 +189,8 @@
     def _note_first(self, order: WorkOrder, attempt: Attempt, sent_at: float) -> None:
         if attempt.started is None:
             return
+        if attempt.started.waited_for_load:
+            self._waited.append(order.request_id)
         elapsed = self._context.clock.monotonic() - sent_at
         elapsed -= attempt.started.queue_seconds
         self._timer(order).note(max(0.0, elapsed))
@@ -282,9 +292,18 @@
             content_type=order.content_type,
             fingerprint=order.fingerprint,
             offset=offset,
+            demand=self._fleet_demand(order),
         )
         return Attempt(self._streams, submit, placement)
 
+    def _fleet_demand(self, order: WorkOrder) -> float:
+        """Estimate the demand at all entries, which the balancer loads alike."""
+        if order.adapter is None:
+            return 0.0
+        now = self._context.clock.monotonic()
+        entries = max(1, len(self._context.view.live_hosts(now)))
+        return self._context.demand.rate(str(order.adapter), now) * entries
+
     def _may_retry(self, order: WorkOrder, refusal: Refusal) -> bool:
         reason = retry_reason(refusal, is_repeatable=order.is_repeatable, delivered=0)
         if reason is None or self._context.clock.monotonic() >= order.deadline:
--- a/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -31,6 +32,7 @@
 _NOT_FOUND: Final = 404
 _IMPORTANCE_SECONDS: Final = 0.25
 _REPLICA_SECONDS: Final = 5.0
+_WAITING_SECONDS: Final = 2.0
 _RESYNC_TRIES: Final = 5
 
 OnFailure = Callable[[AdapterRef, Refusal], None]
@@ -82,8 +84,10 @@
         adapter = item.adapter
         if adapter is None or self._slots.is_loading(adapter):
             return
+        waiting = self._slots.reserved(adapter)
         urgency = item.deadline - item.importance * _IMPORTANCE_SECONDS
-        if self._replicas_elsewhere(adapter) > 0:
+        urgency -= _WAITING_SECONDS * math.log2(max(1, waiting))
+        if not self._context.is_plain and self._replicas_elsewhere(adapter) > 0:
             urgency += _REPLICA_SECONDS
         self._gate.want(
             LoadWant(self._server, adapter, urgency, self.has_slot, self._start)
@@ -128,7 +132,9 @@
 
     def _value(self, adapter: AdapterRef) -> float:
         """Return the demand that rests on this engine's copy alone."""
-        demand = self._context.demand.rate(str(adapter), self._now())
+        if self._context.is_plain:
+            return 0.0
+        demand = self._context.demand.expected(str(adapter), self._now())
         return demand / (1 + self._replicas_elsewhere(adapter))
 
     def _replicas_elsewhere(self, adapter: AdapterRef) -> int:
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_context.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_context.py
@@ -18,7 +18,11 @@
 
 @dataclass
 class KeeperContext:
-    """Hold the state that several tasks read; each part has one writer."""
+    """Hold the state that several tasks read; each part has one writer.
+
+    With ``is_plain`` the keeper does what plain servers do, for comparison: first
+    come first served, least recently used evicted, nothing shed.
+    """
 
     host: str
     domain: str
@@ -29,6 +33,7 @@
     suspects: CrashSuspects
     demand: DemandTracker
     view: FleetView
+    is_plain: bool = False
     report_changed: Callable[[], None] = _nothing
     share_suspect: Callable[[str, str, bool], None] = field(
         default=lambda fingerprint, server, was_alone: None
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -83,6 +83,7 @@
             suspects=CrashSuspects(),
             demand=DemandTracker(),
             view=FleetView(),
+            is_plain=settings.policy == "plain",
         )
         self._router = MessageRouter(self._context, self._owners)
         hello = Hello(
--- a/src/gooseberrydeal/_internal/operations/keeper/message_router.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/message_router.py
@@ -110,7 +110,9 @@
             return
         if submit.adapter:
             name = f"{submit.adapter}@{submit.version}"
-            self._context.demand.note(name, self._context.clock.monotonic())
+            now = self._context.clock.monotonic()
+            self._context.demand.note(name, now)
+            self._context.demand.learn(name, submit.demand, now)
         if connection not in self._watched:
             self._watched.add(connection)
             connection.on_close(self._connection_lost)
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -260,6 +260,8 @@
         self._context.report_changed()
 
     def _share_of(self, name: ClassName) -> ClassShare:
+        if self._context.is_plain:
+            return ClassShare(1.0, self._declared.concurrency, 0.0)
         return ClassShare.from_class(self._class_of(name), self._declared.concurrency)
 
     def _refusal_of(self, submit: Submit) -> Refusal | None:
@@ -283,6 +285,8 @@
         refusal = backend.refusal(item) if backend is not None else None
         if refusal is not None:
             return refusal
+        if self._context.is_plain:
+            return None
         extra = backend.extra_wait(item) if backend is not None else 0.0
         wait = self._queue_wait(declared.importance) + extra
         verdict = admit(wait, submit.deadline_left)
@@ -396,9 +400,9 @@
             await asyncio.sleep(_TICK_SECONDS)
             now = self._context.clock.monotonic()
             self._refuse_expired(now)
-            self._refuse_stuck(now)
-            slowdown = self._pace.slowdown(now)
-            self._note_slowdown(slowdown)
+            if not self._context.is_plain:
+                self._refuse_stuck(now)
+                self._note_slowdown(self._pace.slowdown(now))
             self.pump()
 
     def _refuse_expired(self, now: float) -> None:
--- a/src/gooseberrydeal/_internal/policy/baseline_placement.py
+++ b/src/gooseberrydeal/_internal/policy/baseline_placement.py
@@ -1,11 +1,15 @@
 """Hold plain placement policies to compare with."""
 
 from collections.abc import Sequence
+from typing import Final
 
 from gooseberrydeal._internal.models.placement import Placement
 from gooseberrydeal._internal.models.placement_query import PlacementQuery
 from gooseberrydeal._internal.models.server_view import ServerView
 from gooseberrydeal._internal.utils import rendezvous
+from gooseberrydeal._internal.utils.clock import Clock
+
+REPORT_LAG_SECONDS: Final = 2.0
 
 
 def _placement(query: PlacementQuery, view: ServerView) -> Placement:
@@ -36,6 +40,11 @@
 class LeastLoadedPlacement:
     """Take the server with the least load in its late report."""
 
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._loads: dict[str, int] = {}
+        self._read_at = float("-inf")
+
     def choose(
         self, query: PlacementQuery, servers: Sequence[ServerView]
     ) -> Placement | None:
@@ -43,7 +52,14 @@
         usable = [view for view in servers if view.server not in query.excluded]
         if not usable:
             return None
-        best = min(usable, key=lambda view: (view.running + view.queued, view.server))
+        now = self._clock.monotonic()
+        if now - self._read_at >= REPORT_LAG_SECONDS:
+            self._read_at = now
+            self._loads = {v.server: v.running + v.queued for v in servers}
+        best = min(
+            usable, key=lambda view: (self._loads.get(view.server, 0), view.server)
+        )
+        self._loads[best.server] = self._loads.get(best.server, 0) + 1
         return _placement(query, best)
 
 
--- a/src/gooseberrydeal/_internal/policy/demand.py
+++ b/src/gooseberrydeal/_internal/policy/demand.py
@@ -5,61 +5,68 @@
 from typing import Final
 
 _KEPT: Final = 60_000
-_PRUNE_BELOW: Final = 1e-4
+_MEMORY_SECONDS: Final = 90.0
+_SILENCE_REQUESTS: Final = 0.2
+_LEAST_SILENCE: Final = 0.01
 
 
 @dataclass(slots=True)
 class _Estimate:
-    fast: float
-    slow: float
+    rate: float
     updated: float
 
 
 class DemandTracker:
-    """Keep decayed request rates over a short and a long time.
+    """Keep decayed request rates, and doubt them in silence.
 
-    The short rate follows a shift of popularity, the long one outlasts a lull.
+    An adapter that was often asked for and then is not at all has lost its
+    popularity: its rate is bounded by the inverse of the time since its last request.
     """
 
-    def __init__(self, fast_seconds: float = 10.0, slow_seconds: float = 90.0) -> None:
-        self._fast_seconds = fast_seconds
-        self._slow_seconds = slow_seconds
+    def __init__(self, memory_seconds: float = _MEMORY_SECONDS) -> None:
+        self._memory_seconds = memory_seconds
         self._estimates: dict[str, _Estimate] = {}
 
-    def note(self, key: str, now: float, count: float = 1.0) -> None:
-        """Count requests for a key."""
+    def note(self, key: str, now: float) -> None:
+        """Count a request for a key."""
         found = self._estimates.get(key)
         if found is None:
             self._make_room(now)
-            found = _Estimate(0.0, 0.0, now)
+            found = _Estimate(0.0, now)
             self._estimates[key] = found
-        self._decay(found, now)
-        found.fast += count / self._fast_seconds
-        found.slow += count / self._slow_seconds
+        found.rate = self._decayed(found, now) + 1.0 / self._memory_seconds
+        found.updated = now
+
+    def learn(self, key: str, rate: float, now: float) -> None:
+        """Take over a higher rate that another process has seen."""
+        found = self._estimates.get(key)
+        if found is not None and rate > self._decayed(found, now):
+            found.rate = rate
+            found.updated = now
 
     def rate(self, key: str, now: float) -> float:
-        """Return the expected requests per second."""
+        """Return the smoothed requests per second."""
+        found = self._estimates.get(key)
+        return 0.0 if found is None else self._decayed(found, now)
+
+    def expected(self, key: str, now: float) -> float:
+        """Return the requests per second to expect, given the silence."""
         found = self._estimates.get(key)
         if found is None:
             return 0.0
-        self._decay(found, now)
-        return max(found.slow, (found.fast + found.slow) / 2)
+        silence = max(now - found.updated, _LEAST_SILENCE)
+        return min(self._decayed(found, now), _SILENCE_REQUESTS / silence)
 
-    def _decay(self, estimate: _Estimate, now: float) -> None:
-        elapsed = now - estimate.updated
-        if elapsed <= 0:
-            return
-        estimate.fast *= math.exp(-elapsed / self._fast_seconds)
-        estimate.slow *= math.exp(-elapsed / self._slow_seconds)
-        estimate.updated = now
+    def _decayed(self, estimate: _Estimate, now: float) -> float:
+        elapsed = max(0.0, now - estimate.updated)
+        return estimate.rate * math.exp(-elapsed / self._memory_seconds)
 
     def _make_room(self, now: float) -> None:
         if len(self._estimates) < _KEPT:
             return
-        for estimate in self._estimates.values():
-            self._decay(estimate, now)
-        kept = {k: v for k, v in self._estimates.items() if v.slow >= _PRUNE_BELOW}
-        if len(kept) >= _KEPT:
-            ranked = sorted(kept.items(), key=lambda item: item[1].slow, reverse=True)
-            kept = dict(ranked[: _KEPT // 2])
-        self._estimates = kept
+        ranked = sorted(
+            self._estimates.items(),
+            key=lambda item: self._decayed(item[1], now),
+            reverse=True,
+        )
+        self._estimates = dict(ranked[: _KEPT // 2])
