Spread loaded adapters apart from load, and learn the usual pace from peers

Cause: a profile of the crest showed the codec at the top: each report of a server carried its whole list of adapters, several times a second, to each neighbour, and each was encoded anew. The crest's figures were those of a saturated process.

Change: adapters travel in a report of their own, sent when they change; reports without news are left out for 5 s; an update is encoded once for all neighbours; holders of an adapter are indexed. The usual pace comes from the service's other servers (it was a constant), one that never ran is not slow, and a request given up in silence counts as evidence. Work is admitted up to a quarter of its deadline (before: 0.6), and an overloaded owner's refusal is tried once elsewhere.

--- a/src/gooseberrydeal/_internal/commands/explain.py
+++ b/src/gooseberrydeal/_internal/commands/explain.py
@@ -54,8 +54,9 @@
     return [
         f"{copy.adapter}@{copy.version} is "
         f"{'ready' if copy.is_ready else 'loading'} on {report.server}, "
-        f"{'in use' if copy.is_busy else 'idle'}, owner {report.owner}"
-        for report in sorted(view.servers.values(), key=lambda item: item.server)
+        f"owner {view.servers[report.server].owner}"
+        for report in sorted(view.slots.values(), key=lambda item: item.server)
+        if report.server in view.servers
         for copy in report.copies
         if copy.adapter == name and version in ("", copy.version)
     ]
--- a/src/gooseberrydeal/_internal/commands/status.py
+++ b/src/gooseberrydeal/_internal/commands/status.py
@@ -78,6 +78,11 @@
             str(report.queued),
             f"{report.wait_seconds:.2f} s",
             f"{report.slowdown:.1f}x",
-            str(sum(1 for copy in report.copies if copy.is_ready)),
+            str(_ready_count(view, report.server)),
         )
     return table
+
+
+def _ready_count(view: FleetView, server: str) -> int:
+    slots = view.slots.get(server)
+    return 0 if slots is None else sum(1 for copy in slots.copies if copy.is_ready)
--- a/src/gooseberrydeal/_internal/models/messages/view_update.py
+++ b/src/gooseberrydeal/_internal/models/messages/view_update.py
@@ -4,6 +4,7 @@
 
 from gooseberrydeal._internal.models.messages.host_report import HostReport
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,3 +13,4 @@
 
     hosts: tuple[HostReport, ...] = ()
     servers: tuple[ServerReport, ...] = ()
+    slots: tuple[SlotsReport, ...] = ()
--- a/src/gooseberrydeal/_internal/network/codec.py
+++ b/src/gooseberrydeal/_internal/network/codec.py
@@ -32,6 +32,7 @@
 from gooseberrydeal._internal.models.messages.refused import Refused
 from gooseberrydeal._internal.models.messages.revision_offer import RevisionOffer
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
 from gooseberrydeal._internal.models.messages.started import Started
 from gooseberrydeal._internal.models.messages.submit import Submit
 from gooseberrydeal._internal.models.messages.suspect_notice import SuspectNotice
@@ -118,10 +119,15 @@
 _VALIDATORS: Final = {kind: TypeAdapter(cls) for kind, cls in _CLASSES.items()}
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
 _NESTED: Final[dict[type[Any], dict[str, type[Any]]]] = {
-    ViewUpdate: {"hosts": HostReport, "servers": ServerReport},
-    ServerReport: {"copies": CopyReport},
+    ViewUpdate: {
+        "hosts": HostReport,
+        "servers": ServerReport,
+        "slots": SlotsReport,
+    },
+    SlotsReport: {"copies": CopyReport},
 }
 _ENVELOPE_PARTS: Final = 3
+_SCALARS: Final = frozenset({str, bytes, int, float, bool, type(None)})
 
 
 def encode(message: Message) -> bytes:
@@ -184,8 +190,12 @@
 
 
 def _plain(value: object) -> object:
-    if value is None or isinstance(value, (str, bytes, int, float)):
+    kind = type(value)
+    if kind in _SCALARS:
         return value
-    if isinstance(value, tuple):
-        return [_plain(item) for item in value]
-    return [_plain(getattr(value, name)) for name in _field_names(type(value))]
+    if kind is tuple:
+        return [_plain(item) for item in value]  # type: ignore[attr-defined]
+    return [
+        item if type(item) in _SCALARS else _plain(item)
+        for item in map(value.__getattribute__, _field_names(kind))
+    ]
--- a/src/gooseberrydeal/_internal/network/peer_connection.py
+++ b/src/gooseberrydeal/_internal/network/peer_connection.py
@@ -58,9 +58,12 @@
 
     async def send(self, message: Message) -> None:
         """Send a message, or raise :class:`PeerLostError`."""
+        await self.send_encoded(encode(message))
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded once for several peers."""
         if not self._is_open:
             raise PeerLostError("connection to the peer is closed")
-        data = encode(message)
         self._bytes_sent += len(data)
         try:
             async with asyncio.timeout(_SEND_SECONDS):
--- a/src/gooseberrydeal/_internal/operations/configuration_task.py
+++ b/src/gooseberrydeal/_internal/operations/configuration_task.py
@@ -33,6 +33,7 @@
 _ASK_AGAIN_SECONDS: Final = 1.0
 _READ_AGAIN_SECONDS: Final = 2.0
 _READS_AT_ONCE: Final = 16
+_POLL_SECONDS: Final = 3.0
 
 
 class ConfigurationTask:
@@ -83,6 +84,7 @@
         self._tasks.start(self._offer(), "offer revisions")
         if self._store is not None:
             self._tasks.start(self._read(self._store), "read revisions")
+            self._tasks.start(self._poll(self._store), "poll revisions")
 
     async def stop(self) -> None:
         """End."""
@@ -175,6 +177,15 @@
                 logger.debug("configuration waits for the platform")
             await asyncio.sleep(_READ_AGAIN_SECONDS * random.uniform(0.5, 1.0))
 
+    async def _poll(self, store: KeyValueStore) -> None:
+        """Notice what a watch can't tell, such as a platform that has gone back."""
+        while True:
+            await asyncio.sleep(_POLL_SECONDS * random.uniform(0.8, 1.2))
+            if not self._is_reader():
+                continue
+            with contextlib.suppress(StoreError):
+                await self._take_root(store, await store.get(ROOT_KEY))
+
     async def _watch(self, store: KeyValueStore) -> None:
         async for record in store.watch(ROOT_KEY):
             await self._take_root(store, record)
--- a/src/gooseberrydeal/_internal/operations/entry/server_views.py
+++ b/src/gooseberrydeal/_internal/operations/entry/server_views.py
@@ -5,7 +5,9 @@
 from gooseberrydeal._internal.models.adapter_ref import AdapterRef
 from gooseberrydeal._internal.models.backend_server import BackendServer
 from gooseberrydeal._internal.models.ids import AdapterName, VersionName
+from gooseberrydeal._internal.models.messages.copy_report import CopyReport
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
 from gooseberrydeal._internal.models.server_view import ServerView
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
 
@@ -16,7 +18,7 @@
     def __init__(self, context: EntryContext) -> None:
         self._context = context
         self._unreported: Counter[str] = Counter()
-        self._reports: dict[str, tuple[int, int]] = {}
+        self._reports: dict[str, tuple[int, int, int]] = {}
         self._cached: dict[str, ServerView] = {}
 
     def sent(self, server: str) -> None:
@@ -39,11 +41,13 @@
         return views
 
     def _view(self, report: ServerReport, declared: BackendServer) -> ServerView:
-        version = (report.epoch, report.sequence)
+        slots = self._context.view.slots.get(report.server)
+        slots_version = slots.sequence if slots is not None else 0
+        version = (report.epoch, report.sequence, slots_version)
         if self._reports.get(report.server) != version:
             self._reports[report.server] = version
             self._unreported[report.server] = 0
-            self._cached[report.server] = _view_of(report, declared)
+            self._cached[report.server] = _view_of(report, slots, declared)
         cached = self._cached[report.server]
         outstanding = self._unreported[report.server]
         if outstanding == 0:
@@ -65,7 +69,10 @@
         )
 
 
-def _view_of(report: ServerReport, declared: BackendServer) -> ServerView:
+def _view_of(
+    report: ServerReport, slots: SlotsReport | None, declared: BackendServer
+) -> ServerView:
+    copies = slots.copies if slots and slots.epoch == report.epoch else ()
     return ServerView(
         server=report.server,
         domain=declared.domain,
@@ -78,14 +85,16 @@
         wait_seconds=report.wait_seconds,
         slowdown=max(1.0, report.slowdown),
         victim_demand=report.victim_demand,
-        ready=_adapters(report, is_ready=True),
-        loading=_adapters(report, is_ready=False),
+        ready=_adapters(copies, is_ready=True),
+        loading=_adapters(copies, is_ready=False),
     )
 
 
-def _adapters(report: ServerReport, *, is_ready: bool) -> frozenset[AdapterRef]:
+def _adapters(
+    copies: tuple[CopyReport, ...], *, is_ready: bool
+) -> frozenset[AdapterRef]:
     return frozenset(
         AdapterRef(AdapterName(copy.adapter), VersionName(copy.version))
-        for copy in report.copies
+        for copy in copies
         if copy.is_ready is is_ready
     )
--- a/src/gooseberrydeal/_internal/operations/entry/work_runner.py
+++ b/src/gooseberrydeal/_internal/operations/entry/work_runner.py
@@ -44,6 +44,10 @@
 _RESUME_POLL_SECONDS: Final = 0.1
 _PAUSE_SECONDS: Final = 0.02
 _KEPT_WAITS: Final = 10_000
+_OVERLOAD_RETRIES: Final = 1
+_AT_ONCE: Final = frozenset(
+    {RefusalReason.OVERLOADED, RefusalReason.SERVER_SLOW, RefusalReason.NOT_OWNER}
+)
 _SLOT_SECONDS_A_TOKEN: Final = 0.03
 _SLOT_SECONDS: Final = 0.1
 
@@ -88,7 +92,7 @@
         self._hedge_budget.note_first()
         excluded: frozenset[str] = frozenset()
         last: AnswerRefused | None = None
-        for _ in range(_MOST_ATTEMPTS):
+        for number in range(_MOST_ATTEMPTS):
             placed = self._place(order, excluded)
             if isinstance(placed, AnswerRefused):
                 yield last or placed
@@ -110,11 +114,12 @@
                     yield resumed
                 return
             last = event
-            if not self._may_retry(order, event.refusal):
+            if not self._may_retry(order, event.refusal, number):
                 yield event
                 return
             excluded |= {attempt.placement.server}
-            await asyncio.sleep(_PAUSE_SECONDS)
+            if event.refusal.reason not in _AT_ONCE:
+                await asyncio.sleep(_PAUSE_SECONDS)
         if last is not None:
             yield last
 
@@ -304,7 +309,10 @@
         entries = max(1, len(self._context.view.live_hosts(now)))
         return self._context.demand.rate(str(order.adapter), now) * entries
 
-    def _may_retry(self, order: WorkOrder, refusal: Refusal) -> bool:
+    def _may_retry(self, order: WorkOrder, refusal: Refusal, number: int) -> bool:
+        is_overload = refusal.reason is RefusalReason.OVERLOADED
+        if is_overload and number >= _OVERLOAD_RETRIES:
+            return False
         reason = retry_reason(refusal, is_repeatable=order.is_repeatable, delivered=0)
         if reason is None or self._context.clock.monotonic() >= order.deadline:
             return False
--- a/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
@@ -138,17 +138,8 @@
         return demand / (1 + self._replicas_elsewhere(adapter))
 
     def _replicas_elsewhere(self, adapter: AdapterRef) -> int:
-        return sum(
-            1
-            for report in self._context.view.servers.values()
-            if report.server != self._server
-            and any(
-                copy.adapter == adapter.name
-                and copy.version == adapter.version
-                and copy.is_ready
-                for copy in report.copies
-            )
-        )
+        holders = self._context.view.holders(adapter.name, adapter.version)
+        return len(holders) - (self._server in holders)
 
     def _start(self, adapter: AdapterRef, permit: Permit) -> None:
         victim = None
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -149,14 +149,13 @@
                 copy.adapter.name,
                 copy.adapter.version,
                 copy.state is CopyState.READY,
-                copy.in_use > 0,
             )
             for copy in self._slots.copies
             if copy.adapter is not None
             and copy.state in (CopyState.READY, CopyState.LOADING)
         ]
         wanted = [
-            CopyReport(item.name, item.version, is_ready=False, is_busy=False)
+            CopyReport(item.name, item.version, is_ready=False)
             for item in self._loader.wanted()
         ]
         return tuple(held + wanted)
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -12,7 +12,7 @@
 from gooseberrydeal._internal.models.messages.hello import Hello
 from gooseberrydeal._internal.models.messages.host_report import HostReport
 from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
-from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
 from gooseberrydeal._internal.models.platform_limits import PlatformLimits
 from gooseberrydeal._internal.models.settings import KeeperSettings
 from gooseberrydeal._internal.models.work_class import WorkClass
@@ -318,8 +318,11 @@
             alarms=self._alarms.names,
         )
 
-    def _server_reports(self) -> list[ServerReport]:
-        return [owner.report() for owner in self._owners.values()]
+    def _server_reports(self) -> ViewUpdate:
+        owners = list(self._owners.values())
+        servers = [report for owner in owners if (report := owner.report())]
+        slots = [found for owner in owners if (found := owner.slots_report())]
+        return ViewUpdate(servers=tuple(servers), slots=tuple(slots))
 
     async def _ask_permits(self, address: str, request: PermitRequest) -> None:
         await self._router.send_to(self._peers, address, request)
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import PeerLostError
@@ -18,7 +19,9 @@
     VersionName,
 )
 from gooseberrydeal._internal.models.lifecycle import Lifecycle
+from gooseberrydeal._internal.models.messages.copy_report import CopyReport
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
 from gooseberrydeal._internal.models.messages.submit import Submit
 from gooseberrydeal._internal.models.ran import Ran
 from gooseberrydeal._internal.models.refusal import Refusal
@@ -32,7 +35,7 @@
 from gooseberrydeal._internal.policy.admission import admit
 from gooseberrydeal._internal.policy.class_share import ClassShare
 from gooseberrydeal._internal.policy.crash_suspects import Suspicion
-from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
+from gooseberrydeal._internal.policy.pace_tracker import PaceTracker, usual_of
 from gooseberrydeal._internal.policy.work_queue import WorkQueue
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -41,6 +44,8 @@
 _TICK_SECONDS: Final = 0.05
 _SLOW_REFUSAL_RATIO: Final = 3.0
 _NO_SLOT_SECONDS: Final = 1.0
+_REPORT_AGAIN_SECONDS: Final = 5.0
+_LEARN_SECONDS: Final = 1.0
 
 
 class ServerOwner:
@@ -67,6 +72,10 @@
         self._alone: Job | None = None
         self._is_listed_leaving = False
         self._sequence = 0
+        self._reported_copies: tuple[CopyReport, ...] | None = None
+        self._reported: ServerReport | None = None
+        self._reported_at = 0.0
+        self._learned_at = 0.0
         self._last_slowdown = 1.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -197,29 +206,48 @@
         name = f"job {job.item.request_id}"
         job.task = self._tasks.start(self._run(job), name)
 
-    def report(self) -> ServerReport:
-        """Return a new report."""
+    def report(self) -> ServerReport | None:
+        """Return a report if there is news, or the last one is old."""
         now = self._context.clock.monotonic()
-        self._sequence += 1
+        last = self._reported
+        report = self._new_report(now)
+        is_same = last is not None and replace(report, sequence=last.sequence) == last
+        if is_same and now - self._reported_at < _REPORT_AGAIN_SECONDS:
+            return None
+        self._sequence = report.sequence
+        self._reported = report
+        self._reported_at = now
+        return report
+
+    def _new_report(self, now: float) -> ServerReport:
         backend = self._backend
         return ServerReport(
             server=self._declared.name,
             epoch=self._epoch,
-            sequence=self._sequence,
+            sequence=self._sequence + 1,
             owner=self._context.host,
             owner_address=self._context.address,
             accepts=self.is_serving,
             running=len(self._running),
             queued=self._queue.count,
             concurrency=self._declared.concurrency,
-            wait_seconds=round(self._queue_wait(0), 4),
-            slowdown=round(self._pace.slowdown(now), 2),
-            victim_demand=backend.victim_demand() if backend is not None else None,
-            first_seconds=round(self._pace.first, 4),
-            gap_seconds=round(self._pace.gap, 4),
-            copies=backend.copies() if backend is not None else (),
+            wait_seconds=round(self._queue_wait(0), 2),
+            slowdown=round(self._pace.slowdown(now), 1),
+            victim_demand=_rounded(backend.victim_demand() if backend else None),
+            first_seconds=round(self._pace.measured_first, 2),
+            gap_seconds=round(self._pace.measured_gap, 3),
         )
 
+    def slots_report(self) -> SlotsReport | None:
+        """Return a report of the adapters if they have changed."""
+        backend = self._backend
+        copies = backend.copies() if backend is not None else ()
+        if copies == self._reported_copies:
+            return None
+        self._reported_copies = copies
+        self._sequence += 1
+        return SlotsReport(self._declared.name, self._epoch, self._sequence, copies)
+
     async def drain(self) -> None:
         """Refuse waiting work and let running work end."""
         self._lifecycle.drain()
@@ -359,7 +387,7 @@
             self._ended(job)
 
     def _ended(self, job: Job) -> None:
-        self._pace.ended(job.item.request_id)
+        self._pace.ended(job.item.request_id, self._context.clock.monotonic())
         is_resumed = job.submit.offset > 0
         if self._running.pop(job.item.request_id, None) is not None and not is_resumed:
             self._queue.finished(job.item)
@@ -395,10 +423,28 @@
         with contextlib.suppress(PeerLostError):
             await stream.refuse(refusal)
 
+    def _learn_usual_pace(self, now: float) -> None:
+        """Take the pace of the service's servers as the usual one."""
+        if now - self._learned_at < _LEARN_SECONDS:
+            return
+        self._learned_at = now
+        configuration = self._context.configuration()
+        peers = [
+            report
+            for name, report in self._context.view.servers.items()
+            if name != self._declared.name
+            and (found := configuration.server(name)) is not None
+            and found.service == self._declared.service
+        ]
+        first = usual_of((r.first_seconds for r in peers), self._pace.usual_first)
+        gap = usual_of((r.gap_seconds for r in peers), self._pace.usual_gap)
+        self._pace.set_usual(first, gap)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_SECONDS)
             now = self._context.clock.monotonic()
+            self._learn_usual_pace(now)
             self._refuse_expired(now)
             if not self._context.is_plain:
                 self._refuse_stuck(now)
@@ -437,3 +483,7 @@
         self._last_slowdown = slowdown
         if has_become_slow:
             self._refuse_waiting(RefusalReason.SERVER_SLOW)
+
+
+def _rounded(demand: float | None) -> float | None:
+    return None if demand is None else round(demand, 2)
--- a/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
@@ -8,12 +8,12 @@
 
 from gooseberrydeal._internal.exceptions import PeerLostError, PeerUnreachableError
 from gooseberrydeal._internal.models.messages.host_report import HostReport
-from gooseberrydeal._internal.models.messages.server_report import ServerReport
 from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
+from gooseberrydeal._internal.network.codec import encode
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.peers import Peers
-from gooseberrydeal._internal.policy.fleet_view import FleetView, Marks
+from gooseberrydeal._internal.policy.fleet_view import Marks
 from gooseberrydeal._internal.utils import rendezvous
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -27,7 +27,7 @@
 _DIAL_SECONDS: Final = 1.0
 
 MakeHost = Callable[[int], HostReport]
-MakeServers = Callable[[], list[ServerReport]]
+MakeServers = Callable[[], ViewUpdate]
 
 
 class ViewExchange:
@@ -108,8 +108,7 @@
                     await asyncio.sleep(_FLUSH_SECONDS)
             self._urgent.clear()
             now = self._context.clock.monotonic()
-            reports = ViewUpdate(servers=tuple(self._make_servers()))
-            self._context.view.merge(reports, now)
+            self._context.view.merge(self._make_servers(), now)
             await self._flush()
 
     def _pause(self) -> float:
@@ -133,12 +132,17 @@
         connections = self._neighbours()
         self._marks = {c: m for c, m in self._marks.items() if c in connections}
         is_relay = self.is_relay()
+        encoded: dict[tuple[int, ...], bytes] = {}
         sends = []
         for connection in connections:
-            marks = self._marks.setdefault(connection, FleetView.new_marks())
+            marks = self._marks.setdefault(connection, Marks())
             update = self._delta_for(connection, marks, is_relay=is_relay)
-            if update is not None:
-                sends.append(self._send(connection, update))
+            if update is None:
+                continue
+            key = _identity(update)
+            if key not in encoded:
+                encoded[key] = encode(update)
+            sends.append(self._send(connection, encoded[key]))
         if sends:
             await asyncio.gather(*sends)
 
@@ -166,29 +170,34 @@
                     self._is_own(host.host) or (is_relay and host.domain != own)
                 ),
                 lambda server: (
-                    self._is_own(server.owner)
-                    or (is_relay and self._domain_of(server.owner) != own)
+                    self._is_owned(server)
+                    or (is_relay and self._domain_of(server) != own)
                 ),
             )
         return view.delta(
             marks,
             lambda host: self._is_own(host.host) or (is_relay and host.domain == own),
             lambda server: (
-                self._is_own(server.owner)
-                or (is_relay and self._domain_of(server.owner) == own)
+                self._is_owned(server) or (is_relay and self._domain_of(server) == own)
             ),
         )
 
     def _is_own(self, host: str) -> bool:
         return host == self._context.host
 
-    def _domain_of(self, host: str) -> str:
-        report = self._context.view.hosts.get(host)
-        return "" if report is None else report.domain
+    def _is_owned(self, server: str) -> bool:
+        report = self._context.view.servers.get(server)
+        return report is not None and report.owner == self._context.host
 
-    async def _send(self, connection: PeerConnection, update: ViewUpdate) -> None:
+    def _domain_of(self, server: str) -> str:
+        """Return the failure domain of a server's owner."""
+        report = self._context.view.servers.get(server)
+        host = self._context.view.hosts.get(report.owner) if report else None
+        return "" if host is None else host.domain
+
+    async def _send(self, connection: PeerConnection, update: bytes) -> None:
         with contextlib.suppress(PeerLostError):
-            await connection.send(update)
+            await connection.send_encoded(update)
 
     async def _dial(self) -> None:
         while True:
@@ -211,3 +220,8 @@
             if (is_near or is_far_relay) and not report.is_leaving:
                 wanted.add(report.address)
         return sorted(wanted - connected - {self._context.address})
+
+
+def _identity(update: ViewUpdate) -> tuple[int, ...]:
+    """Tell updates of the same reports apart from others without comparing them."""
+    return tuple(id(item) for item in (*update.hosts, *update.servers, *update.slots))
--- a/src/gooseberrydeal/_internal/policy/admission.py
+++ b/src/gooseberrydeal/_internal/policy/admission.py
@@ -5,7 +5,7 @@
 
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 
-_DEADLINE_PART: Final = 0.6
+_DEADLINE_PART: Final = 0.25
 _LEAST_RETRY_SECONDS: Final = 0.5
 
 
--- a/src/gooseberrydeal/_internal/policy/fleet_view.py
+++ b/src/gooseberrydeal/_internal/policy/fleet_view.py
@@ -1,26 +1,42 @@
 """Merge reports on hosts and servers."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Final
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final, Protocol, TypeVar
 
 from gooseberrydeal._internal.models.messages.host_report import HostReport
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
+from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
 from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
 
 HOST_SILENT_SECONDS: Final = 4.0
 SERVER_SILENT_SECONDS: Final = 15.0
 
 HostFilter = Callable[[HostReport], bool]
-ServerFilter = Callable[[ServerReport], bool]
+ServerFilter = Callable[[str], bool]
+
+
+class _OfServer(Protocol):
+    @property
+    def server(self) -> str: ...
+
+    @property
+    def epoch(self) -> int: ...
+
+    @property
+    def sequence(self) -> int: ...
+
+
+_Report = TypeVar("_Report", bound=_OfServer)
 
 
 @dataclass(slots=True)
 class Marks:
     """Remember which versions a neighbour has been sent."""
 
-    hosts: dict[str, tuple[float, int]]
-    servers: dict[str, tuple[int, int]]
+    hosts: dict[str, tuple[float, int]] = field(default_factory=dict)
+    servers: dict[str, tuple[int, int]] = field(default_factory=dict)
+    slots: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 class FleetView:
@@ -33,28 +49,46 @@
     def __init__(self) -> None:
         self._hosts: dict[str, HostReport] = {}
         self._servers: dict[str, ServerReport] = {}
+        self._slots: dict[str, SlotsReport] = {}
+        self._holders: dict[tuple[str, str], set[str]] = {}
         self._hosts_seen: dict[str, float] = {}
         self._servers_seen: dict[str, float] = {}
 
     @property
-    def hosts(self) -> dict[str, HostReport]:
+    def hosts(self) -> Mapping[str, HostReport]:
         """Return the newest report of each host."""
         return self._hosts
 
     @property
-    def servers(self) -> dict[str, ServerReport]:
+    def servers(self) -> Mapping[str, ServerReport]:
         """Return the newest report of each server."""
         return self._servers
 
+    @property
+    def slots(self) -> Mapping[str, SlotsReport]:
+        """Return the newest report of each server's adapters."""
+        return self._slots
+
     def merge(self, update: ViewUpdate, now: float) -> bool:
         """Take newer reports over; return whether there were any."""
         has_changed = False
         for host in update.hosts:
             has_changed |= self._merge_host(host, now)
         for server in update.servers:
-            has_changed |= self._merge_server(server, now)
+            if _is_newer(server, self._servers):
+                self._servers[server.server] = server
+                self._servers_seen[server.server] = now
+                has_changed = True
+        for slots in update.slots:
+            if _is_newer(slots, self._slots):
+                self._take_slots(slots)
+                has_changed = True
         return has_changed
 
+    def holders(self, adapter: str, version: str) -> set[str]:
+        """Return the servers that have an adapter ready."""
+        return self._holders.get((adapter, version), set())
+
     def live_hosts(self, now: float) -> list[HostReport]:
         """Return the hosts heard of lately that do not leave."""
         return [
@@ -79,16 +113,6 @@
             and self.is_live(report.owner, now)
         ]
 
-    def forget_host(self, host: str) -> None:
-        """Drop a host that is known to be gone."""
-        self._hosts.pop(host, None)
-        self._hosts_seen.pop(host, None)
-
-    @staticmethod
-    def new_marks() -> Marks:
-        """Return the marks of a neighbour that has been sent nothing."""
-        return Marks({}, {})
-
     def delta(
         self, marks: Marks, keep_host: HostFilter, keep_server: ServerFilter
     ) -> ViewUpdate | None:
@@ -99,15 +123,11 @@
             if marks.hosts.get(name) != version and keep_host(host):
                 marks.hosts[name] = version
                 hosts.append(host)
-        servers = []
-        for name, server in self._servers.items():
-            stamp = (server.epoch, server.sequence)
-            if marks.servers.get(name) != stamp and keep_server(server):
-                marks.servers[name] = stamp
-                servers.append(server)
-        if not hosts and not servers:
+        servers = _unsent(self._servers, marks.servers, keep_server)
+        slots = _unsent(self._slots, marks.slots, keep_server)
+        if not hosts and not servers and not slots:
             return None
-        return ViewUpdate(tuple(hosts), tuple(servers))
+        return ViewUpdate(tuple(hosts), tuple(servers), tuple(slots))
 
     def _merge_host(self, report: HostReport, now: float) -> bool:
         known = self._hosts.get(report.host)
@@ -120,13 +140,35 @@
         self._hosts_seen[report.host] = now
         return True
 
-    def _merge_server(self, report: ServerReport, now: float) -> bool:
-        known = self._servers.get(report.server)
-        if known is not None and (known.epoch, known.sequence) >= (
-            report.epoch,
-            report.sequence,
-        ):
-            return False
-        self._servers[report.server] = report
-        self._servers_seen[report.server] = now
-        return True
+    def _take_slots(self, report: SlotsReport) -> None:
+        before = self._slots.get(report.server)
+        for copy in before.copies if before is not None else ():
+            holders = self._holders.get((copy.adapter, copy.version))
+            if holders is not None:
+                holders.discard(report.server)
+                if not holders:
+                    del self._holders[copy.adapter, copy.version]
+        self._slots[report.server] = report
+        for copy in report.copies:
+            if copy.is_ready:
+                key = (copy.adapter, copy.version)
+                self._holders.setdefault(key, set()).add(report.server)
+
+
+def _is_newer(report: _OfServer, known: Mapping[str, _Report]) -> bool:
+    old = known.get(report.server)
+    return old is None or (old.epoch, old.sequence) < (report.epoch, report.sequence)
+
+
+def _unsent(
+    reports: Mapping[str, _Report],
+    sent: dict[str, tuple[int, int]],
+    keep: ServerFilter,
+) -> list[_Report]:
+    unsent = []
+    for name, report in reports.items():
+        version = (report.epoch, report.sequence)
+        if sent.get(name) != version and keep(name):
+            sent[name] = version
+            unsent.append(report)
+    return unsent
