Seed the tests' randomness; hedge onto a further copy while loads are idle

Change: a fixed seed for each run on virtual time. An adapter with a single copy could not be hedged at all; now it can while no load waits.

--- a/src/gooseberrydeal/_internal/operations/entry/work_runner.py
+++ b/src/gooseberrydeal/_internal/operations/entry/work_runner.py
@@ -40,6 +40,7 @@
 _HEDGE_BURST: Final = 3.0
 _HEDGE_FALLBACK_SECONDS: Final = 0.5
 _QUEUE_HEDGE_SECONDS: Final = 0.75
+_HEDGE_LOAD_WAIT_SECONDS: Final = 0.1
 _RESUME_SECONDS: Final = 12.0
 _RESUME_POLL_SECONDS: Final = 0.1
 _PAUSE_SECONDS: Final = 0.02
@@ -216,7 +217,9 @@
             return None
         avoided = excluded | {first.placement.server}
         placed = self._place(order, avoided)
-        if isinstance(placed, AnswerRefused) or placed.needs_load:
+        if isinstance(placed, AnswerRefused):
+            return None
+        if placed.needs_load and self._load_wait() > _HEDGE_LOAD_WAIT_SECONDS:
             return None
         if not self._hedge_budget.take():
             return None
--- a/tests/lib/virtual_loop.py
+++ b/tests/lib/virtual_loop.py
@@ -1,11 +1,13 @@
 """Run coroutines on virtual time."""
 
 import asyncio
+import random
 import selectors
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
 _Result = TypeVar("_Result")
+_SEED = 20261204
 
 
 class _VirtualSelector(selectors.SelectSelector):
@@ -52,6 +54,7 @@
 
 def run_virtual(work: Coroutine[Any, Any, _Result]) -> _Result:
     """Run to the end, as fast as the processor allows."""
+    random.seed(_SEED)
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(work)
