Run keepers and entries as processes of their own for overhead and soak

Cause: in one process the bench shares a core with what it measures, and kills and pauses need processes.

--- a/src/gooseberrydeal/_internal/lab/lab_client.py
+++ b/src/gooseberrydeal/_internal/lab/lab_client.py
@@ -151,7 +151,8 @@
         result.reason = value["error"]["code"]
         result.ran = value["error"]["ran"]
         return False
-    text = value["choices"][0].get("text") or ""
+    choices = value["choices"]
+    text = choices[0].get("text") or "" if choices else ""
     result.text += text
     return bool(text)
 
--- a/src/gooseberrydeal/_internal/lab/lab_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -100,11 +100,25 @@
             platform=self._platform_settings(), keepers=keepers, author=author
         )
 
-    async def start(self) -> None:
-        """Start everything and wait until requests can be served."""
+    @property
+    def keeper_settings(self) -> dict[str, KeeperSettings]:
+        """Return the settings of the keepers by host."""
+        return self._keeper_settings
+
+    @property
+    def entry_settings(self) -> dict[str, EntrySettings]:
+        """Return the settings of the entries by host."""
+        return self._entry_settings
+
+    async def start_outside(self) -> None:
+        """Start the stand-ins, publish the configuration and plan the hosts."""
         await self._start_outside()
         await self.submit()
         self._plan_hosts()
+
+    async def start(self) -> None:
+        """Start everything and wait until requests can be served."""
+        await self.start_outside()
         for host in self._keeper_settings:
             await self.start_keeper(host)
         for host in self._entry_settings:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what runs against a deployment of separate processes."""
