Hold a copy until its abandoned request has left the engine; scale control

A request that a hedge had lost was cancelled, and its copy was freed once the engine ran fewer requests on it than the owner counted; a request started meanwhile made that true while the cancelled one still ran. Each request is now asked for by its id until the engine says that it has left, and an engine that does not know it is asked for a second more, since the cancellation may overtake the request. Test: a_copy_is_held_until_an_abandoned_request_has_left.

Cause 2: with 24 keepers a configuration change stayed out on one of them: chunks were asked of one peer only. They are asked of others now. Keepers that were not seeds never met, so that an entry at one saw part of the fleet; the hosts' records name them now. Pairs had two connections.

Cause 3: each merged report made its receiver flush at once. Only a server that turns, or other adapters, is urgent now; pings are sent on connections that are otherwise still; the lower name dials.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 KEEP ?= 0
 
-.PHONY: demo test lint check-types property bench clean
+.PHONY: demo test lint check-types docs overhead soak clean
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,5 +24,14 @@
 check-types: $(VENV)/.installed
 	$(BIN)/mypy
 
+docs: $(VENV)/.installed
+	$(BIN)/gooseberry-lab reference docs/operators
+
+overhead: $(VENV)/.installed
+	bench/processes.sh overhead --json
+
+soak: $(VENV)/.installed
+	bench/processes.sh soak --json
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/src/gooseberrydeal/_internal/lab/bench/bench_command.py
+++ b/src/gooseberrydeal/_internal/lab/bench/bench_command.py
@@ -106,4 +106,8 @@
 
 
 def _broken(record: RunRecord) -> int:
-    return count_violations(record)
+    """Print each kind of violation, and return their number."""
+    found = count_violations(record)
+    for kind, number in found.items():
+        typer.echo(f"  violation: {number} x {kind}", err=True)
+    return found.total()
--- a/src/gooseberrydeal/_internal/lab/bench/violations.py
+++ b/src/gooseberrydeal/_internal/lab/bench/violations.py
@@ -1,22 +1,34 @@
 """Count answers that break a promise."""
 
+from collections import Counter
+
 from gooseberrydeal._internal.lab.answer_text import answer_words
 from gooseberrydeal._internal.lab.bench.run_record import RunRecord
+from gooseberrydeal._internal.lab.bench.sample import Sample
 from gooseberrydeal._internal.lab.lab_configuration import adapter_name
 
 
-def count_violations(record: RunRecord) -> int:
+def count_violations(record: RunRecord) -> Counter[str]:
     """Return how many answers were wrong, lost, short or evicted under."""
-    wrong = 0
+    found: Counter[str] = Counter()
     for sample in record.samples:
-        result = sample.result
-        if result.status == 0:
-            wrong += 1
-        elif result.is_whole and not sample.arrival.operation:
-            wrong += int(not _is_expected(sample.arrival.adapter, result.text))
-        elif not result.is_whole and not result.reason:
-            wrong += 1
-    return wrong + record.evicted_in_use
+        kind = _violation(sample)
+        if kind is not None:
+            found[kind] += 1
+    if record.evicted_in_use:
+        found["evicted_in_use"] = record.evicted_in_use
+    return found
+
+
+def _violation(sample: Sample) -> str | None:
+    result = sample.result
+    if result.status == 0:
+        return f"lost: {result.reason}"
+    if not result.is_whole:
+        return None if result.reason else "silently short"
+    if sample.arrival.operation or _is_expected(sample.arrival.adapter, result.text):
+        return None
+    return "wrong or mixed"
 
 
 def _is_expected(adapter: int, text: str) -> bool:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what control costs, and work out the stated size."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/capacity/fleet.py
@@ -0,0 +1,220 @@
+"""Run many keepers' control in one process."""
+
+import asyncio
+import gc
+import time
+from dataclasses import dataclass
+from itertools import count
+from typing import Final
+
+import psutil
+
+from gooseberrydeal._internal.declarations.deployment import Deployment
+from gooseberrydeal._internal.lab.capacity.idle_engine import IdleEngine
+from gooseberrydeal._internal.lab.free_port import LOOPBACK, free_address
+from gooseberrydeal._internal.lab.platform_app import PlatformApp
+from gooseberrydeal._internal.lab.store_state import StoreState
+from gooseberrydeal._internal.lab.weight_store_state import WeightStoreState
+from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.settings import KeeperSettings, PlatformSettings
+from gooseberrydeal._internal.network.etcd_store import EtcdStore
+from gooseberrydeal._internal.network.http_host_list import HttpHostList
+from gooseberrydeal._internal.network.http_plain_server import HttpPlainServer
+from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.network.http_weight_store import HttpWeightStore
+from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
+from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
+from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.publisher import Publisher
+from gooseberrydeal._internal.utils.clock import SystemClock
+
+_KIBI: Final = 1024
+_READY_SECONDS: Final = 90.0
+_NEWS_SECONDS: Final = 0.2
+_SLOTS: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ControlCost:
+    """Hold what a run of control cost, for each keeper and second where it says so."""
+
+    keepers: int
+    domains: int
+    core_share: float
+    bytes_sent: float
+    most_bytes_sent: float
+    store_reads: float
+    store_writes: float
+    watches: int
+    memory_megabytes: float
+    ready_seconds: float
+    adoption_seconds: float
+
+
+class ControlFleet:
+    """Own keepers over real sockets, and engines that only report."""
+
+    def __init__(self, keepers: int, domains: int, engines_each: int) -> None:
+        self._count = keepers
+        self._domains = [f"d{number}" for number in range(domains)]
+        self._engines_each = engines_each
+        self._clock = SystemClock()
+        self._platform = PlatformApp(
+            StoreState(self._clock),
+            WeightStoreState(
+                self._clock,
+                loads_per_second=9,
+                full_speed=3,
+                knee=24,
+                load_seconds=0.25,
+            ),
+        )
+        self._server = HttpServer(self._platform.app(), LOOPBACK, 0)
+        self._keepers: list[KeeperNode] = []
+
+    async def measure(self, seconds: float) -> ControlCost:
+        """Start, let it settle, and measure for some seconds while loads change."""
+        before = _memory()
+        await self._server.start()
+        await self._submit(0)
+        began = time.monotonic()
+        await self._start_keepers()
+        await self._wait_ready()
+        ready = time.monotonic() - began
+        news = asyncio.create_task(self._make_news())
+        await asyncio.sleep(3.0)
+        cost = await self._observe(seconds, ready, before)
+        news.cancel()
+        await self._stop()
+        return cost
+
+    async def _observe(
+        self, seconds: float, ready: float, before: float
+    ) -> ControlCost:
+        calls = self._platform.calls
+        calls.clear()
+        sent_before = self._bytes_sent()
+        processor = time.process_time()
+        began = time.monotonic()
+        await asyncio.sleep(seconds)
+        elapsed = time.monotonic() - began
+        processor = time.process_time() - processor
+        sent = [
+            after - start
+            for after, start in zip(self._bytes_sent(), sent_before, strict=True)
+        ]
+        reads = calls["/v3/kv/range"]
+        writes = sum(n for path, n in calls.items() if path != "/v3/kv/range")
+        adoption = await self._adoption()
+        return ControlCost(
+            keepers=self._count,
+            domains=len(self._domains),
+            core_share=processor / elapsed / self._count,
+            bytes_sent=sum(sent) / elapsed / self._count,
+            most_bytes_sent=max(sent) / elapsed,
+            store_reads=reads / elapsed / self._count,
+            store_writes=writes / elapsed / self._count,
+            watches=self._platform.store.watch_count,
+            memory_megabytes=(_memory() - before) / self._count,
+            ready_seconds=round(ready, 2),
+            adoption_seconds=round(adoption, 2),
+        )
+
+    async def _adoption(self) -> float:
+        """Publish a change; return the seconds until every keeper has it."""
+        began = time.monotonic()
+        number = await self._submit(1)
+        async with asyncio.timeout(_READY_SECONDS):
+            while any(k.configuration.number < number for k in self._keepers):
+                await asyncio.sleep(0.01)
+        return time.monotonic() - began
+
+    async def _submit(self, change: int) -> int:
+        store = EtcdStore.from_url(f"http://{LOOPBACK}:{self._server.port}")
+        publisher = Publisher(store, "lab")
+        current = await publisher.current()
+        revision = await publisher.submit(
+            self._declared(change).entries, current.number, rebases=False
+        )
+        await store.close()
+        return revision.number
+
+    def _declared(self, change: int) -> Deployment:
+        declared = Deployment("capacity")
+        declared.limits(loads_per_second=9, loads_at_full_speed=3)
+        declared.work_class("short", expected_tokens=10 + change)
+        declared.model_service("language", default_class="short")
+        for number in range(self._count * self._engines_each):
+            domain = self._domains[number % len(self._domains)]
+            declared.server(
+                f"{domain}-engine{number:04d}",
+                service="language",
+                domain=domain,
+                address=f"127.1.{number // 250}.{number % 250 + 1}:80",
+                checks_fencing=True,
+                adapter_slots=_SLOTS,
+            )
+        return declared
+
+    async def _start_keepers(self) -> None:
+        url = f"http://{LOOPBACK}:{self._server.port}"
+        platform = PlatformSettings(store=url, hosts=url, weights=url)
+        addresses = [free_address() for _ in range(self._count)]
+        for number, address in enumerate(addresses):
+            settings = KeeperSettings(
+                host=f"host{number:03d}",
+                domain=self._domains[number % len(self._domains)],
+                listen=address,
+                operators=address,
+                platform=platform,
+                peers=tuple(addresses[:3]),
+            )
+            outside = Outside(
+                EtcdStore.from_url(url),
+                HttpHostList.from_url(url),
+                HttpWeightStore.from_url(url),
+                lambda address: IdleEngine(),
+                HttpPlainServer.from_address,
+            )
+            transport = WebsocketTransport(None, None)
+            keeper = KeeperNode(settings, outside, transport, self._clock)
+            await keeper.start()
+            self._platform.hosts[address] = "live"
+            self._keepers.append(keeper)
+
+    async def _wait_ready(self) -> None:
+        wanted = self._count * self._engines_each
+        async with asyncio.timeout(_READY_SECONDS):
+            while sum(len(k.owners) for k in self._keepers) < wanted:
+                await asyncio.sleep(0.05)
+
+    async def _make_news(self) -> None:
+        """Change the pace of every server, so that each report has news."""
+        numbers = count()
+        while True:
+            for keeper in self._keepers:
+                for owner in keeper.owners.values():
+                    request = RequestId(str(next(numbers)))
+                    now = self._clock.monotonic()
+                    owner.pace.started(request, now - 0.05 * (next(numbers) % 7))
+                    owner.pace.progressed(request, 1, now)
+                    owner.pace.ended(request, now)
+            await asyncio.sleep(_NEWS_SECONDS)
+
+    def _bytes_sent(self) -> list[int]:
+        """Return what each keeper has sent; what it receives is the same in sum."""
+        return [
+            sum(connection.bytes_sent for connection in keeper.peers.connections())
+            for keeper in self._keepers
+        ]
+
+    async def _stop(self) -> None:
+        for keeper in self._keepers:
+            await keeper.abort()
+        await self._server.abort()
+
+
+def _memory() -> float:
+    """Return the process's resident memory in megabytes."""
+    gc.collect()
+    return float(psutil.Process().memory_info().rss) / _KIBI / _KIBI
--- a/src/gooseberrydeal/_internal/lab/cli.py
+++ b/src/gooseberrydeal/_internal/lab/cli.py
@@ -97,6 +97,28 @@
         raise typer.Exit(ExitCode.FAILED)
 
 
+@app.command()
+def capacity(as_json: JsonOption = False) -> None:
+    """Measure control at several sizes and work out the stated one."""
+    from gooseberrydeal._internal.lab.capacity.capacity import (  # noqa: PLC0415
+        Capacity,
+    )
+
+    result = Capacity().run()
+    typer.echo(json.dumps(result, indent=None if as_json else 1))
+
+
+@app.command()
+def reference(
+    folder: Annotated[Path, typer.Argument(help="Where the operators' pages are.")],
+) -> None:
+    """Write the reference pages of settings and metrics."""
+    from gooseberrydeal._internal.lab import reference as pages  # noqa: PLC0415
+
+    (folder / "settings.md").write_text(pages.settings_page())
+    (folder / "metrics.md").write_text(pages.metrics_page())
+
+
 def main() -> None:
     """Run the program."""
     app()
--- a/src/gooseberrydeal/_internal/lab/engine_app.py
+++ b/src/gooseberrydeal/_internal/lab/engine_app.py
@@ -35,6 +35,7 @@
     produced: int = 0
     is_cancelled: bool = False
     readers: int = 0
+    has_left: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -203,8 +204,14 @@
     async def _resume(self, request: Request) -> Response:
         request_id = request.path_params["id"]
         run = self._runs.get(request_id)
-        if run is None or run.is_cancelled:
+        if run is None:
             return _error(404, "no such request")
+        if request.query_params.get("stream") != "true":
+            return JSONResponse(
+                {"status": "completed" if run.has_left else "in_progress"}
+            )
+        if run.is_cancelled:
+            return _error(404, "the request was cancelled")
         offset = int(request.query_params.get("starting_after", 0))
         return self._stream(request_id, run, offset)
 
@@ -229,6 +236,7 @@
                 await asyncio.sleep(self._pace())
         finally:
             self._running[run.copy] -= 1
+            run.has_left = True
             self._leave_batch()
             run.signal()
 
@@ -312,7 +320,7 @@
 
     def _forget_old_runs(self) -> None:
         while len(self._runs) >= _KEPT_RUNS:
-            done = next((key for key, run in self._runs.items() if run.is_done), None)
+            done = next((key for key, run in self._runs.items() if run.has_left), None)
             if done is None:
                 return
             del self._runs[done]
--- a/src/gooseberrydeal/_internal/lab/processes/overhead.py
+++ b/src/gooseberrydeal/_internal/lab/processes/overhead.py
@@ -11,6 +11,7 @@
 from gooseberrydeal._internal.lab.bench.quantiles import Quantiles
 from gooseberrydeal._internal.lab.lab_client import LabClient
 from gooseberrydeal._internal.lab.lab_configuration import adapter_name
+from gooseberrydeal._internal.lab.least_squares import fit
 from gooseberrydeal._internal.lab.processes.attached import Attached
 
 _RATE: Final = 200.0
@@ -96,7 +97,7 @@
 
     async def _slopes(self) -> dict[str, Any]:
         """Fit processor time a role to tokens, at a fixed rate of requests."""
-        points: dict[str, list[tuple[int, float]]] = {"entry": [], "keeper": []}
+        points: dict[str, list[tuple[float, float]]] = {"entry": [], "keeper": []}
         idle = await self._processor(0, 0.0)
         for tokens in _TOKEN_SIZES:
             used = await self._processor(tokens, _SLOPE_RATE)
@@ -157,12 +158,3 @@
 async def _first(client: LabClient, model: str) -> float | None:
     result = await client.complete(model, "question", tokens=2)
     return result.first_seconds
-
-
-def fit(points: list[tuple[int, float]]) -> tuple[float, float]:
-    """Return slope and intercept of the least squares line."""
-    mean_x = sum(x for x, _ in points) / len(points)
-    mean_y = sum(y for _, y in points) / len(points)
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-    return slope, mean_y - slope * mean_x
--- a/src/gooseberrydeal/_internal/network/http_engine.py
+++ b/src/gooseberrydeal/_internal/network/http_engine.py
@@ -21,6 +21,7 @@
 _READ_SECONDS: Final = 30.0
 _STREAM_IDLE_SECONDS: Final = 10.0
 _ERROR_STATUS: Final = 400
+_NOT_FOUND: Final = 404
 _DATA: Final = b"data: "
 _DONE: Final = b"[DONE]"
 
@@ -103,6 +104,19 @@
         """Stop a generation whose stream is lost."""
         await self._session.call_json("POST", f"/v1/responses/{request_id}/cancel", {})
 
+    async def is_running(self, request_id: RequestId) -> bool | None:
+        """Return whether a request is in the batch, ``None`` if it is not known."""
+        try:
+            found = await self._session.call_json("GET", f"/v1/responses/{request_id}")
+        except ServerRefusedError as error:
+            if error.status == _NOT_FOUND:
+                return None
+            raise
+        try:
+            return bool(found["status"] == "in_progress")
+        except (KeyError, TypeError) as error:
+            raise ServerBrokenError("the engine's answer is malformed") from error
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/src/gooseberrydeal/_internal/network/interfaces/engine.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/engine.py
@@ -41,6 +41,10 @@
         """Stop a generation whose stream is lost."""
         ...
 
+    async def is_running(self, request_id: RequestId) -> bool | None:
+        """Return whether a request is in the batch, ``None`` if it is not known."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
--- a/src/gooseberrydeal/_internal/network/metrics.py
+++ b/src/gooseberrydeal/_internal/network/metrics.py
@@ -104,6 +104,13 @@
         """Return how often a reason was counted."""
         return int(self._retries.values.get({"reason": reason.value}) or 0)
 
+    def described(self) -> list[tuple[str, str, str]]:
+        """Return name, kind and meaning of each metric."""
+        return [
+            (metric.name, type(metric).__name__.lower(), metric.doc)
+            for metric in self._registry.get_all()
+        ]
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         content, _ = render(self._registry, ["text/plain"])
--- a/src/gooseberrydeal/_internal/network/peer_connection.py
+++ b/src/gooseberrydeal/_internal/network/peer_connection.py
@@ -112,10 +112,13 @@
         loop = asyncio.get_running_loop()
         while self._is_open:
             await asyncio.sleep(PING_SECONDS)
-            if loop.time() - self._last_heard > SILENCE_SECONDS:
+            silence = loop.time() - self._last_heard
+            if silence > SILENCE_SECONDS:
                 logger.info("peer connection is silent, closing it")
                 self._abort()
                 return
+            if silence < PING_SECONDS:
+                continue
             self._ping_number += 1
             with contextlib.suppress(PeerLostError):
                 await self.send(Ping(self._ping_number))
--- a/src/gooseberrydeal/_internal/operations/configuration_task.py
+++ b/src/gooseberrydeal/_internal/operations/configuration_task.py
@@ -59,6 +59,7 @@
         self._follower = ConfigurationFollower()
         self._offered: dict[PeerConnection, int] = {}
         self._asked_at: dict[str, float] = {}
+        self._sources: dict[PeerConnection, RevisionOffer] = {}
         self._changed = asyncio.Event()
         self._tasks = TaskOwner()
 
@@ -102,6 +103,7 @@
         if not missing:
             self._add(())
             return
+        self._sources[connection] = offer
         self._tasks.start(self._ask(missing, connection), "ask for chunks")
 
     def requested(self, request: ChunkRequest, connection: PeerConnection) -> None:
@@ -126,6 +128,16 @@
                 self._asked_at[digest] = now
             await self._send(connection, ChunkRequest(part))
 
+    async def _ask_again(self) -> None:
+        """Ask another peer for chunks that the first one has not sent."""
+        sources = [peer for peer in self._sources if peer.is_open]
+        if not sources:
+            return
+        chosen = random.choice(sources)
+        offer = self._sources[chosen]
+        if self._follower.judge(offer) is OfferVerdict.NEWER:
+            await self._ask(self._follower.want(offer), chosen)
+
     async def _send(
         self, connection: PeerConnection, message: ChunkReply | ChunkRequest
     ) -> None:
@@ -136,6 +148,7 @@
         if not self._follower.add(chunks):
             return
         self._asked_at.clear()
+        self._sources.clear()
         view = self._follower.view
         assert view is not None
         number = self._follower.number
@@ -151,6 +164,7 @@
                 async with asyncio.timeout(_OFFER_SECONDS):
                     await self._changed.wait()
             self._changed.clear()
+            await self._ask_again()
             offer = self._follower.in_force
             if offer is None:
                 continue
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -9,6 +9,7 @@
 from starlette.types import ASGIApp
 
 from gooseberrydeal._internal.exceptions import PeerUnreachableError
+from gooseberrydeal._internal.models.alarm import Alarm
 from gooseberrydeal._internal.models.configuration import Configuration
 from gooseberrydeal._internal.models.lifecycle import Lifecycle
 from gooseberrydeal._internal.models.messages.chunk_reply import ChunkReply
@@ -207,7 +208,9 @@
         now = self._clock.monotonic()
         if self._link is not None and self._link.is_open:
             self._last_linked = now
-        return now - self._last_linked > _ISOLATED_SECONDS
+        is_isolated = now - self._last_linked > _ISOLATED_SECONDS
+        self._alarms.set(Alarm.ISOLATED, is_raised=is_isolated)
+        return is_isolated
 
     def _linked(self) -> list[PeerConnection]:
         link = self._link
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -36,6 +36,7 @@
 
 _POLL_SECONDS: Final = 2.0
 _SETTLE_SECONDS: Final = 0.1
+_UNKNOWN_SECONDS: Final = 1.0
 _NOT_FOUND: Final = 404
 _OVERLOADED_STATUSES: Final = frozenset({429, 503})
 _SERVER_FAULT: Final = 500
@@ -299,18 +300,35 @@
         self._context.report_changed()
 
     async def _settle(self, job: Job, copy: str) -> None:
-        """Hold a copy until the engine no longer runs an abandoned request."""
+        """Hold a copy until the engine no longer runs an abandoned request.
+
+        An engine that does not know the request may not have read it yet, since the
+        cancellation comes on another connection; so it is asked for a while.
+        """
+        unknown_since: float | None = None
         while True:
-            with contextlib.suppress(ServerError):
-                with contextlib.suppress(ServerRefusedError):
-                    await self._engine.cancel(job.item.request_id)
-                state = await self._engine.state()
-                found = self._slots.get(copy)
-                if found is None or state.running.get(copy, 0) < found.in_use:
+            running = await self._cancelled(job)
+            now = self._now()
+            if running is False:
+                break
+            if running is None:
+                unknown_since = unknown_since or now
+                if now - unknown_since >= _UNKNOWN_SECONDS:
                     break
+            else:
+                unknown_since = None
             await asyncio.sleep(_SETTLE_SECONDS)
         self._end_use(copy)
 
+    async def _cancelled(self, job: Job) -> bool | None:
+        """Cancel a request; return whether it still runs, ``None`` if unknown."""
+        try:
+            with contextlib.suppress(ServerRefusedError):
+                await self._engine.cancel(job.item.request_id)
+            return await self._engine.is_running(job.item.request_id)
+        except ServerError:
+            return True
+
     def _end_use(self, copy: str) -> None:
         self._slots.end_use(copy, self._now())
         self._loader.slot_changed()
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Final
 
+from gooseberrydeal._internal.models.alarm import Alarm
 from gooseberrydeal._internal.models.backend_server import BackendServer
 from gooseberrydeal._internal.models.configuration import Configuration
 from gooseberrydeal._internal.models.host_record import HostRecord
@@ -235,6 +236,7 @@
             self,
             self._declared_servers,
             lambda: self._lease.is_held,
+            self._view.learn_hosts,
         )
         pool = PermitPool()
         self._gate = LoadGate(self._context, pool, self._ask_permits)
@@ -288,6 +290,8 @@
         self._view.flush_soon()
 
     def _lease_changed(self) -> None:
+        is_down = not self._lease.is_reachable
+        self._alarms.set(Alarm.PLATFORM_UNREACHABLE, is_raised=is_down)
         self._ownership.wake()
         self._view.flush_soon()
 
@@ -332,6 +336,8 @@
         known: set[str] = set()
         while True:
             self._budget.confirm()
+            has_foreign = self._factory.has_foreign(self._owners)
+            self._alarms.set(Alarm.FOREIGN_COPIES, is_raised=has_foreign)
             now = self._clock.monotonic()
             live = {report.host for report in self._context.view.live_hosts(now)}
             if live != known:
--- a/src/gooseberrydeal/_internal/operations/keeper/ownership.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/ownership.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, Protocol
 from uuid import uuid4
 
@@ -61,6 +61,7 @@
         owned: OwnedServers,
         declared: Callable[[], list[BackendServer]],
         is_registered: Callable[[], bool],
+        on_hosts: Callable[[Iterable[HostRecord]], None],
     ) -> None:
         self._store = store
         self._host_list = host_list
@@ -68,6 +69,7 @@
         self._owned = owned
         self._declared = declared
         self._is_registered = is_registered
+        self._on_hosts = on_hosts
         self._held: dict[str, OwnerRecord] = {}
         self._predecessors: dict[str, OwnerRecord] = {}
         self._unwanted: dict[str, int] = {}
@@ -106,6 +108,7 @@
     async def round(self) -> None:
         """Compare records with wishes once; raises :class:`StoreError`."""
         hosts = await self._hosts()
+        self._on_hosts(hosts.values())
         records = await self._records()
         declared = {
             item.name: item
--- a/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import HostListError
@@ -62,6 +62,12 @@
         if slots is not None:
             slots.allow_adoption()
 
+    def has_foreign(self, servers: Iterable[str]) -> bool:
+        """Return whether copies of earlier owners are in the way on a server."""
+        return any(
+            self._slots[name].has_foreign for name in servers if name in self._slots
+        )
+
     async def follow_host_list(self, owners: Mapping[str, ServerOwner]) -> None:
         """Give no new work to servers that the platform lists as leaving."""
         while True:
--- a/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import PeerLostError, PeerUnreachableError
+from gooseberrydeal._internal.models.host_record import HostRecord
 from gooseberrydeal._internal.models.messages.host_report import HostReport
 from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
 from gooseberrydeal._internal.network.codec import encode
@@ -25,6 +26,7 @@
 _HOST_REPORT_SECONDS: Final = 1.0
 _FLUSH_SECONDS: Final = 0.01
 _DIAL_SECONDS: Final = 1.0
+_DIAL_PATIENCE_SECONDS: Final = 4.0
 
 MakeHost = Callable[[int], HostReport]
 MakeServers = Callable[[], ViewUpdate]
@@ -54,7 +56,8 @@
         self._marks: dict[PeerConnection, Marks] = {}
         self._sequence = 0
         self._urgent = asyncio.Event()
-        self._known_addresses: set[str] = set()
+        self._listed: dict[str, str] = {}
+        self._first_seen: dict[str, float] = {}
         self._tasks = TaskOwner()
 
     def start(self) -> None:
@@ -81,9 +84,9 @@
         self._note_host()
         await self._flush()
 
-    def add_addresses(self, addresses: set[str]) -> None:
-        """Learn of peers to dial."""
-        self._known_addresses |= addresses
+    def learn_hosts(self, hosts: Iterable[HostRecord]) -> None:
+        """Learn from the platform which keepers of this failure domain to dial."""
+        self._listed = {host.host: host.address for host in hosts}
 
     def is_relay(self) -> bool:
         """Return whether this host passes reports between failure domains."""
@@ -120,7 +123,6 @@
     async def _report_host(self) -> None:
         while True:
             self._note_host()
-            self._urgent.set()
             await asyncio.sleep(_HOST_REPORT_SECONDS)
 
     def _note_host(self) -> None:
@@ -208,18 +210,39 @@
 
     def _wanted_addresses(self) -> list[str]:
         connected = {
-            connection.peer.address
+            connection.peer.host
             for connection in self._peers.connections()
-            if connection.peer is not None
+            if connection.peer is not None and connection.peer.role == "keeper"
+        }
+        known = {**self._listed, **self._reported_addresses()}
+        now = self._context.clock.monotonic()
+        wanted = {
+            address
+            for host, address in known.items()
+            if host not in connected and not self._awaits_dial(host, now)
         }
-        wanted = set(self._seeds) | self._known_addresses
+        unnamed = set(self._seeds) - set(known.values())
+        return sorted((wanted | unnamed) - {self._context.address})
+
+    def _reported_addresses(self) -> dict[str, str]:
+        """Return the hosts that this one should be connected to."""
         is_relay = self.is_relay()
-        for report in self._context.view.hosts.values():
-            is_near = report.domain == self._context.domain
-            is_far_relay = is_relay and report.host in self._relays(report.domain)
-            if (is_near or is_far_relay) and not report.is_leaving:
-                wanted.add(report.address)
-        return sorted(wanted - connected - {self._context.address})
+        return {
+            report.host: report.address
+            for report in self._context.view.hosts.values()
+            if not report.is_leaving
+            and (
+                report.domain == self._context.domain
+                or (is_relay and report.host in self._relays(report.domain))
+            )
+        }
+
+    def _awaits_dial(self, host: str, now: float) -> bool:
+        """Leave the first dial to the lower name, so that a pair has one connection."""
+        if host >= self._context.host:
+            return False
+        first_seen = self._first_seen.setdefault(host, now)
+        return now - first_seen < _DIAL_PATIENCE_SECONDS
 
 
 def _identity(update: ViewUpdate) -> tuple[int, ...]:
--- a/src/gooseberrydeal/_internal/policy/fleet_view.py
+++ b/src/gooseberrydeal/_internal/policy/fleet_view.py
@@ -70,20 +70,25 @@
         return self._slots
 
     def merge(self, update: ViewUpdate, now: float) -> bool:
-        """Take newer reports over; return whether there were any."""
-        has_changed = False
+        """Take newer reports over; return whether others should learn of them soon.
+
+        That is so where a server begins or ceases to be of use, or holds other
+        adapters; what only changes its load can wait.
+        """
+        is_urgent = False
         for host in update.hosts:
-            has_changed |= self._merge_host(host, now)
+            self._merge_host(host, now)
         for server in update.servers:
+            known = self._servers.get(server.server)
             if _is_newer(server, self._servers):
                 self._servers[server.server] = server
                 self._servers_seen[server.server] = now
-                has_changed = True
+                is_urgent |= known is None or _is_turning(known, server)
         for slots in update.slots:
             if _is_newer(slots, self._slots):
                 self._take_slots(slots)
-                has_changed = True
-        return has_changed
+                is_urgent = True
+        return is_urgent
 
     def holders(self, adapter: str, version: str) -> set[str]:
         """Return the servers that have an adapter ready."""
@@ -129,16 +134,15 @@
             return None
         return ViewUpdate(tuple(hosts), tuple(servers), tuple(slots))
 
-    def _merge_host(self, report: HostReport, now: float) -> bool:
+    def _merge_host(self, report: HostReport, now: float) -> None:
         known = self._hosts.get(report.host)
         if known is not None and (known.incarnation, known.sequence) >= (
             report.incarnation,
             report.sequence,
         ):
-            return False
+            return
         self._hosts[report.host] = report
         self._hosts_seen[report.host] = now
-        return True
 
     def _take_slots(self, report: SlotsReport) -> None:
         before = self._slots.get(report.server)
@@ -155,6 +159,11 @@
                 self._holders.setdefault(key, set()).add(report.server)
 
 
+def _is_turning(before: ServerReport, after: ServerReport) -> bool:
+    was_slow, is_slow = before.slowdown > 1.0, after.slowdown > 1.0
+    return before.accepts != after.accepts or was_slow != is_slow
+
+
 def _is_newer(report: _OfServer, known: Mapping[str, _Report]) -> bool:
     old = known.get(report.server)
     return old is None or (old.epoch, old.sequence) < (report.epoch, report.sequence)
--- a/src/gooseberrydeal/_internal/policy/pace_tracker.py
+++ b/src/gooseberrydeal/_internal/policy/pace_tracker.py
@@ -12,6 +12,7 @@
 _SLOW_RATIO: Final = 2.5
 _MAX_SLOWDOWN: Final = 50.0
 _LEAST_GAP: Final = 0.001
+_LEAST_EXCESS_SECONDS: Final = 0.06
 
 
 class PaceTracker:
@@ -90,7 +91,7 @@
         since, is_first = found
         usual = self._usual_first if is_first else self._usual_gap
         if now - since > _SLOW_RATIO * usual:
-            self._learn(now - since, is_first=is_first)
+            self._learn_at_least(now - since, is_first=is_first)
             self._updated = now
 
     def slowdown(self, now: float) -> float:
@@ -99,7 +100,9 @@
         Where nothing runs there is no evidence, and the estimate fades, so that the
         server gets work again and can show its pace.
         """
-        measured = max(self.first / self._usual_first, self.gap / self._usual_gap)
+        measured = max(
+            _ratio(self.first, self._usual_first), _ratio(self.gap, self._usual_gap)
+        )
         if not self._waiting:
             self._fade(now)
         silent = self._silence_ratio(now)
@@ -114,10 +117,16 @@
         else:
             self._gap = self.gap + _SMOOTHING * (seconds - self.gap)
 
+    def _learn_at_least(self, seconds: float, *, is_first: bool) -> None:
+        if is_first:
+            self._first = max(self.first, seconds)
+        else:
+            self._gap = max(self.gap, seconds)
+
     def _silence_ratio(self, now: float) -> float:
         ratios = sorted(
             (
-                (now - since) / (self._usual_first if is_first else self._usual_gap)
+                _ratio(now - since, self._usual_first if is_first else self._usual_gap)
                 for since, is_first in self._waiting.values()
             ),
             reverse=True,
@@ -137,6 +146,14 @@
         self._gap = (self.gap + self._usual_gap) / 2
 
 
+def _ratio(seconds: float, usual: float) -> float:
+    """Return how many times longer than usual something takes.
+
+    What is late by less than a few scheduling delays is not late at all.
+    """
+    return seconds / usual if seconds - usual > _LEAST_EXCESS_SECONDS else 1.0
+
+
 def usual_of(values: Iterable[float], fallback: float) -> float:
     """Return the lower median of the peers' values."""
     listed = [value for value in values if value > 0]
--- a/tests/functional/test_claim_faults.py
+++ b/tests/functional/test_claim_faults.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gooseberrydeal._internal.lab.lab_plan import LabPlan
 from gooseberrydeal._internal.models.answer_events import AnswerEvent, AnswerPlain
 from gooseberrydeal._internal.models.ran import Ran
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
@@ -187,7 +188,7 @@
 
 def test_work_without_a_key_is_sent_once_at_most() -> None:
     async def scenario() -> None:
-        world = World()
+        world = World(plan=LabPlan(domains=("d1",), plain_per_domain=3))
         await world.start()
         for server in world.plain.values():
             server.lost_answers = 1
--- a/tests/functional/test_engine_faults.py
+++ b/tests/functional/test_engine_faults.py
@@ -9,6 +9,7 @@
 from tests.lib.virtual_loop import run_virtual
 from tests.lib.world import World
 
+_ONE = LabPlan(domains=("d1",), engines_per_domain=1, adapters=20, loads_per_second=40)
 _THREE = LabPlan(domains=("d1",), engines_per_domain=3, adapters=20)
 
 
@@ -94,6 +95,25 @@
     run_virtual(scenario())
 
 
+def test_a_copy_is_held_until_an_abandoned_request_has_left_the_engine() -> None:
+    async def scenario() -> None:
+        world = World(plan=_ONE, slots=2)
+        await world.start()
+        for engine in world.engines.values():
+            engine.cancel_seconds = 0.8
+        await world.ask("a00000")
+        for number in range(12):
+            left = asyncio.ensure_future(world.ask("a00000", tokens=500))
+            await asyncio.sleep(0.3)
+            left.cancel()
+            asks = [f"a{n:05d}" for n in range(number % 6 + 1, number % 6 + 4)]
+            await asyncio.gather(*(world.ask(name, deadline=4) for name in asks))
+        assert sum(e.evicted_in_use for e in world.engines.values()) == 0
+        await world.stop()
+
+    run_virtual(scenario())
+
+
 def test_loads_never_pass_the_rate_in_any_window() -> None:
     async def scenario() -> None:
         plan = LabPlan(
--- a/tests/functional/test_ownership_faults.py
+++ b/tests/functional/test_ownership_faults.py
@@ -84,6 +84,8 @@
             await world.ask(f"a{number:05d}", prompt="x", deadline=2)
         for engine, copies in zip(engines, held, strict=True):
             assert copies <= set(engine.copies)
+        view = world.hosts["h2"].keeper.context.view
+        assert "foreign_copies" in view.hosts["h2"].alarms
         world.host_list.hosts.pop(address)
         await asyncio.sleep(8)
         for number in range(8, 20):
--- a/tests/functional/test_platform_faults.py
+++ b/tests/functional/test_platform_faults.py
@@ -25,6 +25,9 @@
         _set_down(world, is_down=True)
         world.host_list.is_down = True
         await asyncio.sleep(60)
+        for host in world.hosts.values():
+            own = host.keeper.context.view.hosts[host.keeper.context.host]
+            assert "platform_unreachable" in own.alarms
         for number in range(12):
             events = await world.ask(f"a{number:05d}", prompt="down")
             assert is_whole(events)
--- a/tests/lib/fake_engine.py
+++ b/tests/lib/fake_engine.py
@@ -28,6 +28,8 @@
     runs: list[str] = field(default_factory=list)
     produced: dict[str, int] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
+    active: set[str] = field(default_factory=set)
+    cancel_seconds: float = 0.0
     evicted_in_use: int = 0
     fencing: int = 0
     is_down: bool = False
@@ -93,11 +95,16 @@
             self.shared.restart()
             raise ServerBrokenError("crashed")
         self.shared.running[request.copy] += 1
+        self.shared.active.add(request.request_id)
+        is_done = False
         try:
             async for tokens in self._words(request, prompt):
                 yield tokens
+            is_done = True
         finally:
-            self.shared.running[request.copy] -= 1
+            leave = 0.0 if is_done else self.shared.cancel_seconds
+            loop = asyncio.get_running_loop()
+            loop.call_later(leave, self._leave, request)
 
     async def resume(self, request: EngineRequest) -> AsyncIterator[EngineTokens]:
         await self._reach()
@@ -111,9 +118,20 @@
         await self._reach()
         self.shared.cancelled.add(request_id)
 
+    async def is_running(self, request_id: RequestId) -> bool | None:
+        await self._reach()
+        if request_id not in self.shared.runs:
+            return None
+        return request_id in self.shared.active
+
     async def close(self) -> None:
         return
 
+    def _leave(self, request: EngineRequest) -> None:
+        """Take a request out of the batch; an abandoned one leaves late."""
+        self.shared.running[request.copy] -= 1
+        self.shared.active.discard(request.request_id)
+
     async def _words(
         self, request: EngineRequest, prompt: str
     ) -> AsyncIterator[EngineTokens]:
--- a/tests/unit/test_permit_pool.py
+++ b/tests/unit/test_permit_pool.py
@@ -140,3 +140,12 @@
 def test_more_members_than_permits_get_none() -> None:
     shares = divide(3, [f"h{n}" for n in range(10)], {})
     assert sum(shares.values()) == 3
+
+
+def test_new_permits_wait_until_they_are_confirmed() -> None:
+    pool = PermitPool()
+    pool.adopt(1, 2)
+    assert pool.take(1000.0) is None
+    pool.confirm(1000.0)
+    assert pool.take(1001.0) is None
+    assert pool.take(1003.0) is not None
--- a/tests/unit/test_work_queue.py
+++ b/tests/unit/test_work_queue.py
@@ -127,3 +127,17 @@
         queue.push(work_item(f"l{number}", work_class="long"))
     started = [queue.pop(0.0, lambda item: True) for _ in range(8)]
     assert sum(item is not None for item in started) == 2
+
+
+def test_old_work_goes_before_a_heavier_class() -> None:
+    queue = WorkQueue(_share)
+    for number in range(3):
+        queue.push(work_item(f"l{number}", work_class="long", slot_seconds=50.0))
+        first = queue.pop(0.0, lambda item: True)
+        assert first is not None
+        queue.finished(first)
+    queue.push(work_item("new", work_class="short", arrived=19.0))
+    queue.push(work_item("old", work_class="long", arrived=0.0))
+    item = queue.pop(20.0, lambda item: True)
+    assert item is not None
+    assert item.request_id == "old"
