--- a/src/gooseberrydeal/_internal/lab/engine_app.py
+++ b/src/gooseberrydeal/_internal/lab/engine_app.py
@@ -4,7 +4,6 @@
 import json
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Any, Final
 
 from starlette.applications import Starlette
@@ -13,9 +12,16 @@
 from starlette.routing import Route
 
 from gooseberrydeal._internal.lab.answer_text import answer_words
+from gooseberrydeal._internal.lab.engine_events import (
+    error,
+    event,
+    usage_event,
+    wanted_tokens,
+)
 from gooseberrydeal._internal.lab.engine_faults import EngineFaults
 from gooseberrydeal._internal.lab.engine_log import EngineLog, RunRecord
 from gooseberrydeal._internal.lab.engine_model import EngineModel
+from gooseberrydeal._internal.lab.engine_run import EngineRun
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 _BASE_MODEL: Final = "base"
@@ -27,27 +33,6 @@
 Fetch = Callable[[str], Awaitable[bool]]
 
 
-@dataclass
-class _Run:
-    copy: str
-    is_chat: bool
-    words: list[str]
-    produced: int = 0
-    is_cancelled: bool = False
-    readers: int = 0
-    has_left: bool = False
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    @property
-    def is_done(self) -> bool:
-        return self.is_cancelled or self.produced >= len(self.words)
-
-    def signal(self) -> None:
-        event = self.changed
-        self.changed = asyncio.Event()
-        event.set()
-
-
 class EngineApp:
     """Batch continuously, load adapters, resume and cancel streams."""
 
@@ -73,7 +58,7 @@
         self._waiting: list[tuple[int, int, asyncio.Event]] = []
         self._sequence = 0
         self._fencing = 0
-        self._runs: dict[str, _Run] = {}
+        self._runs: dict[str, EngineRun] = {}
         self._tasks = TaskOwner()
 
     @property
@@ -139,13 +124,13 @@
 
     async def _load(self, request: Request) -> Response:
         if self._is_stale(request):
-            return _error(412, "the order has an old fencing number")
+            return error(412, "the order has an old fencing number")
         body = await request.json()
         copy, path = str(body["lora_name"]), str(body["lora_path"])
         if copy in self._copies:
-            return _error(400, f"{copy} is already loaded")
+            return error(400, f"{copy} is already loaded")
         if len(self._copies) + len(self._loading) >= self._model.adapter_slots:
-            return _error(409, "no adapter slot is free")
+            return error(409, "no adapter slot is free")
         self._loading.add(copy)
         try:
             is_fetched = await self._fetch(path)
@@ -154,17 +139,17 @@
         if not is_fetched or self._faults.failing_loads > 0 or self._is_broken(copy):
             self._faults.failing_loads = max(0, self._faults.failing_loads - 1)
             self._log.failed_loads += 1
-            return _error(500, f"{copy} could not be loaded")
+            return error(500, f"{copy} could not be loaded")
         self._copies[copy] = path
         self._log.loads += 1
         return JSONResponse({"loaded": copy})
 
     async def _unload(self, request: Request) -> Response:
         if self._is_stale(request):
-            return _error(412, "the order has an old fencing number")
+            return error(412, "the order has an old fencing number")
         copy = str((await request.json())["lora_name"])
         if copy not in self._copies:
-            return _error(404, f"{copy} is not loaded")
+            return error(404, f"{copy} is not loaded")
         if self._running[copy] > 0:
             self._log.evicted_in_use += 1
         del self._copies[copy]
@@ -185,14 +170,14 @@
     ) -> Response:
         copy = str(body.get("model"))
         if copy not in self._copies:
-            return _error(404, f"the model {copy} does not exist")
+            return error(404, f"the model {copy} does not exist")
         request_id = request.headers.get("x-request-id", "none")
         if self._faults.crash_word in prompt:
             self._log.runs.append(RunRecord(request_id, copy, self._name))
             if self._on_crash is not None:
                 self._on_crash()
-            return _error(500, "the engine is crashing")
-        run = _Run(copy, is_chat, answer_words(copy, prompt, _wanted(body)))
+            return error(500, "the engine is crashing")
+        run = EngineRun(copy, is_chat, answer_words(copy, prompt, wanted_tokens(body)))
         self._forget_old_runs()
         self._runs[request_id] = run
         self._log.runs.append(RunRecord(request_id, copy, self._name))
@@ -205,25 +190,25 @@
         request_id = request.path_params["id"]
         run = self._runs.get(request_id)
         if run is None:
-            return _error(404, "no such request")
+            return error(404, "no such request")
         if request.query_params.get("stream") != "true":
             return JSONResponse(
                 {"status": "completed" if run.has_left else "in_progress"}
             )
         if run.is_cancelled:
-            return _error(404, "the request was cancelled")
+            return error(404, "the request was cancelled")
         offset = int(request.query_params.get("starting_after", 0))
         return self._stream(request_id, run, offset)
 
     async def _cancel(self, request: Request) -> Response:
         run = self._runs.get(request.path_params["id"])
         if run is None:
-            return _error(404, "no such request")
+            return error(404, "no such request")
         run.is_cancelled = True
         run.signal()
         return JSONResponse({"status": "cancelled"})
 
-    async def _generate(self, run: _Run, priority: int) -> None:
+    async def _generate(self, run: EngineRun, priority: int) -> None:
         try:
             await self._enter_batch(priority)
             if run.is_cancelled:
@@ -249,23 +234,23 @@
         if sum(self._running.values()) <= self._model.concurrency:
             return
         self._sequence += 1
-        event = asyncio.Event()
-        self._waiting.append((priority, self._sequence, event))
+        turn = asyncio.Event()
+        self._waiting.append((priority, self._sequence, turn))
         self._waiting.sort(key=lambda item: item[:2])
-        await event.wait()
+        await turn.wait()
 
     def _leave_batch(self) -> None:
         if self._waiting:
             self._waiting.pop(0)[2].set()
 
-    def _stream(self, request_id: str, run: _Run, offset: int) -> Response:
+    def _stream(self, request_id: str, run: EngineRun, offset: int) -> Response:
         return StreamingResponse(
             self._events(request_id, run, offset),
             media_type="text/event-stream",
         )
 
     async def _events(
-        self, request_id: str, run: _Run, offset: int
+        self, request_id: str, run: EngineRun, offset: int
     ) -> AsyncIterator[bytes]:
         shown_id = request_id
         if self._faults.crossed_answers > 0:
@@ -287,19 +272,19 @@
                             return
                         await asyncio.sleep(_NEVER_SECONDS)
                     sent += 1
-                    yield _event(shown_id, run, run.words[sent - 1], "")
+                    yield event(shown_id, run, run.words[sent - 1], "")
                 if run.is_done:
                     break
                 await run.changed.wait()
-            yield _event(shown_id, run, "", "stop")
-            yield _usage(shown_id, run)
+            yield event(shown_id, run, "", "stop")
+            yield usage_event(shown_id, run)
             yield b"data: [DONE]\n\n"
             is_complete = True
         finally:
             if not is_complete and not run.is_done:
                 self._tasks.start(self._abandon(run), "abandoned run")
 
-    async def _abandon(self, run: _Run) -> None:
+    async def _abandon(self, run: EngineRun) -> None:
         """Cancel a run that nobody resumes in time."""
         run.readers -= 1
         await asyncio.sleep(_RESUME_SECONDS)
@@ -324,37 +309,3 @@
             if done is None:
                 return
             del self._runs[done]
-
-
-def _wanted(body: dict[str, Any]) -> int:
-    limit = body.get("max_tokens") or body.get("max_completion_tokens") or 16
-    return max(1, int(limit))
-
-
-def _error(status: int, message: str) -> Response:
-    return JSONResponse({"error": {"message": message}}, status_code=status)
-
-
-def _event(request_id: str, run: _Run, text: str, finish: str) -> bytes:
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish or None}
-    if run.is_chat:
-        choice["delta"] = {"content": text}
-    else:
-        choice["text"] = text
-    return _line({"id": f"cmpl-{request_id}", "model": run.copy, "choices": [choice]})
-
-
-def _usage(request_id: str, run: _Run) -> bytes:
-    usage = {"prompt_tokens": 5, "completion_tokens": len(run.words)}
-    return _line(
-        {
-            "id": f"cmpl-{request_id}",
-            "model": run.copy,
-            "choices": [],
-            "usage": usage,
-        }
-    )
-
-
-def _line(value: dict[str, Any]) -> bytes:
-    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- a/src/gooseberrydeal/_internal/operations/entry/caller_api.py
+++ b/src/gooseberrydeal/_internal/operations/entry/caller_api.py
@@ -25,7 +25,8 @@
 from gooseberrydeal._internal.models.work_order import WorkOrder
 from gooseberrydeal._internal.operations.entry.admission_desk import AdmissionDesk
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
-from gooseberrydeal._internal.operations.entry.gatekeeper import Gatekeeper
+from gooseberrydeal._internal.operations.entry.gatekeeper import Gatekeeper, is_named
+from gooseberrydeal._internal.operations.entry.in_progress import InProgress
 from gooseberrydeal._internal.operations.entry.model_request import ModelRequest
 from gooseberrydeal._internal.operations.entry.plain_calls import PlainCalls
 from gooseberrydeal._internal.operations.entry.refused_error import RefusedError
@@ -62,18 +63,12 @@
         self._runner = runner
         self._plain_calls = plain_calls
         self._refusal_now = refusal_now
-        self._in_progress = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._requests = InProgress()
 
     @property
-    def in_progress(self) -> int:
-        """Return how many requests are being answered."""
-        return self._in_progress
-
-    async def wait_idle(self) -> None:
-        """Return when no request is being answered."""
-        await self._idle.wait()
+    def requests(self) -> InProgress:
+        """Return the requests that are being answered."""
+        return self._requests
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
@@ -97,7 +92,7 @@
 
     def _guard(self, handler: Handler) -> Handler:
         async def guarded(request: Request) -> Response:
-            self._begin()
+            self._requests.begin()
             response: Response | None = None
             try:
                 response = await handler(request)
@@ -107,20 +102,11 @@
                 response = Response(status_code=400)
             finally:
                 if not isinstance(response, StreamingResponse):
-                    self._end()
+                    self._requests.end()
             return response
 
         return guarded
 
-    def _begin(self) -> None:
-        self._in_progress += 1
-        self._idle.clear()
-
-    def _end(self) -> None:
-        self._in_progress -= 1
-        if self._in_progress == 0:
-            self._idle.set()
-
     async def _ready(self, request: Request) -> Response:
         refusal = self._refusal_now()
         if refusal is not None:
@@ -146,10 +132,7 @@
     ) -> bool:
         alias = configuration.alias(name) if name not in patterns else None
         target = alias.adapter if alias is not None else name
-        return any(
-            target.startswith(p[:-1]) if p.endswith("*") else target == p
-            for p in patterns
-        )
+        return is_named(target, patterns)
 
     async def _completion(self, request: Request) -> Response:
         return await self._generate(request, is_chat=False)
@@ -228,7 +211,7 @@
                 yield data
         finally:
             await noted.aclose()
-            self._end()
+            self._requests.end()
 
     async def _noting(
         self, order: WorkOrder, events: AsyncGenerator[AnswerEvent, None]
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -190,9 +190,9 @@
         cut = 0
         try:
             async with asyncio.timeout(self._settings.drain_seconds):
-                await self._api.wait_idle()
+                await self._api.requests.wait_idle()
         except TimeoutError:
-            cut = self._api.in_progress
+            cut = self._api.requests.count
         await self._server.stop()
         await self._plain_calls.stop()
         await self._stop_tasks()
--- a/src/gooseberrydeal/_internal/operations/entry/gatekeeper.py
+++ b/src/gooseberrydeal/_internal/operations/entry/gatekeeper.py
@@ -72,14 +72,15 @@
             raise RefusedError.not_run(
                 RefusalReason.NOT_ALLOWED, f"{caller.name} may not call {service}"
             )
-        if adapter is None or _is_named(adapter.name, caller.adapters):
+        if adapter is None or is_named(adapter.name, caller.adapters):
             return
         raise RefusedError.not_run(
             RefusalReason.NOT_ALLOWED, f"{caller.name} may not use {adapter.name}"
         )
 
 
-def _is_named(name: str, patterns: tuple[str, ...]) -> bool:
+def is_named(name: str, patterns: tuple[str, ...]) -> bool:
+    """Return whether a name is among the patterns, which may end in ``*``."""
     return any(
         name.startswith(pattern[:-1]) if pattern.endswith("*") else name == pattern
         for pattern in patterns
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -26,17 +26,17 @@
 from gooseberrydeal._internal.models.work_item import WorkItem
 from gooseberrydeal._internal.network.interfaces.engine import Engine
 from gooseberrydeal._internal.operations.keeper.adapter_loader import AdapterLoader
+from gooseberrydeal._internal.operations.keeper.crash_watch import CrashWatch
 from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
 from gooseberrydeal._internal.operations.keeper.job import Job
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
+from gooseberrydeal._internal.operations.keeper.settling import until_left
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 logger = logging.getLogger(__name__)
 
 _POLL_SECONDS: Final = 2.0
-_SETTLE_SECONDS: Final = 0.1
-_UNKNOWN_SECONDS: Final = 1.0
 _NOT_FOUND: Final = 404
 _OVERLOADED_STATUSES: Final = frozenset({429, 503})
 _SERVER_FAULT: Final = 500
@@ -60,7 +60,9 @@
         self._loader = loader
         self._context = context
         self._is_reachable = False
-        self._crash_noted_at = float("-inf")
+        self._crashes = CrashWatch(
+            owner.declared.name, engine, slots, context, self._set_unreachable
+        )
         self._tasks = TaskOwner()
 
     @property
@@ -245,12 +247,12 @@
         if error.status < _SERVER_FAULT and job.stream.tokens_sent == 0:
             await self._refuse(job, RefusalReason.BAD_REQUEST, Ran.NO)
             return
-        await self._check_crash()
+        await self._crashes.check(self._owner.running)
         await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
 
     async def _resume(self, job: Job, copy: str) -> bool:
         """Continue a cut stream where it ended, if the engine still has it."""
-        if await self._check_crash():
+        if await self._crashes.check(self._owner.running):
             await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
             return True
         request = self._request(job, copy)
@@ -269,66 +271,10 @@
         self._context.journal.note(f"ended: {reason.value}", job.item.request_id)
         await job.stream.refuse(Refusal(reason, ran))
 
-    async def _check_crash(self) -> bool:
-        """Return whether the engine has crashed, and suspect what ran on it."""
-        jobs = self._owner.running
-        changes = self._slots.changes
-        try:
-            state = await self._engine.state()
-        except ServerError:
-            self._set_reachable(is_reachable=False)
-        else:
-            known = {c.name for c in self._slots.copies if c.state is CopyState.READY}
-            if known <= state.copies.keys():
-                return False
-            self._slots.reconcile(state, changes)
-        self._note_crash(jobs)
-        return True
-
-    def _note_crash(self, jobs: list[Job]) -> None:
-        now = self._now()
-        if now - self._crash_noted_at < _POLL_SECONDS:
-            return
-        self._crash_noted_at = now
-        name = self._owner.declared.name
-        logger.error("engine crashed", extra={"server": name})
-        for job in jobs:
-            if job.submit.fingerprint:
-                self._context.share_suspect(
-                    job.submit.fingerprint, name, len(jobs) == 1
-                )
-        self._context.report_changed()
-
     async def _settle(self, job: Job, copy: str) -> None:
-        """Hold a copy until the engine no longer runs an abandoned request.
-
-        An engine that does not know the request may not have read it yet, since the
-        cancellation comes on another connection; so it is asked for a while.
-        """
-        unknown_since: float | None = None
-        while True:
-            running = await self._cancelled(job)
-            now = self._now()
-            if running is False:
-                break
-            if running is None:
-                unknown_since = unknown_since or now
-                if now - unknown_since >= _UNKNOWN_SECONDS:
-                    break
-            else:
-                unknown_since = None
-            await asyncio.sleep(_SETTLE_SECONDS)
+        await until_left(self._engine, job.item.request_id, self._context.clock)
         self._end_use(copy)
 
-    async def _cancelled(self, job: Job) -> bool | None:
-        """Cancel a request; return whether it still runs, ``None`` if unknown."""
-        try:
-            with contextlib.suppress(ServerRefusedError):
-                await self._engine.cancel(job.item.request_id)
-            return await self._engine.is_running(job.item.request_id)
-        except ServerError:
-            return True
-
     def _end_use(self, copy: str) -> None:
         self._slots.end_use(copy, self._now())
         self._loader.slot_changed()
@@ -362,5 +308,8 @@
         )
         self._context.report_changed()
 
+    def _set_unreachable(self) -> None:
+        self._set_reachable(is_reachable=False)
+
     def _now(self) -> float:
         return self._context.clock.monotonic()
--- a/src/gooseberrydeal/_internal/operations/keeper/job.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/job.py
@@ -16,7 +16,6 @@
     submit: Submit
     stream: ServedStream
     waited_for_load: bool = False
-    is_cancelled: bool = False
     has_started: bool = False
     is_alone: bool = False
     task: asyncio.Task[None] | None = field(default=None, repr=False)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/keeper/job_admission.py
@@ -0,0 +1,84 @@
+"""Decide whether a request is queued, and what the queue needs to know of it."""
+
+from collections.abc import Callable
+
+from gooseberrydeal._internal.models.adapter_ref import AdapterRef
+from gooseberrydeal._internal.models.ids import (
+    AdapterName,
+    CallerName,
+    ClassName,
+    RequestId,
+    VersionName,
+)
+from gooseberrydeal._internal.models.messages.submit import Submit
+from gooseberrydeal._internal.models.ran import Ran
+from gooseberrydeal._internal.models.refusal import Refusal
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.work_class import WorkClass
+from gooseberrydeal._internal.models.work_item import WorkItem
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.server_backend import ServerBackend
+from gooseberrydeal._internal.policy.admission import admit
+from gooseberrydeal._internal.policy.crash_suspects import Suspicion
+from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
+
+QueueWait = Callable[[int], float]
+
+
+class JobAdmission:
+    """Know suspects, classes and the wait that a request would have."""
+
+    def __init__(
+        self,
+        context: KeeperContext,
+        pace: PaceTracker,
+        class_of: Callable[[str], WorkClass],
+        queue_wait: QueueWait,
+    ) -> None:
+        self._context = context
+        self._pace = pace
+        self._class_of = class_of
+        self._queue_wait = queue_wait
+
+    def item_of(self, submit: Submit) -> WorkItem:
+        """Return the queue's item for a request that arrives now."""
+        now = self._context.clock.monotonic()
+        adapter = None
+        if submit.adapter:
+            adapter = AdapterRef(
+                AdapterName(submit.adapter), VersionName(submit.version)
+            )
+        return WorkItem(
+            request_id=RequestId(submit.request_id),
+            caller=CallerName(submit.caller),
+            work_class=ClassName(submit.work_class),
+            importance=self._class_of(submit.work_class).importance,
+            arrived=now,
+            deadline=now + submit.deadline_left,
+            slot_seconds=self._pace.first + submit.expected_tokens * self._pace.gap,
+            adapter=adapter,
+            is_suspect=self._suspicion(submit) is not Suspicion.NONE,
+        )
+
+    def refusal(
+        self, submit: Submit, item: WorkItem, backend: ServerBackend
+    ) -> Refusal | None:
+        """Return why a request is not queued, if so."""
+        if self._suspicion(submit) is Suspicion.REFUSE:
+            return Refusal(
+                RefusalReason.CRASH_SUSPECT, Ran.NO, "servers crashed while running it"
+            )
+        refusal = backend.refusal(item)
+        if refusal is not None or self._context.is_plain:
+            return refusal
+        wait = self._queue_wait(item.importance) + backend.extra_wait(item)
+        verdict = admit(wait, submit.deadline_left)
+        if verdict.is_admitted or verdict.reason is None:
+            return None
+        return Refusal(verdict.reason, Ran.NO, retry_after=verdict.retry_after)
+
+    def _suspicion(self, submit: Submit) -> Suspicion:
+        if not submit.fingerprint:
+            return Suspicion.NONE
+        now = self._context.clock.monotonic()
+        return self._context.suspects.judge(submit.fingerprint, now)
