Carry reports between failure domains by one host a pair

Change: for each pair of domains one host on either side carries, less often in a larger fleet (0.03 s a host, at most 5 s), and a host of another domain counts as live for longer accordingly. Watches count as reads, one each and second. More of the keeper's modules are split.

--- a/src/gooseberrydeal/_internal/lab/capacity/fleet.py
+++ b/src/gooseberrydeal/_internal/lab/capacity/fleet.py
@@ -103,8 +103,9 @@
             after - start
             for after, start in zip(self._bytes_sent(), sent_before, strict=True)
         ]
-        reads = calls["/v3/kv/range"]
-        writes = sum(n for path, n in calls.items() if path != "/v3/kv/range")
+        reads = calls["/v3/kv/range"] + self._platform.store.watch_count * elapsed
+        written = ("/v3/kv/txn", "/v3/lease/grant", "/v3/lease/keepalive")
+        writes = sum(calls[path] for path in written)
         adoption = await self._adoption()
         return ControlCost(
             keepers=self._count,
--- a/src/gooseberrydeal/_internal/operations/entry/caller_api.py
+++ b/src/gooseberrydeal/_internal/operations/entry/caller_api.py
@@ -24,6 +24,7 @@
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.work_order import WorkOrder
 from gooseberrydeal._internal.operations.entry.admission_desk import AdmissionDesk
+from gooseberrydeal._internal.operations.entry.disconnect import disconnected
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
 from gooseberrydeal._internal.operations.entry.gatekeeper import Gatekeeper, is_named
 from gooseberrydeal._internal.operations.entry.in_progress import InProgress
@@ -187,7 +188,7 @@
     ) -> AnswerEvent:
         """Return the first event, or stop the work if the caller goes away."""
         reading = asyncio.ensure_future(anext(events))
-        leaving = asyncio.ensure_future(_disconnected(request))
+        leaving = asyncio.ensure_future(disconnected(request))
         try:
             await asyncio.wait({reading, leaving}, return_when=asyncio.FIRST_COMPLETED)
             if not reading.done():
@@ -297,11 +298,3 @@
             extra={"request_id": request_id, "reason": refusal.reason.value},
         )
         return refusal_response(refusal, request_id)
-
-
-async def _disconnected(request: Request) -> None:
-    """Return when the caller has gone away; its body was read before."""
-    while True:
-        message = await request.receive()
-        if message["type"] == "http.disconnect":
-            return
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -100,7 +100,7 @@
             domain=settings.domain,
             clock=clock,
             metrics=self._metrics,
-            view=FleetView(),
+            view=FleetView(settings.domain),
             demand=DemandTracker(),
             configuration=lambda: self._configuration.configuration,
         )
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import logging
 import random
 from collections.abc import AsyncIterator
@@ -27,6 +26,8 @@
 from gooseberrydeal._internal.network.interfaces.engine import Engine
 from gooseberrydeal._internal.operations.keeper.adapter_loader import AdapterLoader
 from gooseberrydeal._internal.operations.keeper.crash_watch import CrashWatch
+from gooseberrydeal._internal.operations.keeper.engine_refusal import refusal_of
+from gooseberrydeal._internal.operations.keeper.engine_requests import engine_request
 from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
 from gooseberrydeal._internal.operations.keeper.job import Job
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
@@ -38,8 +39,6 @@
 
 _POLL_SECONDS: Final = 2.0
 _NOT_FOUND: Final = 404
-_OVERLOADED_STATUSES: Final = frozenset({429, 503})
-_SERVER_FAULT: Final = 500
 _RECOVER_SECONDS: Final = 0.5
 
 
@@ -211,14 +210,7 @@
 
     def _request(self, job: Job, copy: str) -> EngineRequest:
         declared = self._context.configuration().work_class(job.submit.work_class)
-        return EngineRequest(
-            request_id=job.item.request_id,
-            copy=copy,
-            is_chat=job.submit.call == "chat",
-            parameters=json.loads(job.submit.body),
-            priority=declared.engine_priority,
-            offset=job.stream.tokens_sent,
-        )
+        return engine_request(job, copy, declared.engine_priority)
 
     async def _stream(self, job: Job, parts: AsyncIterator[EngineTokens]) -> None:
         finish_reason = ""
@@ -241,14 +233,10 @@
                 await self._resync()
             self._owner.requeue(job)
             return
-        if error.status in _OVERLOADED_STATUSES:
-            await self._refuse(job, RefusalReason.OVERLOADED, Ran.NO)
-            return
-        if error.status < _SERVER_FAULT and job.stream.tokens_sent == 0:
-            await self._refuse(job, RefusalReason.BAD_REQUEST, Ran.NO)
-            return
-        await self._crashes.check(self._owner.running)
-        await self._refuse(job, RefusalReason.SERVER_FAILED, Ran.UNKNOWN)
+        refusal = refusal_of(error, has_tokens=job.stream.tokens_sent > 0)
+        if refusal.ran is Ran.UNKNOWN:
+            await self._crashes.check(self._owner.running)
+        await self._refuse(job, refusal.reason, refusal.ran)
 
     async def _resume(self, job: Job, copy: str) -> bool:
         """Continue a cut stream where it ended, if the engine still has it."""
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -11,12 +11,8 @@
 from gooseberrydeal._internal.models.ids import FencingNumber
 from gooseberrydeal._internal.models.lifecycle import Lifecycle
 from gooseberrydeal._internal.models.messages.hello import Hello
-from gooseberrydeal._internal.models.messages.host_report import HostReport
 from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
-from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
-from gooseberrydeal._internal.models.platform_limits import PlatformLimits
 from gooseberrydeal._internal.models.settings import KeeperSettings
-from gooseberrydeal._internal.models.work_class import WorkClass
 from gooseberrydeal._internal.network.interfaces.peer_transport import PeerTransport
 from gooseberrydeal._internal.network.metrics import Metrics
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
@@ -27,8 +23,12 @@
 from gooseberrydeal._internal.operations.keeper.budget_division import BudgetDivision
 from gooseberrydeal._internal.operations.keeper.claim_desk import ClaimDesk
 from gooseberrydeal._internal.operations.keeper.claim_lease import ClaimLease
+from gooseberrydeal._internal.operations.keeper.current_configuration import (
+    CurrentConfiguration,
+)
 from gooseberrydeal._internal.operations.keeper.host_lease import HostLease
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.operations.keeper.keeper_reports import KeeperReports
 from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
 from gooseberrydeal._internal.operations.keeper.message_router import MessageRouter
 from gooseberrydeal._internal.operations.keeper.outside import Outside
@@ -42,7 +42,6 @@
 from gooseberrydeal._internal.policy.demand import DemandTracker
 from gooseberrydeal._internal.policy.fleet_view import FleetView
 from gooseberrydeal._internal.policy.permit_pool import PermitPool
-from gooseberrydeal._internal.utils import rendezvous
 from gooseberrydeal._internal.utils.clock import Clock
 from gooseberrydeal._internal.utils.journal import Journal
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -50,7 +49,6 @@
 
 logger = logging.getLogger(__name__)
 
-_READERS_PER_DOMAIN: Final = 2
 _FOLLOW_SECONDS: Final = 0.1
 
 
@@ -83,7 +81,7 @@
             journal=Journal(clock),
             suspects=CrashSuspects(),
             demand=DemandTracker(),
-            view=FleetView(),
+            view=FleetView(settings.domain),
             is_plain=settings.policy == "plain",
         )
         self._router = MessageRouter(self._context, self._owners)
@@ -139,9 +137,19 @@
         return self._gate
 
     @property
-    def lease(self) -> HostLease:
-        """Return the task that keeps this host's record."""
-        return self._lease
+    def incarnation(self) -> float:
+        """Return when the process was started, in seconds since the epoch."""
+        return self._incarnation
+
+    @property
+    def alarms(self) -> Alarms:
+        """Return the alarms of the process."""
+        return self._alarms
+
+    @property
+    def is_platform_reachable(self) -> bool:
+        """Return whether the platform answered the last call."""
+        return self._lease.is_reachable
 
     @property
     def peers(self) -> Peers:
@@ -208,16 +216,18 @@
 
     def _build_tasks(self) -> None:
         settings = self._settings
+        self._reports = KeeperReports(self)
+        self._declared = CurrentConfiguration(lambda: self._configuration)
         self._view = ViewExchange(
             self._context,
             self._peers,
             settings.peers,
-            self._host_report,
-            self._server_reports,
+            self._reports.host_report,
+            self._reports.server_reports,
         )
         self._configuration = ConfigurationTask(
             self._outside.store,
-            self._is_reader,
+            self._reports.is_reader,
             self._peers.connections,
             self._alarms,
             self._configured,
@@ -234,7 +244,7 @@
             self._outside.host_list,
             record,
             self,
-            self._declared_servers,
+            self._declared.servers,
             lambda: self._lease.is_held,
             self._view.learn_hosts,
         )
@@ -245,41 +255,25 @@
             self._outside.host_list,
             self._context,
             pool,
-            self._limits,
+            self._declared.limits,
         )
         self._claims = ClaimDesk(
             self._outside.store,
-            ClaimLease(self._outside.store, self._clock, self._claim_window),
+            ClaimLease(self._outside.store, self._clock, self._declared.claim_window),
         )
         self._suspects = SuspectSharing(self._context, self._peers)
         self._factory = ServerFactory(
-            self._context, self._outside, self._gate, self._work_class
+            self._context, self._outside, self._gate, self._declared.work_class
         )
 
     def _connect_tasks(self) -> None:
         self._context.report_changed = self._view.flush_soon
         self._context.share_suspect = self._suspects.share
-        self._context.configuration = self._current
+        self._context.configuration = self._declared.current
         self._router.connect(
             self._configuration, self._claims, self._gate, self._suspects, self._view
         )
 
-    def _current(self) -> Configuration:
-        return self._configuration.configuration or Configuration(())
-
-    def _limits(self) -> PlatformLimits | None:
-        configuration = self._configuration.configuration
-        return None if configuration is None else configuration.limits
-
-    def _claim_window(self) -> int:
-        return self._current().limits.claim_window_seconds
-
-    def _work_class(self, name: str) -> WorkClass:
-        return self._current().work_class(name)
-
-    def _declared_servers(self) -> list[BackendServer]:
-        return self._current().servers
-
     def _configured(self, configuration: Configuration, number: int) -> None:
         self._metrics.set_revision(number)
         for name, owner in self._owners.items():
@@ -295,39 +289,6 @@
         self._ownership.wake()
         self._view.flush_soon()
 
-    def _is_reader(self) -> bool:
-        now = self._clock.monotonic()
-        live = {
-            report.host
-            for report in self._context.view.live_hosts(now)
-            if report.domain == self._settings.domain
-        }
-        live.add(self._settings.host)
-        ranked = rendezvous.ranked("configuration readers", live)
-        return self._settings.host in ranked[:_READERS_PER_DOMAIN]
-
-    def _host_report(self, sequence: int) -> HostReport:
-        return HostReport(
-            host=self._settings.host,
-            domain=self._settings.domain,
-            address=self._settings.listen,
-            incarnation=self._incarnation,
-            sequence=sequence,
-            revision=self._configuration.number,
-            is_leaving=not self._lifecycle.is_serving,
-            waiting_loads=self._gate.waiting,
-            spare_permits=self._gate.spare,
-            budget_epoch=self._gate.pool.epoch,
-            platform_reachable=self._lease.is_reachable,
-            alarms=self._alarms.names,
-        )
-
-    def _server_reports(self) -> ViewUpdate:
-        owners = list(self._owners.values())
-        servers = [report for owner in owners if (report := owner.report())]
-        slots = [found for owner in owners if (found := owner.slots_report())]
-        return ViewUpdate(servers=tuple(servers), slots=tuple(slots))
-
     async def _ask_permits(self, address: str, request: PermitRequest) -> None:
         await self._router.send_to(self._peers, address, request)
 
--- a/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
@@ -105,5 +105,5 @@
             self._context,
         )
         backend = EngineBackend(owner, engine, slots, loader, self._context)
-        loader.listen(owner.pump, owner.refuse_adapter, owner.fenced)
+        loader.listen(owner.pump, owner.refuser.refuse_adapter, owner.fenced)
         return backend
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -1,13 +1,11 @@
 """Own one backend server: its queue, its running work and its reports."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Callable
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import PeerLostError
-from gooseberrydeal._internal.models.adapter_ref import AdapterRef
 from gooseberrydeal._internal.models.backend_server import BackendServer
 from gooseberrydeal._internal.models.ids import (
     ClassName,
@@ -25,6 +23,7 @@
 from gooseberrydeal._internal.network.served_stream import ServedStream
 from gooseberrydeal._internal.operations.keeper.job import Job
 from gooseberrydeal._internal.operations.keeper.job_admission import JobAdmission
+from gooseberrydeal._internal.operations.keeper.job_refuser import JobRefuser
 from gooseberrydeal._internal.operations.keeper.job_table import JobTable
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.pace_watch import PaceWatch
@@ -37,7 +36,6 @@
 logger = logging.getLogger(__name__)
 
 _TICK_SECONDS: Final = 0.05
-_NO_SLOT_SECONDS: Final = 1.0
 
 
 class ServerOwner:
@@ -68,6 +66,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._tasks = TaskOwner()
+        self._refuser = JobRefuser(context, self._jobs, self._drop_waiting, self._tasks)
 
     @property
     def declared(self) -> BackendServer:
@@ -100,6 +99,11 @@
         """Return whether configuration or platform say that the server leaves."""
         return self._declared.state == "leaving" or self._is_listed_leaving
 
+    @property
+    def refuser(self) -> JobRefuser:
+        """Return what refuses waiting jobs."""
+        return self._refuser
+
     @property
     def running(self) -> list[Job]:
         """Return the jobs that were started."""
@@ -139,7 +143,7 @@
     def fenced(self) -> None:
         """Note that the server has a newer owner, so that orders are of no use."""
         self._lifecycle.drain()
-        self._refuse_waiting(RefusalReason.NOT_OWNER)
+        self._refuser.refuse_waiting(RefusalReason.NOT_OWNER)
         self._context.report_changed()
 
     async def submit(self, submit: Submit, stream: ServedStream) -> None:
@@ -153,7 +157,7 @@
         if refusal is None and backend is not None:
             refusal = self._admission.refusal(submit, item, backend)
         if refusal is not None or backend is None:
-            await self._refuse(
+            await self._refuser.refuse(
                 stream, refusal or Refusal(RefusalReason.NOT_OWNER, Ran.NO)
             )
             return
@@ -220,7 +224,7 @@
     async def drain(self) -> None:
         """Refuse waiting work and let running work end."""
         self._lifecycle.drain()
-        self._refuse_waiting(RefusalReason.SHUTTING_DOWN)
+        self._refuser.refuse_waiting(RefusalReason.SHUTTING_DOWN)
         self._context.report_changed()
         await self._idle.wait()
 
@@ -228,7 +232,7 @@
         """End at once; return how many running jobs were cut."""
         cut = len(self._jobs.running)
         self._lifecycle.stop()
-        self._refuse_waiting(RefusalReason.NOT_OWNER)
+        self._refuser.refuse_waiting(RefusalReason.NOT_OWNER)
         await self._tasks.stop()
         if self._backend is not None:
             await self._backend.close()
@@ -242,15 +246,9 @@
         if self._backend is not None:
             self._backend.queued(job)
 
-    def refuse_adapter(self, adapter: AdapterRef, refusal: Refusal) -> None:
-        """Refuse all waiting work for an adapter."""
-        for job in self._jobs.waiting:
-            if job.item.adapter == adapter:
-                self._refuse_job(job, refusal)
-
     def _leaving_changed(self) -> None:
         if self.is_leaving:
-            self._refuse_waiting(RefusalReason.SERVER_LEAVING)
+            self._refuser.refuse_waiting(RefusalReason.SERVER_LEAVING)
         self._context.report_changed()
 
     def _share_of(self, name: ClassName) -> ClassShare:
@@ -304,45 +302,16 @@
             self._backend.unqueued(job)
         return is_dropped
 
-    def _refuse_waiting(self, reason: RefusalReason) -> None:
-        for job in self._jobs.waiting:
-            self._refuse_job(job, Refusal(reason, Ran.NO))
-
-    def _refuse_job(self, job: Job, refusal: Refusal) -> None:
-        self._drop_waiting(job)
-        self._tasks.start(self._refuse(job.stream, refusal), "refuse")
-
-    async def _refuse(self, stream: ServedStream, refusal: Refusal) -> None:
-        self._context.metrics.refused(refusal.reason)
-        with contextlib.suppress(PeerLostError):
-            await stream.refuse(refusal)
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_SECONDS)
             now = self._context.clock.monotonic()
             self._watch.learn(now)
-            self._refuse_expired(now)
-            if not self._context.is_plain:
-                self._refuse_stuck(now)
-                if self._watch.has_fallen_behind(now):
-                    self._refuse_waiting(RefusalReason.SERVER_SLOW)
+            if not self._context.is_plain and self._watch.has_fallen_behind(now):
+                self._refuser.refuse_waiting(RefusalReason.SERVER_SLOW)
+            self._refuser.refuse_overdue(now, self._can_ever_start)
             self.pump()
 
-    def _refuse_expired(self, now: float) -> None:
-        for job in self._jobs.waiting:
-            if job.item.deadline <= now:
-                self._refuse_job(job, Refusal(RefusalReason.DEADLINE, Ran.NO))
-
-    def _refuse_stuck(self, now: float) -> None:
-        """Give work back that can't get an adapter slot here soon."""
-        backend = self._backend
-        if backend is None:
-            return
-        for job in self._jobs.waiting:
-            waited = now - job.item.arrived
-            if waited > _NO_SLOT_SECONDS and not backend.can_ever_start(job.item):
-                refusal = Refusal(
-                    RefusalReason.OVERLOADED, Ran.NO, "no adapter slot", 1.0
-                )
-                self._refuse_job(job, refusal)
+    def _can_ever_start(self, item: WorkItem) -> bool:
+        is_plain = self._context.is_plain
+        return is_plain or self._backend is None or self._backend.can_ever_start(item)
--- a/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
@@ -20,7 +20,7 @@
 
 logger = logging.getLogger(__name__)
 
-RELAYS_PER_DOMAIN: Final = 3
+CARRIERS_PER_PAIR: Final = 1
 _LEAST_REPORT_SECONDS: Final = 0.2
 _REPORT_SECONDS_A_HOST: Final = 0.02
 _HOST_REPORT_SECONDS: Final = 1.0
@@ -35,9 +35,10 @@
 class ViewExchange:
     """Send each neighbour what it has not been sent.
 
-    Within a failure domain every keeper sends its own reports to every other. A few
-    relays a domain exchange the reports of their domains and pass the others' on, so
-    that a node's connections grow with its domain and not with the fleet.
+    Within a failure domain every keeper sends its own reports to every other. For
+    each pair of domains one host on either side carries the reports of its domain
+    across, less often in a larger fleet, and passes the other's on. So a node's
+    connections grow with its domain and not with the fleet.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self._make_host = make_host
         self._make_servers = make_servers
         self._marks: dict[PeerConnection, Marks] = {}
+        self._sent_far_at: dict[PeerConnection, float] = {}
         self._sequence = 0
         self._urgent = asyncio.Event()
         self._listed: dict[str, str] = {}
@@ -90,9 +92,18 @@
 
     def is_relay(self) -> bool:
         """Return whether this host passes reports between failure domains."""
-        return self._context.host in self._relays(self._context.domain)
+        own = self._context.domain
+        return any(
+            self._context.host in self._carriers(own, other)
+            for other in self._domains()
+            if other != own
+        )
 
-    def _relays(self, domain: str) -> list[str]:
+    def _domains(self) -> set[str]:
+        return {report.domain for report in self._context.view.hosts.values()}
+
+    def _carriers(self, domain: str, other: str) -> list[str]:
+        """Return the hosts of a domain that exchange reports with another one."""
         now = self._context.clock.monotonic()
         live = {
             report.host
@@ -101,7 +112,8 @@
         }
         if domain == self._context.domain:
             live.add(self._context.host)
-        return rendezvous.ranked(domain, live)[:RELAYS_PER_DOMAIN]
+        pair = "|".join(sorted((domain, other)))
+        return rendezvous.ranked(pair, live)[:CARRIERS_PER_PAIR]
 
     async def _report(self) -> None:
         while True:
@@ -133,10 +145,15 @@
     async def _flush(self) -> None:
         connections = self._neighbours()
         self._marks = {c: m for c, m in self._marks.items() if c in connections}
+        self._sent_far_at = {
+            c: at for c, at in self._sent_far_at.items() if c in connections
+        }
         is_relay = self.is_relay()
         encoded: dict[tuple[int, ...], bytes] = {}
         sends = []
         for connection in connections:
+            if not self._is_due(connection):
+                continue
             marks = self._marks.setdefault(connection, Marks())
             update = self._delta_for(connection, marks, is_relay=is_relay)
             if update is None:
@@ -148,6 +165,18 @@
         if sends:
             await asyncio.gather(*sends)
 
+    def _is_due(self, connection: PeerConnection) -> bool:
+        """Return whether a neighbour in another domain is to be sent reports now."""
+        peer = connection.peer
+        if peer is None or peer.role != "keeper" or peer.domain == self._context.domain:
+            return True
+        now = self._context.clock.monotonic()
+        last = self._sent_far_at.get(connection, float("-inf"))
+        if now - last < self._context.view.far_seconds():
+            return False
+        self._sent_far_at[connection] = now
+        return True
+
     def _neighbours(self) -> list[PeerConnection]:
         return [
             *self._peers.with_role("keeper"),
@@ -226,17 +255,23 @@
 
     def _reported_addresses(self) -> dict[str, str]:
         """Return the hosts that this one should be connected to."""
-        is_relay = self.is_relay()
+        own = self._context.domain
         return {
             report.host: report.address
             for report in self._context.view.hosts.values()
             if not report.is_leaving
-            and (
-                report.domain == self._context.domain
-                or (is_relay and report.host in self._relays(report.domain))
-            )
+            and (report.domain == own or self._is_counterpart(report))
         }
 
+    def _is_counterpart(self, report: HostReport) -> bool:
+        """Return whether this host and another carry for their two domains."""
+        own, other = self._context.domain, report.domain
+        return (
+            other != own
+            and self._context.host in self._carriers(own, other)
+            and report.host in self._carriers(other, own)
+        )
+
     def _awaits_dial(self, host: str, now: float) -> bool:
         """Leave the first dial to the lower name, so that a pair has one connection."""
         if host >= self._context.host:
--- a/src/gooseberrydeal/_internal/policy/cost_placement.py
+++ b/src/gooseberrydeal/_internal/policy/cost_placement.py
@@ -12,6 +12,7 @@
 
 _CROSS_DOMAIN_SECONDS: Final = 0.002
 _NEAR_SECONDS: Final = 0.01
+_FIRST_PART: Final = 0.25
 _EVICTION_WEIGHT: Final = 1.0
 _VALUE_STEP: Final = 0.5
 _VALUE_FLOOR: Final = 0.01
@@ -92,14 +93,16 @@
 def expected_wait(view: ServerView, slot_seconds: float) -> float:
     """Return the seconds until a server could start a further request.
 
-    A slowed server also takes longer to answer, so its slowdown counts for the
-    request itself too.
+    A slowed server also takes longer to its first token, which is a part of what a
+    request takes.
     """
     ahead = view.running + view.queued + view.outstanding
     over = max(0, ahead + 1 - view.concurrency)
     wait = max(view.wait_seconds, over * slot_seconds / view.concurrency)
     fill = min(1.0, ahead / view.concurrency) * _NEAR_SECONDS
-    return wait * view.slowdown + fill + (view.slowdown - 1.0) * slot_seconds
+    return (
+        wait * view.slowdown + fill + (view.slowdown - 1.0) * slot_seconds * _FIRST_PART
+    )
 
 
 def quantised(demand: float) -> float:
--- a/src/gooseberrydeal/_internal/policy/fleet_view.py
+++ b/src/gooseberrydeal/_internal/policy/fleet_view.py
@@ -10,7 +10,9 @@
 from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
 
 HOST_SILENT_SECONDS: Final = 4.0
-SERVER_SILENT_SECONDS: Final = 15.0
+SERVER_SILENT_SECONDS: Final = 20.0
+_MOST_FAR_SECONDS: Final = 5.0
+_FAR_SECONDS_A_HOST: Final = 0.03
 
 HostFilter = Callable[[HostReport], bool]
 ServerFilter = Callable[[str], bool]
@@ -46,7 +48,8 @@
     or over several ways.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, domain: str = "") -> None:
+        self._domain = domain
         self._hosts: dict[str, HostReport] = {}
         self._servers: dict[str, ServerReport] = {}
         self._slots: dict[str, SlotsReport] = {}
@@ -99,14 +102,20 @@
         return [
             report
             for name, report in self._hosts.items()
-            if not report.is_leaving
-            and now - self._hosts_seen[name] <= HOST_SILENT_SECONDS
+            if not report.is_leaving and self.is_live(name, now)
         ]
 
     def is_live(self, host: str, now: float) -> bool:
         """Return whether a host was heard of lately."""
         seen = self._hosts_seen.get(host)
-        return seen is not None and now - seen <= HOST_SILENT_SECONDS
+        return seen is not None and now - seen <= self._patience(host)
+
+    def far_seconds(self) -> float:
+        """Return how often reports pass between failure domains.
+
+        They are rarer in a larger fleet, so that the cost of a node stays flat.
+        """
+        return min(_MOST_FAR_SECONDS, len(self._hosts) * _FAR_SECONDS_A_HOST)
 
     def usable_servers(self, now: float) -> list[ServerReport]:
         """Return the reports of servers that accept work and whose owner is heard."""
@@ -134,6 +143,11 @@
             return None
         return ViewUpdate(tuple(hosts), tuple(servers), tuple(slots))
 
+    def _patience(self, host: str) -> float:
+        if not self._domain or self._hosts[host].domain == self._domain:
+            return HOST_SILENT_SECONDS
+        return HOST_SILENT_SECONDS + 3 * self.far_seconds()
+
     def _merge_host(self, report: HostReport, now: float) -> None:
         known = self._hosts.get(report.host)
         if known is not None and (known.incarnation, known.sequence) >= (
