Bound heads of requests in size and time; let the stand-in leave its batch in time

Cause 1: settings promised limits on headers that nothing enforced: the HTTP server has none. Its protocol is extended; a caller that never ends its headers is cut, a head too long is refused, a body must come within 30 s. The entry's public TLS setting is wired.

The engine stand-in held an ended answer in its batch for one token more than it had told the reader. The stand-in was wrong: it now leaves before it says that it is done. The hold on abandoned requests stays, since a cancellation does outrun its request.

--- a/src/gooseberrydeal/_internal/lab/engine_app.py
+++ b/src/gooseberrydeal/_internal/lab/engine_app.py
@@ -217,6 +217,8 @@
             while not run.is_done:
                 run.produced += 1
                 self._log.tokens += 1
+                if run.is_done:
+                    return
                 run.signal()
                 await asyncio.sleep(self._pace())
         finally:
--- a/src/gooseberrydeal/_internal/lab/engine_model.py
+++ b/src/gooseberrydeal/_internal/lab/engine_model.py
@@ -19,6 +19,10 @@
     batch_slope: float = 0.0
     adapter_slope: float = 0.0
 
+    def answer_time(self, tokens: int) -> float:
+        """Return the seconds that an answer holds a place in the batch."""
+        return self.prefill_seconds + (tokens - 1) * self.token_seconds
+
     def token_time(self, running: int, adapters: int) -> float:
         """Return the seconds a token takes in a batch."""
         stretch = 1.0 + self.batch_slope * max(0, running - 1)
--- a/src/gooseberrydeal/_internal/network/http_server.py
+++ b/src/gooseberrydeal/_internal/network/http_server.py
@@ -7,6 +7,11 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from gooseberrydeal._internal.network.limited_http import (
+    HttpLimits,
+    limited_protocol,
+)
+
 logger = logging.getLogger(__name__)
 
 _START_POLL_SECONDS: Final = 0.01
@@ -24,6 +29,7 @@
         *,
         tls: tuple[str, str] | None = None,
         connections: int = 4096,
+        limits: HttpLimits | None = None,
     ) -> None:
         options: dict[str, Any] = {}
         if tls is not None:
@@ -34,7 +40,7 @@
                 host=host,
                 port=port,
                 loop="asyncio",
-                http="httptools",
+                http=limited_protocol(limits or HttpLimits()),
                 ws="none",
                 lifespan="off",
                 access_log=False,
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -30,6 +30,7 @@
 from gooseberrydeal._internal.network.http_server import HttpServer
 from gooseberrydeal._internal.network.interfaces.http_serving import HttpServing
 from gooseberrydeal._internal.network.interfaces.peer_transport import PeerTransport
+from gooseberrydeal._internal.network.limited_http import HttpLimits
 from gooseberrydeal._internal.network.metrics import Metrics
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
@@ -127,7 +128,17 @@
         host, port = split_ip_and_port(settings.listen)
 
         def serve(app: ASGIApp) -> HttpServing:
-            return HttpServer(app, host, port, connections=settings.connections)
+            public = settings.public_tls
+            tls = None if public is None else (str(public.certificate), str(public.key))
+            limits = HttpLimits(settings.header_bytes, settings.header_seconds)
+            return HttpServer(
+                app,
+                host,
+                port,
+                tls=tls,
+                connections=settings.connections,
+                limits=limits,
+            )
 
         transport = WebsocketTransport(client_context(settings.tls), None)
         return cls(settings, transport, serve, clock)
--- a/src/gooseberrydeal/_internal/operations/entry/gatekeeper.py
+++ b/src/gooseberrydeal/_internal/operations/entry/gatekeeper.py
@@ -1,5 +1,6 @@
 """Authenticate, limit and authorise callers."""
 
+import asyncio
 from hashlib import sha256
 from typing import Final
 
@@ -14,6 +15,7 @@
 from gooseberrydeal._internal.utils.clock import Clock
 
 _BEARER: Final = "bearer "
+_BODY_SECONDS: Final = 30.0
 
 
 class Gatekeeper:
@@ -52,6 +54,15 @@
 
     async def body(self, request: Request) -> bytes:
         """Return the body of a request, which may not be too long."""
+        try:
+            async with asyncio.timeout(_BODY_SECONDS):
+                return await self._read(request)
+        except TimeoutError as error:
+            raise RefusedError.not_run(
+                RefusalReason.BAD_REQUEST, "the body came too slowly"
+            ) from error
+
+    async def _read(self, request: Request) -> bytes:
         parts = []
         size = 0
         async for part in request.stream():
