--- a/src/gooseberrydeal/_internal/lab/cli.py
+++ b/src/gooseberrydeal/_internal/lab/cli.py
@@ -108,6 +108,19 @@
     typer.echo(json.dumps(result, indent=None if as_json else 1))
 
 
+@app.command()
+def report(
+    folder: Annotated[Path, typer.Argument(help="Folder that bench --keep filled.")],
+    page: Annotated[Path, typer.Option(help="Page to write.")] = Path("report.html"),
+) -> None:
+    """Write one page with the plots of kept runs."""
+    from gooseberrydeal._internal.lab.bench.report import (  # noqa: PLC0415
+        write_report,
+    )
+
+    typer.echo(f"{write_report(folder, page)} runs in {page}")
+
+
 @app.command()
 def reference(
     folder: Annotated[Path, typer.Argument(help="Where the operators' pages are.")],
--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -14,7 +14,11 @@
 from gooseberrydeal._internal.models.permit import Permit
 from gooseberrydeal._internal.models.refusal import Refusal
 from gooseberrydeal._internal.operations.entry import work_runner
-from gooseberrydeal._internal.operations.keeper import claim_desk, ownership
+from gooseberrydeal._internal.operations.keeper import (
+    claim_desk,
+    engine_backend,
+    ownership,
+)
 from gooseberrydeal._internal.policy import permit_pool, retry_rules
 from gooseberrydeal._internal.policy.answer_check import AnswerCheck
 from gooseberrydeal._internal.policy.configuration_follower import (
@@ -72,6 +76,15 @@
     return lambda: run_state_machine_as_test(machine)
 
 
+async def _at_once(engine: Any, request_id: Any, clock: Any) -> None:
+    return
+
+
+def _held_copy() -> None:
+    name = "test_a_copy_is_held_until_an_abandoned_request_has_left_the_engine"
+    getattr(test_engine_faults, name)()
+
+
 def _lost_claim() -> None:
     test_claim_faults.test_faults_of_the_claim_write_never_double_or_lie(
         StoreFault.LATE_WRITE, 3
@@ -156,6 +169,13 @@
         lambda self, batch: _nothing(),
         _lost_claim,
     ),
+    (
+        "abandoned requests are waited for",
+        engine_backend,
+        "until_left",
+        _at_once,
+        _held_copy,
+    ),
     (
         "keys are bound to their bodies",
         claim_desk,
