Admit waits for loads for longer; send other domains outlines; count copies by themselves

The entry stretched by the slowdown what the owner's report had stretched already, and a wait for the weight store was held to the same quarter of the deadline as a queue. It may take half now.

Cause 2: other domains got every change of every server's load. They get a server's outline when it changes, its adapters when they do.

Cause 3: the end of a use was counted by a copy's name, so that a late end could count for a copy of the same name that was loaded meanwhile; and a load that ended while an engine was asked for its state could look like a crash.

--- a/src/gooseberrydeal/_internal/operations/entry/placer.py
+++ b/src/gooseberrydeal/_internal/operations/entry/placer.py
@@ -60,7 +60,11 @@
             return AnswerRefused(refusal)
         if not self._admits:
             return placement
-        verdict = admit(placement.wait_seconds, order.deadline - now)
+        verdict = admit(
+            placement.wait_seconds,
+            order.deadline - now,
+            needs_load=placement.needs_load,
+        )
         if not verdict.is_admitted and verdict.reason is not None:
             refusal = Refusal(
                 verdict.reason, Ran.NO, retry_after=verdict.retry_after or None
--- a/src/gooseberrydeal/_internal/operations/keeper/crash_watch.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/crash_watch.py
@@ -42,6 +42,8 @@
         except ServerError:
             self._on_unreachable()
         else:
+            if self._slots.changes != changes:
+                return False
             known = {c.name for c in self._slots.copies if c.state is CopyState.READY}
             if known <= state.copies.keys():
                 return False
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -33,6 +33,7 @@
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
 from gooseberrydeal._internal.operations.keeper.settling import until_left
+from gooseberrydeal._internal.policy.slot_table import SlotCopy
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 logger = logging.getLogger(__name__)
@@ -128,7 +129,7 @@
         if copy is None:
             self._owner.requeue(job)
             return
-        self._slots.begin_use(copy.name, self._now())
+        self._slots.begin_use(copy, self._now())
         is_settled = False
         try:
             queued = self._now() - job.item.arrived
@@ -140,9 +141,9 @@
             is_settled = await self._relay(job, copy.name)
         finally:
             if is_settled or not job.has_started:
-                self._end_use(copy.name)
+                self._end_use(copy)
             else:
-                self._tasks.start(self._settle(job, copy.name), "settle")
+                self._tasks.start(self._settle(job, copy), "settle")
 
     def copies(self) -> tuple[CopyReport, ...]:
         """Return the copies that may serve, now or after their load."""
@@ -259,11 +260,11 @@
         self._context.journal.note(f"ended: {reason.value}", job.item.request_id)
         await job.stream.refuse(Refusal(reason, ran))
 
-    async def _settle(self, job: Job, copy: str) -> None:
+    async def _settle(self, job: Job, copy: SlotCopy) -> None:
         await until_left(self._engine, job.item.request_id, self._context.clock)
         self._end_use(copy)
 
-    def _end_use(self, copy: str) -> None:
+    def _end_use(self, copy: SlotCopy) -> None:
         self._slots.end_use(copy, self._now())
         self._loader.slot_changed()
         self._owner.pump()
--- a/src/gooseberrydeal/_internal/operations/keeper/job_admission.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/job_admission.py
@@ -71,8 +71,9 @@
         refusal = backend.refusal(item)
         if refusal is not None or self._context.is_plain:
             return refusal
-        wait = self._queue_wait(item.importance) + backend.extra_wait(item)
-        verdict = admit(wait, submit.deadline_left)
+        extra = backend.extra_wait(item)
+        wait = self._queue_wait(item.importance) + extra
+        verdict = admit(wait, submit.deadline_left, needs_load=extra > 0)
         if verdict.is_admitted or verdict.reason is None:
             return None
         return Refusal(verdict.reason, Ran.NO, retry_after=verdict.retry_after)
--- a/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/view_exchange.py
@@ -209,10 +209,18 @@
             marks,
             lambda host: self._is_own(host.host) or (is_relay and host.domain == own),
             lambda server: (
-                self._is_owned(server) or (is_relay and self._domain_of(server) == own)
+                self._is_of_domain(server, is_relay=is_relay)
+                and view.has_new_outline(marks, server)
             ),
+            lambda server: self._is_of_domain(server, is_relay=is_relay),
         )
 
+    def _is_of_domain(self, server: str, *, is_relay: bool) -> bool:
+        """Return whether a server's reports are sent to other failure domains."""
+        if self._is_owned(server):
+            return True
+        return is_relay and self._domain_of(server) == self._context.domain
+
     def _is_own(self, host: str) -> bool:
         return host == self._context.host
 
--- a/src/gooseberrydeal/_internal/policy/cost_placement.py
+++ b/src/gooseberrydeal/_internal/policy/cost_placement.py
@@ -93,16 +93,16 @@
 def expected_wait(view: ServerView, slot_seconds: float) -> float:
     """Return the seconds until a server could start a further request.
 
-    A slowed server also takes longer to its first token, which is a part of what a
-    request takes.
+    The owner's report already stretches its queue by the slowdown. A slowed server
+    also takes longer to its first token, a part of what a request takes.
     """
     ahead = view.running + view.queued + view.outstanding
     over = max(0, ahead + 1 - view.concurrency)
-    wait = max(view.wait_seconds, over * slot_seconds / view.concurrency)
+    own = over * slot_seconds / view.concurrency * view.slowdown
+    wait = max(view.wait_seconds, own)
     fill = min(1.0, ahead / view.concurrency) * _NEAR_SECONDS
-    return (
-        wait * view.slowdown + fill + (view.slowdown - 1.0) * slot_seconds * _FIRST_PART
-    )
+    first = (view.slowdown - 1.0) * slot_seconds * _FIRST_PART
+    return wait + fill + first
 
 
 def quantised(demand: float) -> float:
--- a/src/gooseberrydeal/_internal/policy/fleet_view.py
+++ b/src/gooseberrydeal/_internal/policy/fleet_view.py
@@ -10,9 +10,9 @@
 from gooseberrydeal._internal.models.messages.view_update import ViewUpdate
 
 HOST_SILENT_SECONDS: Final = 4.0
-SERVER_SILENT_SECONDS: Final = 20.0
 _MOST_FAR_SECONDS: Final = 5.0
 _FAR_SECONDS_A_HOST: Final = 0.03
+_OUTLINE_SECONDS: Final = 0.5
 
 HostFilter = Callable[[HostReport], bool]
 ServerFilter = Callable[[str], bool]
@@ -39,6 +39,7 @@
     hosts: dict[str, tuple[float, int]] = field(default_factory=dict)
     servers: dict[str, tuple[int, int]] = field(default_factory=dict)
     slots: dict[str, tuple[int, int]] = field(default_factory=dict)
+    outlines: dict[str, tuple[object, ...]] = field(default_factory=dict)
 
 
 class FleetView:
@@ -55,7 +56,6 @@
         self._slots: dict[str, SlotsReport] = {}
         self._holders: dict[tuple[str, str], set[str]] = {}
         self._hosts_seen: dict[str, float] = {}
-        self._servers_seen: dict[str, float] = {}
 
     @property
     def hosts(self) -> Mapping[str, HostReport]:
@@ -85,7 +85,6 @@
             known = self._servers.get(server.server)
             if _is_newer(server, self._servers):
                 self._servers[server.server] = server
-                self._servers_seen[server.server] = now
                 is_urgent |= known is None or _is_turning(known, server)
         for slots in update.slots:
             if _is_newer(slots, self._slots):
@@ -122,13 +121,15 @@
         return [
             report
             for name, report in self._servers.items()
-            if report.accepts
-            and now - self._servers_seen[name] <= SERVER_SILENT_SECONDS
-            and self.is_live(report.owner, now)
+            if report.accepts and self.is_live(report.owner, now)
         ]
 
     def delta(
-        self, marks: Marks, keep_host: HostFilter, keep_server: ServerFilter
+        self,
+        marks: Marks,
+        keep_host: HostFilter,
+        keep_server: ServerFilter,
+        keep_slots: ServerFilter | None = None,
     ) -> ViewUpdate | None:
         """Return what a neighbour has not been sent, and mark it as sent."""
         hosts = []
@@ -138,7 +139,7 @@
                 marks.hosts[name] = version
                 hosts.append(host)
         servers = _unsent(self._servers, marks.servers, keep_server)
-        slots = _unsent(self._slots, marks.slots, keep_server)
+        slots = _unsent(self._slots, marks.slots, keep_slots or keep_server)
         if not hosts and not servers and not slots:
             return None
         return ViewUpdate(tuple(hosts), tuple(servers), tuple(slots))
@@ -148,6 +149,27 @@
             return HOST_SILENT_SECONDS
         return HOST_SILENT_SECONDS + 3 * self.far_seconds()
 
+    def has_new_outline(self, marks: Marks, server: str) -> bool:
+        """Return whether a server looks different from afar since it was last sent.
+
+        Another failure domain needs to know whether a server is of use, not how its
+        load changes from one moment to the next.
+        """
+        report = self._servers.get(server)
+        if report is None:
+            return True
+        outline = (
+            report.epoch,
+            report.accepts,
+            report.slowdown > 1.0,
+            round(report.wait_seconds / _OUTLINE_SECONDS),
+            report.victim_demand is None,
+        )
+        if marks.outlines.get(server) == outline:
+            return False
+        marks.outlines[server] = outline
+        return True
+
     def _merge_host(self, report: HostReport, now: float) -> None:
         known = self._hosts.get(report.host)
         if known is not None and (known.incarnation, known.sequence) >= (
--- a/src/gooseberrydeal/_internal/policy/slot_table.py
+++ b/src/gooseberrydeal/_internal/policy/slot_table.py
@@ -67,17 +67,19 @@
         """Return how much queued work waits for an adapter."""
         return self._reserved.get(adapter, 0)
 
-    def begin_use(self, name: str, now: float) -> None:
+    @staticmethod
+    def begin_use(copy: SlotCopy, now: float) -> None:
         """Note that a request runs on a copy."""
-        copy = self._copies[name]
         copy.in_use += 1
         copy.last_used = now
 
-    def end_use(self, name: str, now: float) -> None:
-        """Note that a request has left a copy."""
-        copy = self._copies.get(name)
-        if copy is None:
-            return
+    @staticmethod
+    def end_use(copy: SlotCopy, now: float) -> None:
+        """Note that a request has left a copy.
+
+        The copy itself is counted, not its name, since one of the same name may have
+        been loaded meanwhile.
+        """
         copy.in_use -= 1
         copy.last_used = now
 
--- a/tests/unit/test_small_policies.py
+++ b/tests/unit/test_small_policies.py
@@ -68,6 +68,8 @@
 def test_admission_leaves_a_part_of_the_deadline() -> None:
     assert admit(0.4, 1.7).is_admitted
     assert not admit(0.45, 1.7).is_admitted
+    assert admit(0.8, 1.7, needs_load=True).is_admitted
+    assert not admit(0.9, 1.7, needs_load=True).is_admitted
     late = admit(1.6, 1.7)
     assert not late.is_admitted
     assert late.reason is RefusalReason.OVERLOADED
