--- a/src/gooseberrydeal/_internal/lab/engine_app.py
+++ b/src/gooseberrydeal/_internal/lab/engine_app.py
@@ -15,18 +15,17 @@
 from gooseberrydeal._internal.lab.engine_events import (
     error,
     event,
+    models_body,
     usage_event,
     wanted_tokens,
 )
 from gooseberrydeal._internal.lab.engine_faults import EngineFaults
 from gooseberrydeal._internal.lab.engine_log import EngineLog, RunRecord
 from gooseberrydeal._internal.lab.engine_model import EngineModel
-from gooseberrydeal._internal.lab.engine_run import EngineRun
+from gooseberrydeal._internal.lab.engine_run import EngineRun, forget_old_runs
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
-_BASE_MODEL: Final = "base"
 _NEVER_SECONDS: Final = 3600.0
-_KEPT_RUNS: Final = 256
 _TOKENS_BEFORE_FAULT: Final = 2
 _RESUME_SECONDS: Final = 20.0
 
@@ -106,12 +105,7 @@
         return JSONResponse({"status": "ok"})
 
     async def _models(self, request: Request) -> Response:
-        data = [{"id": _BASE_MODEL, "object": "model", "root": _BASE_MODEL}]
-        data += [
-            {"id": copy, "object": "model", "root": path, "parent": _BASE_MODEL}
-            for copy, path in self._copies.items()
-        ]
-        return JSONResponse({"object": "list", "data": data})
+        return JSONResponse(models_body(self._copies))
 
     async def _load_report(self, request: Request) -> Response:
         running = {copy: count for copy, count in self._running.items() if count}
@@ -178,7 +172,7 @@
                 self._on_crash()
             return error(500, "the engine is crashing")
         run = EngineRun(copy, is_chat, answer_words(copy, prompt, wanted_tokens(body)))
-        self._forget_old_runs()
+        forget_old_runs(self._runs)
         self._runs[request_id] = run
         self._log.runs.append(RunRecord(request_id, copy, self._name))
         self._running[copy] += 1
@@ -304,10 +298,3 @@
 
     def _is_broken(self, copy: str) -> bool:
         return copy.partition("~")[0] in self._faults.broken_copies
-
-    def _forget_old_runs(self) -> None:
-        while len(self._runs) >= _KEPT_RUNS:
-            done = next((key for key, run in self._runs.items() if run.has_left), None)
-            if done is None:
-                return
-            del self._runs[done]
--- a/src/gooseberrydeal/_internal/lab/engine_events.py
+++ b/src/gooseberrydeal/_internal/lab/engine_events.py
@@ -1,12 +1,25 @@
 """Write what the engine stand-in answers."""
 
 import json
-from typing import Any
+from collections.abc import Mapping
+from typing import Any, Final
 
 from starlette.responses import JSONResponse, Response
 
 from gooseberrydeal._internal.lab.engine_run import EngineRun
 
+_BASE_MODEL: Final = "base"
+
+
+def models_body(copies: Mapping[str, str]) -> dict[str, Any]:
+    """Return the list of models, the base model first."""
+    data = [{"id": _BASE_MODEL, "object": "model", "root": _BASE_MODEL}]
+    data += [
+        {"id": copy, "object": "model", "root": path, "parent": _BASE_MODEL}
+        for copy, path in copies.items()
+    ]
+    return {"object": "list", "data": data}
+
 
 def wanted_tokens(body: dict[str, Any]) -> int:
     """Return how many tokens a body asks for."""
--- a/src/gooseberrydeal/_internal/lab/engine_run.py
+++ b/src/gooseberrydeal/_internal/lab/engine_run.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Final
+
+_KEPT_RUNS: Final = 256
 
 
 @dataclass
@@ -27,3 +30,12 @@
         event = self.changed
         self.changed = asyncio.Event()
         event.set()
+
+
+def forget_old_runs(runs: dict[str, EngineRun]) -> None:
+    """Make room for a further run, dropping ended ones only."""
+    while len(runs) >= _KEPT_RUNS:
+        ended = next((key for key, run in runs.items() if run.has_left), None)
+        if ended is None:
+            return
+        del runs[ended]
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_backend.py
@@ -15,7 +15,6 @@
     WrongAnswerError,
 )
 from gooseberrydeal._internal.models.adapter_ref import AdapterRef
-from gooseberrydeal._internal.models.copy_state import CopyState
 from gooseberrydeal._internal.models.engine_request import EngineRequest
 from gooseberrydeal._internal.models.engine_tokens import EngineTokens
 from gooseberrydeal._internal.models.messages.copy_report import CopyReport
@@ -147,21 +146,7 @@
 
     def copies(self) -> tuple[CopyReport, ...]:
         """Return the copies that may serve, now or after their load."""
-        held = [
-            CopyReport(
-                copy.adapter.name,
-                copy.adapter.version,
-                copy.state is CopyState.READY,
-            )
-            for copy in self._slots.copies
-            if copy.adapter is not None
-            and copy.state in (CopyState.READY, CopyState.LOADING)
-        ]
-        wanted = [
-            CopyReport(item.name, item.version, is_ready=False)
-            for item in self._loader.wanted()
-        ]
-        return tuple(held + wanted)
+        return self._slots.copy_reports(self._loader.wanted())
 
     def victim_demand(self) -> float | None:
         """Return the demand that the next load would evict."""
--- a/src/gooseberrydeal/_internal/operations/keeper/engine_slots.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/engine_slots.py
@@ -6,6 +6,7 @@
 from gooseberrydeal._internal.models.copy_state import CopyState
 from gooseberrydeal._internal.models.engine_state import EngineState
 from gooseberrydeal._internal.models.ids import FencingNumber
+from gooseberrydeal._internal.models.messages.copy_report import CopyReport
 from gooseberrydeal._internal.policy.slot_table import SlotCopy, SlotTable
 from gooseberrydeal._internal.utils.clock import Clock
 
@@ -34,6 +35,23 @@
         """Return whether copies of an earlier owner are in the way."""
         return any(copy.state is CopyState.FOREIGN for copy in self.copies)
 
+    def copy_reports(self, wanted: list[AdapterRef]) -> tuple[CopyReport, ...]:
+        """Return the copies that may serve, now or after the loads that are wanted."""
+        held = [
+            CopyReport(
+                copy.adapter.name,
+                copy.adapter.version,
+                copy.state is CopyState.READY,
+            )
+            for copy in self.copies
+            if copy.adapter is not None
+            and copy.state in (CopyState.READY, CopyState.LOADING)
+        ]
+        awaited = [
+            CopyReport(item.name, item.version, is_ready=False) for item in wanted
+        ]
+        return tuple(held + awaited)
+
     def allow_adoption(self) -> None:
         """Note that no earlier owner can give orders any more."""
         self._may_adopt = True
--- a/src/gooseberrydeal/_internal/operations/keeper/job_admission.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/job_admission.py
@@ -83,3 +83,11 @@
             return Suspicion.NONE
         now = self._context.clock.monotonic()
         return self._context.suspects.judge(submit.fingerprint, now)
+
+
+def not_serving(is_serving: bool, is_leaving: bool) -> Refusal | None:
+    """Return why a server takes no work, if so."""
+    if is_serving:
+        return None
+    reason = RefusalReason.SERVER_LEAVING if is_leaving else RefusalReason.NOT_OWNER
+    return Refusal(reason, Ran.NO)
--- a/src/gooseberrydeal/_internal/operations/keeper/job_table.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/job_table.py
@@ -4,6 +4,7 @@
 
 from gooseberrydeal._internal.models.ids import RequestId
 from gooseberrydeal._internal.models.work_item import WorkItem
+from gooseberrydeal._internal.network.served_stream import ServedStream
 from gooseberrydeal._internal.operations.keeper.job import Job
 from gooseberrydeal._internal.policy.work_queue import ShareOf, WorkQueue
 
@@ -38,6 +39,11 @@
         """Return how many jobs wait."""
         return self._queue.count
 
+    def of_stream(self, stream: ServedStream) -> list[Job]:
+        """Return the jobs that answer a stream."""
+        both = [*self._waiting.values(), *self._running.values()]
+        return [job for job in both if job.stream is stream]
+
     def add(self, job: Job) -> None:
         """Let a job wait."""
         self._waiting[job.item.request_id] = job
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -5,10 +5,8 @@
 from typing import Final
 
 from gooseberrydeal._internal.models.alarm import Alarm
-from gooseberrydeal._internal.models.backend_server import BackendServer
 from gooseberrydeal._internal.models.configuration import Configuration
 from gooseberrydeal._internal.models.host_record import HostRecord
-from gooseberrydeal._internal.models.ids import FencingNumber
 from gooseberrydeal._internal.models.lifecycle import Lifecycle
 from gooseberrydeal._internal.models.messages.hello import Hello
 from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
@@ -32,6 +30,7 @@
 from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
 from gooseberrydeal._internal.operations.keeper.message_router import MessageRouter
 from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.keeper.owned_server_set import OwnedServerSet
 from gooseberrydeal._internal.operations.keeper.ownership import Ownership
 from gooseberrydeal._internal.operations.keeper.server_factory import ServerFactory
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
@@ -69,7 +68,6 @@
         self._lifecycle = Lifecycle()
         self._tasks = TaskOwner()
         self._owners: dict[str, ServerOwner] = {}
-        self._old_owners: list[ServerOwner] = []
         self._metrics = Metrics("keeper")
         self._alarms = Alarms(self._metrics)
         self._context = KeeperContext(
@@ -177,43 +175,22 @@
         await self._view.announce()
         await self._ownership.stop()
         await self._lease.stop()
-        cut = await self._finish_work()
+        cut = await self._owned.finish(self._settings.drain_seconds)
         await self._budget.stop()
-        for owner in [*self._owners.values(), *self._old_owners]:
-            await owner.stop()
+        await self._owned.stop()
         await self._stop_tasks()
         self._lifecycle.stop()
         return cut
 
     async def abort(self) -> None:
         """End at once without handing anything over, as a crash would."""
-        await self._ownership_abort()
-        for owner in [*self._owners.values(), *self._old_owners]:
-            await owner.stop()
+        await self._ownership.abort()
+        await self._budget.stop()
+        await self._lease.abort()
+        await self._owned.stop()
         await self._stop_tasks()
         self._lifecycle.stop()
 
-    async def acquired(
-        self, server: BackendServer, epoch: FencingNumber, *, may_adopt: bool
-    ) -> None:
-        """Begin to own a server."""
-        owner = self._factory.build(server, epoch, may_adopt=may_adopt)
-        self._owners[server.name] = owner
-        self._tasks.start(owner.start(), f"own {server.name}")
-
-    async def released(self, server: str) -> None:
-        """Give no more orders to a server; running work ends by itself."""
-        owner = self._owners.pop(server, None)
-        if owner is None:
-            return
-        self._old_owners.append(owner)
-        self._tasks.start(self._retire(owner), f"retire {server}")
-        self._context.report_changed()
-
-    def may_adopt(self, server: str) -> None:
-        """Note that an earlier owner can give no more orders."""
-        self._factory.allow_adoption(server)
-
     def _build_tasks(self) -> None:
         settings = self._settings
         self._reports = KeeperReports(self)
@@ -239,17 +216,21 @@
             f"{settings.listen}/{self._incarnation:.6f}",
         )
         self._lease = HostLease(self._outside.store, record, self._lease_changed)
+        pool = PermitPool()
+        self._gate = LoadGate(self._context, pool, self._ask_permits)
+        self._factory = ServerFactory(
+            self._context, self._outside, self._gate, self._declared.work_class
+        )
+        self._owned = OwnedServerSet(self._owners, self._factory, self._view.flush_soon)
         self._ownership = Ownership(
             self._outside.store,
             self._outside.host_list,
             record,
-            self,
+            self._owned,
             self._declared.servers,
             lambda: self._lease.is_held,
             self._view.learn_hosts,
         )
-        pool = PermitPool()
-        self._gate = LoadGate(self._context, pool, self._ask_permits)
         self._budget = BudgetDivision(
             self._outside.store,
             self._outside.host_list,
@@ -262,9 +243,6 @@
             ClaimLease(self._outside.store, self._clock, self._declared.claim_window),
         )
         self._suspects = SuspectSharing(self._context, self._peers)
-        self._factory = ServerFactory(
-            self._context, self._outside, self._gate, self._declared.work_class
-        )
 
     def _connect_tasks(self) -> None:
         self._context.report_changed = self._view.flush_soon
@@ -276,10 +254,7 @@
 
     def _configured(self, configuration: Configuration, number: int) -> None:
         self._metrics.set_revision(number)
-        for name, owner in self._owners.items():
-            declared = configuration.server(name)
-            if declared is not None:
-                owner.redeclare(declared)
+        self._owned.redeclare(configuration)
         self._ownership.wake()
         self._view.flush_soon()
 
@@ -309,26 +284,6 @@
     async def _follow_list(self) -> None:
         await self._factory.follow_host_list(self._owners)
 
-    async def _retire(self, owner: ServerOwner) -> None:
-        await owner.drain()
-        await owner.stop()
-        if owner in self._old_owners:
-            self._old_owners.remove(owner)
-
-    async def _finish_work(self) -> int:
-        owners = [*self._owners.values(), *self._old_owners]
-        try:
-            async with asyncio.timeout(self._settings.drain_seconds):
-                await asyncio.gather(*(owner.drain() for owner in owners))
-        except TimeoutError:
-            return sum(len(owner.running) for owner in owners)
-        return 0
-
-    async def _ownership_abort(self) -> None:
-        await self._ownership.abort()
-        await self._budget.stop()
-        await self._lease.abort()
-
     async def _stop_tasks(self) -> None:
         await self._tasks.stop()
         await self._claims.stop()
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -22,13 +22,19 @@
 from gooseberrydeal._internal.models.work_item import WorkItem
 from gooseberrydeal._internal.network.served_stream import ServedStream
 from gooseberrydeal._internal.operations.keeper.job import Job
-from gooseberrydeal._internal.operations.keeper.job_admission import JobAdmission
+from gooseberrydeal._internal.operations.keeper.job_admission import (
+    JobAdmission,
+    not_serving,
+)
 from gooseberrydeal._internal.operations.keeper.job_refuser import JobRefuser
 from gooseberrydeal._internal.operations.keeper.job_table import JobTable
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.pace_watch import PaceWatch
 from gooseberrydeal._internal.operations.keeper.server_backend import ServerBackend
-from gooseberrydeal._internal.operations.keeper.server_reporter import ServerReporter
+from gooseberrydeal._internal.operations.keeper.server_reporter import (
+    ServerReporter,
+    draft_report,
+)
 from gooseberrydeal._internal.policy.class_share import ClassShare
 from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -152,8 +158,8 @@
         if submit.offset > 0 and self._lifecycle.is_serving:
             self._start(Job(item, submit, stream))
             return
-        refusal = self._not_serving()
         backend = self._backend
+        refusal = not_serving(self.is_serving, self.is_leaving)
         if refusal is None and backend is not None:
             refusal = self._admission.refusal(submit, item, backend)
         if refusal is not None or backend is None:
@@ -168,14 +174,13 @@
 
     def cancel(self, stream: ServedStream) -> None:
         """Withdraw the job of a stream."""
-        for job in [*self._jobs.waiting, *self._jobs.running]:
-            if job.stream is stream:
-                self._cancel_job(job)
+        for job in self._jobs.of_stream(stream):
+            self._cancel_job(job)
 
     def connection_lost(self, stream: ServedStream) -> None:
         """Withdraw a job whose reader is gone, unless it must not be repeated."""
-        for job in [*self._jobs.waiting, *self._jobs.running]:
-            if job.stream is stream and (job.submit.repeatable or not job.has_started):
+        for job in self._jobs.of_stream(stream):
+            if job.submit.repeatable or not job.has_started:
                 self._cancel_job(job)
 
     def pump(self) -> None:
@@ -191,35 +196,25 @@
     def _start(self, job: Job) -> None:
         self._jobs.start(job)
         self._idle.clear()
-        name = f"job {job.item.request_id}"
-        job.task = self._tasks.start(self._run(job), name)
+        job.task = self._tasks.start(self._run(job), f"job {job.item.request_id}")
 
     def report(self) -> ServerReport | None:
         """Return a report if there is news, or the last one is old."""
         now = self._context.clock.monotonic()
-        demand = self._backend.victim_demand() if self._backend is not None else None
-        draft = ServerReport(
-            server=self._declared.name,
-            epoch=self._epoch,
-            sequence=0,
-            owner=self._context.host,
-            owner_address=self._context.address,
+        draft = draft_report(
+            self._declared,
+            self._context,
+            self._jobs,
+            self._pace,
             accepts=self.is_serving,
-            running=len(self._jobs.running),
-            queued=self._jobs.queued,
-            concurrency=self._declared.concurrency,
-            wait_seconds=round(self._queue_wait(0), 2),
-            slowdown=round(self._pace.slowdown(now), 1),
-            victim_demand=None if demand is None else round(demand, 2),
-            first_seconds=round(self._pace.measured_first, 2),
-            gap_seconds=round(self._pace.measured_gap, 3),
+            wait_seconds=self._queue_wait(0),
+            demand=self._backend.victim_demand() if self._backend else None,
         )
         return self._reporter.report(draft, now)
 
     def slots_report(self) -> SlotsReport | None:
         """Return a report of the adapters if they have changed."""
-        backend = self._backend
-        return self._reporter.slots(backend.copies() if backend is not None else ())
+        return self._reporter.slots(self._backend.copies() if self._backend else ())
 
     async def drain(self) -> None:
         """Refuse waiting work and let running work end."""
@@ -228,15 +223,13 @@
         self._context.report_changed()
         await self._idle.wait()
 
-    async def stop(self) -> int:
-        """End at once; return how many running jobs were cut."""
-        cut = len(self._jobs.running)
+    async def stop(self) -> None:
+        """End at once."""
         self._lifecycle.stop()
         self._refuser.refuse_waiting(RefusalReason.NOT_OWNER)
         await self._tasks.stop()
         if self._backend is not None:
             await self._backend.close()
-        return cut
 
     def requeue(self, job: Job) -> None:
         """Put a started job back that the server has proven not to have run."""
@@ -256,13 +249,6 @@
             return ClassShare(1.0, self._declared.concurrency, 0.0)
         return ClassShare.from_class(self._class_of(name), self._declared.concurrency)
 
-    def _not_serving(self) -> Refusal | None:
-        if self.is_serving:
-            return None
-        if self.is_leaving:
-            return Refusal(RefusalReason.SERVER_LEAVING, Ran.NO)
-        return Refusal(RefusalReason.NOT_OWNER, Ran.NO)
-
     def _queue_wait(self, importance: int) -> float:
         ahead = self._jobs.slot_seconds_before(importance)
         now = self._context.clock.monotonic()
@@ -278,10 +264,7 @@
         try:
             await self._backend.run(job)
         except PeerLostError:
-            logger.info(
-                "reader is gone",
-                extra={"request_id": job.item.request_id},
-            )
+            logger.info("reader is gone", extra={"request_id": job.item.request_id})
         finally:
             self._ended(job)
 
--- a/src/gooseberrydeal/_internal/operations/keeper/server_reporter.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_reporter.py
@@ -3,9 +3,13 @@
 from dataclasses import replace
 from typing import Final
 
+from gooseberrydeal._internal.models.backend_server import BackendServer
 from gooseberrydeal._internal.models.messages.copy_report import CopyReport
 from gooseberrydeal._internal.models.messages.server_report import ServerReport
 from gooseberrydeal._internal.models.messages.slots_report import SlotsReport
+from gooseberrydeal._internal.operations.keeper.job_table import JobTable
+from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
+from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
 
 _REPORT_AGAIN_SECONDS: Final = 5.0
 
@@ -24,11 +28,13 @@
     def report(self, draft: ServerReport, now: float) -> ServerReport | None:
         """Return the draft with its number, if it has news or the last one is old."""
         last = self._last
-        is_same = last is not None and replace(draft, sequence=last.sequence) == last
+        is_same = last is not None and (
+            replace(draft, epoch=self._epoch, sequence=last.sequence) == last
+        )
         if is_same and now - self._last_at < _REPORT_AGAIN_SECONDS:
             return None
         self._sequence += 1
-        self._last = replace(draft, sequence=self._sequence)
+        self._last = replace(draft, epoch=self._epoch, sequence=self._sequence)
         self._last_at = now
         return self._last
 
@@ -39,3 +45,32 @@
         self._copies = copies
         self._sequence += 1
         return SlotsReport(self._server, self._epoch, self._sequence, copies)
+
+
+def draft_report(
+    declared: BackendServer,
+    context: KeeperContext,
+    jobs: JobTable,
+    pace: PaceTracker,
+    *,
+    accepts: bool,
+    wait_seconds: float,
+    demand: float | None,
+) -> ServerReport:
+    """Return a report without its number; rounded, so that noise is no news."""
+    return ServerReport(
+        server=declared.name,
+        epoch=0,
+        sequence=0,
+        owner=context.host,
+        owner_address=context.address,
+        accepts=accepts,
+        running=len(jobs.running),
+        queued=jobs.queued,
+        concurrency=declared.concurrency,
+        wait_seconds=round(wait_seconds, 2),
+        slowdown=round(pace.slowdown(context.clock.monotonic()), 1),
+        victim_demand=None if demand is None else round(demand, 2),
+        first_seconds=round(pace.measured_first, 2),
+        gap_seconds=round(pace.measured_gap, 3),
+    )
