Read rotated TLS files again without a restart

Cause: keys were to be rotated without a restart, and were read once. A context reads its files again before the next connection if they have changed; files that can't be read leave the old ones in use. A test changes a server's identity under its path: refused before, accepted after.

--- a/src/gooseberrydeal/_internal/lab/capacity/fleet.py
+++ b/src/gooseberrydeal/_internal/lab/capacity/fleet.py
@@ -187,7 +187,7 @@
                 lambda address: IdleEngine(),
                 HttpPlainServer.from_address,
             )
-            transport = WebsocketTransport(None, None)
+            transport = WebsocketTransport()
             keeper = KeeperNode(settings, outside, transport, self._clock)
             await keeper.start()
             self._platform.hosts[address] = "live"
--- a/src/gooseberrydeal/_internal/network/websocket_transport.py
+++ b/src/gooseberrydeal/_internal/network/websocket_transport.py
@@ -13,6 +13,7 @@
 from gooseberrydeal._internal.network.codec import MAX_MESSAGE_BYTES
 from gooseberrydeal._internal.network.interfaces.peer_transport import OnSocket
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
+from gooseberrydeal._internal.utils.tls import TlsContexts
 
 logger = logging.getLogger(__name__)
 
@@ -68,21 +69,18 @@
 class WebsocketTransport:
     """Connect and listen, with mutual TLS where contexts are given."""
 
-    def __init__(
-        self, client: ssl.SSLContext | None, server: ssl.SSLContext | None
-    ) -> None:
-        self._client = client
-        self._server = server
+    def __init__(self, tls: TlsContexts | None = None) -> None:
+        self._tls = tls
 
     async def connect(self, address: str) -> WebsocketSocket:
         """Connect to ``IP:port``, or raise ``OSError``."""
-        scheme = "ws" if self._client is None else "wss"
+        scheme = "ws" if self._tls is None else "wss"
         try:
             connection = await connect(
                 f"{scheme}://{address}/",
                 open_timeout=None,
                 proxy=None,
-                ssl=self._client,
+                ssl=self._context(is_server=False),
                 **_OPTIONS,
             )
         except WebSocketException as error:
@@ -93,8 +91,20 @@
         """Accept sockets on ``IP:port``, or raise ``OSError``."""
 
         async def accept(connection: ServerConnection) -> None:
+            self._context(is_server=True)
             await on_socket(WebsocketSocket(connection))
 
         host, port = split_ip_and_port(address)
-        server = await serve(accept, host, port, ssl=self._server, **_OPTIONS)
+        context = self._context(is_server=True)
+        server = await serve(accept, host, port, ssl=context, **_OPTIONS)
         return WebsocketListening(server)
+
+    def _context(self, *, is_server: bool) -> ssl.SSLContext | None:
+        """Return an up-to-date context; files that can't be read leave the old one."""
+        if self._tls is None:
+            return None
+        try:
+            self._tls.refresh()
+        except OSError:
+            logger.exception("the TLS files could not be read again")
+        return self._tls.server if is_server else self._tls.client
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -57,7 +57,7 @@
 from gooseberrydeal._internal.utils.clock import Clock
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 from gooseberrydeal._internal.utils.tasks import TaskOwner
-from gooseberrydeal._internal.utils.tls import client_context
+from gooseberrydeal._internal.utils.tls import TlsContexts
 
 logger = logging.getLogger(__name__)
 
@@ -140,7 +140,7 @@
                 limits=limits,
             )
 
-        transport = WebsocketTransport(client_context(settings.tls), None)
+        transport = WebsocketTransport(TlsContexts.from_files(settings.tls))
         return cls(settings, transport, serve, clock)
 
     @property
--- a/src/gooseberrydeal/_internal/operations/fleet_client.py
+++ b/src/gooseberrydeal/_internal/operations/fleet_client.py
@@ -22,7 +22,7 @@
 from gooseberrydeal._internal.policy.configuration_chunks import digest_of
 from gooseberrydeal._internal.policy.fleet_view import FleetView
 from gooseberrydeal._internal.utils.clock import Clock
-from gooseberrydeal._internal.utils.tls import client_context
+from gooseberrydeal._internal.utils.tls import TlsContexts
 
 _VIEW_SECONDS: Final = 2.0
 _REPLY_SECONDS: Final = 2.0
@@ -40,7 +40,7 @@
         self._dialer = PeerDialer(
             hello,
             self._receive,
-            WebsocketTransport(client_context(settings.tls), None),
+            WebsocketTransport(TlsContexts.from_files(settings.tls)),
         )
         self._view = FleetView()
         self._has_view = asyncio.Event()
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -44,7 +44,7 @@
 from gooseberrydeal._internal.utils.clock import Clock
 from gooseberrydeal._internal.utils.journal import Journal
 from gooseberrydeal._internal.utils.tasks import TaskOwner
-from gooseberrydeal._internal.utils.tls import client_context, server_context
+from gooseberrydeal._internal.utils.tls import TlsContexts
 
 logger = logging.getLogger(__name__)
 
@@ -99,9 +99,7 @@
     @classmethod
     def from_settings(cls, settings: KeeperSettings, clock: Clock) -> "KeeperNode":
         """Build a keeper that talks over real sockets."""
-        transport = WebsocketTransport(
-            client_context(settings.tls), server_context(settings.tls)
-        )
+        transport = WebsocketTransport(TlsContexts.from_files(settings.tls))
         return cls(settings, Outside.from_settings(settings), transport, clock)
 
     @property
--- a/tests/functional/test_access.py
+++ b/tests/functional/test_access.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 from pathlib import Path
 
 import pytest
@@ -19,7 +20,7 @@
 from gooseberrydeal._internal.network.peer_dialer import PeerDialer
 from gooseberrydeal._internal.network.peer_listener import PeerListener
 from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
-from gooseberrydeal._internal.utils.tls import client_context, server_context
+from gooseberrydeal._internal.utils.tls import TlsContexts
 from tests.lib.certificates import Authority
 
 
@@ -81,18 +82,26 @@
 
 
 async def _connects(server: TlsSettings | None, client: TlsSettings | None) -> bool:
+    return await _connects_with(
+        TlsContexts.from_files(server), TlsContexts.from_files(client)
+    )
+
+
+async def _connects_with(
+    server: TlsContexts | None, client: TlsContexts | None
+) -> bool:
     address = free_address()
     hello = Hello("h", "d", "keeper", address)
     listener = PeerListener(
         hello,
         lambda connection, message: None,
-        WebsocketTransport(None, server_context(server)),
+        WebsocketTransport(server),
     )
     await listener.start(address)
     dialer = PeerDialer(
         hello,
         lambda connection, message: None,
-        WebsocketTransport(client_context(client), None),
+        WebsocketTransport(client),
     )
     try:
         connection = await dialer.connection(address)
@@ -130,4 +139,20 @@
         authority=tmp_path / "no.pem",
     )
     with pytest.raises(OSError, match="No such file"):
-        client_context(missing)
+        TlsContexts(missing)
+
+
+def test_rotated_files_are_read_again_without_a_restart(tmp_path: Path) -> None:
+    ours, other = Authority(tmp_path, "ours"), Authority(tmp_path, "other")
+    client = ours.identity("client")
+    server = other.identity("server")
+    trusting = TlsSettings(
+        certificate=server.certificate, key=server.key, authority=ours.path
+    )
+    contexts = TlsContexts(trusting)
+    assert not asyncio.run(_connects(trusting, client))
+    ours.identity("server")
+    stamp = trusting.certificate.stat().st_mtime_ns + 1_000_000
+    os.utime(trusting.certificate, ns=(stamp, stamp))
+    contexts.refresh()
+    assert asyncio.run(_connects_with(contexts, TlsContexts(client)))
