Close a stopping process's connections at once, not one after the other

Cause: capacity runs of 16 and 20 keepers sometimes did not end; the keepers went on while the first ones stopped. A closing handshake with a peer that is gone takes three seconds, and a process closed its connections in turn, so that stopping took that long for each. A stopping host would do the same.

Change: all are closed at once.

--- a/src/gooseberrydeal/_internal/network/peer_dialer.py
+++ b/src/gooseberrydeal/_internal/network/peer_dialer.py
@@ -63,9 +63,9 @@
             await connection.close()
 
     async def stop(self) -> None:
-        """Close all connections."""
-        for connection in list(self._connections.values()):
-            await connection.close()
+        """Close all connections at once, since a silent peer delays its own."""
+        open_now = list(self._connections.values())
+        await asyncio.gather(*(connection.close() for connection in open_now))
         await self._tasks.stop()
 
     async def _connect(self, address: str) -> PeerConnection:
--- a/src/gooseberrydeal/_internal/network/peer_listener.py
+++ b/src/gooseberrydeal/_internal/network/peer_listener.py
@@ -1,5 +1,6 @@
 """Accept connections from peers."""
 
+import asyncio
 import contextlib
 
 from gooseberrydeal._internal.exceptions import PeerLostError
@@ -37,11 +38,11 @@
         self._listening = await self._transport.listen(address, self._serve)
 
     async def stop(self) -> None:
-        """Close the socket and all connections."""
+        """Close the socket and all connections at once."""
         if self._listening is None:
             return
-        for connection in list(self._connections):
-            await connection.close()
+        open_now = list(self._connections)
+        await asyncio.gather(*(connection.close() for connection in open_now))
         await self._listening.close()
 
     async def _serve(self, socket: PeerSocket) -> None:
