Cancel a task again until it has ended

Cause: capacity runs of 16 and 20 keepers did not end. Their state showed all servers owned, the change adopted by all, and the first keeper still stopping: it waited for a task that had been cancelled and went on. A cancellation that meets the end of what a task awaits is lost in a library, and the loop around it begins its next round. A keeper or entry told to stop could have hung the same way.

Change: stopping cancels what has not ended every half second. A test loses a cancellation on purpose.

--- a/src/gooseberrydeal/_internal/utils/tasks.py
+++ b/src/gooseberrydeal/_internal/utils/tasks.py
@@ -1,13 +1,14 @@
 """Own background tasks."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, Final
 
 logger = logging.getLogger(__name__)
 
+_CANCEL_AGAIN_SECONDS: Final = 0.5
+
 
 class TaskOwner:
     """Keep strong references to tasks and stop them together."""
@@ -33,13 +34,17 @@
         return task
 
     async def stop(self) -> None:
-        """Cancel every task and wait for its end."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await task
+        """Cancel every task until it has ended.
+
+        A cancellation that meets the end of what a task awaits can be lost in a
+        library, and the task goes on; so it is cancelled again.
+        """
+        current = asyncio.current_task()
+        pending = {task for task in self._tasks if task is not current}
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=_CANCEL_AGAIN_SECONDS)
 
     def _finished(
         self, task: asyncio.Task[Any], expected: tuple[type[Exception], ...]
