Let a broken guard be noticed by an assertion only

Cause: the check took any error for a notice, so that a guard replaced by something malformed would have passed. It now takes a failed assertion.

--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -97,7 +97,7 @@
         SlotTable,
         "_is_evictable",
         _any_idle,
-        _machine(test_slot_table.SlotTableMachine),
+        test_slot_table.test_a_late_end_of_use_does_not_count_for_a_new_copy_of_the_name,
     ),
     (
         "a permit rests for a window",
@@ -195,5 +195,5 @@
     guard: tuple[str, Any, str, Any, Check],
 ) -> None:
     _, owner, name, value, check = guard
-    with _replaced(owner, name, value), pytest.raises(BaseException):  # noqa: B017
+    with _replaced(owner, name, value), pytest.raises(AssertionError):
         check()
