Route requests straight to backend servers on the platform

Cause: nothing of the product could be reached on the users' platform, and its path through an owner costs a second hop for every token.

The request path is one hop. The folder platform/ translates the settings file, the store, entries, reports, orders and header fields. Engines keep one owner each for orders, by a record bound to the host's lease, whose revision is the fencing number; hosts and owners exchange datagrams about use, wants and copies.

--- a/src/gooseberrydeal/_internal/exceptions.py
+++ b/src/gooseberrydeal/_internal/exceptions.py
@@ -33,6 +33,14 @@
     """Report that a write may or may not have taken effect."""
 
 
+class StoreHistoryError(StoreError):
+    """Report that the store no longer has the changes after a revision."""
+
+
+class LeaseLostError(StoreError):
+    """Report that a lease has ended; nothing was written."""
+
+
 class PeerError(GooseberrydealError):
     """Stand at the root of errors between the system's own processes."""
 
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the data of direct routing: routes, servers, requests and adapter copies."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -0,0 +1,33 @@
+"""Describe what the owner of an engine tells all hosts."""
+
+from dataclasses import dataclass
+
+from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+
+
+@dataclass(frozen=True, slots=True)
+class CopyStatus:
+    """Describe a copy; ``ready_in`` is in seconds."""
+
+    key: AdapterCopyKey
+    state: CopyState
+    ready_in: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """Describe an engine; a newer status of a higher fencing number goes first.
+
+    ``requests`` and ``tokens`` count what all hosts have in flight there.
+    """
+
+    owner: HostId
+    server: ServerId
+    fencing_number: FencingNumber
+    sequence: int
+    can_load: bool
+    requests: int
+    tokens: int
+    copies: tuple[CopyStatus, ...]
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
@@ -0,0 +1,59 @@
+"""Describe one version of the operators' configuration."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from gooseberrydeal._internal.models.ids import ServiceName
+from gooseberrydeal._internal.models.routing.route import Route
+
+
+@dataclass(frozen=True, slots=True)
+class BaseModel:
+    """Describe a base model; ``megabytes`` is the size of its weights."""
+
+    name: str
+    megabytes: float
+    adapter_megabytes: float
+    load_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSize:
+    """Describe what the engines of a service can hold."""
+
+    models: Mapping[str, BaseModel]
+    weight_megabytes: float
+    adapter_slots: int
+    token_capacity: int
+    batch_size: int
+    loads_per_second: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceConfiguration:
+    """Describe a service; ``engine`` is absent for plain services."""
+
+    name: ServiceName
+    health_path: str
+    max_connections: int
+    engine: EngineSize | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound what callers may send; times are in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfiguration:
+    """Hold one version in full."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: Mapping[ServiceName, ServiceConfiguration] = field(default_factory=dict)
+    limits: CallerLimits = field(default_factory=CallerLimits)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/http1/caller_listener.py
@@ -0,0 +1,61 @@
+"""Accept the connections of callers."""
+
+import asyncio
+
+from gooseberrydeal._internal.network.http1.caller_connection import (
+    CallerConnection,
+    RequestHandler,
+)
+from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
+
+_BACKLOG = 512
+
+
+class CallerListener:
+    """Own the listening socket and the open connections."""
+
+    def __init__(self, address: str, handler: RequestHandler) -> None:
+        self._address = address
+        self._handler = handler
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_count(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
+    @property
+    def busy_count(self) -> int:
+        """Return how many connections receive or serve a request."""
+        return sum(not connection.is_idle for connection in self._connections)
+
+    async def start(self) -> None:
+        """Listen, or raise ``OSError``."""
+        host, port = split_ip_and_port(self._address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connection, host, port, backlog=_BACKLOG, reuse_address=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in list(self._connections):
+            if connection.is_idle:
+                connection.close()
+
+    def abort(self) -> None:
+        """Close everything at once."""
+        self.stop_accepting()
+        for connection in list(self._connections):
+            connection.cut()
+
+    def _connection(self) -> CallerConnection:
+        return CallerConnection(
+            self._handler, self._connections.add, self._connections.discard
+        )
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -0,0 +1,125 @@
+"""Turn the reports between hosts into CBOR datagrams and back.
+
+Fields travel by position. A report replaces the one before it, so that a lost datagram
+costs only the time until the next.
+"""
+
+from enum import IntEnum
+from typing import Any, Final
+
+import cbor2
+
+from gooseberrydeal._internal.exceptions import PeerProtocolError
+from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_status import (
+    CopyStatus,
+    EngineStatus,
+)
+from gooseberrydeal._internal.models.routing.usage_report import (
+    CopyUse,
+    CopyWant,
+    EngineUsage,
+    UsageReport,
+)
+
+PROTOCOL_VERSION: Final = 1
+_STATES: Final = (CopyState.READY, CopyState.LOADING, CopyState.LEAVING)
+
+
+class _Kind(IntEnum):
+    USAGE = 1
+    STATUS = 2
+
+
+def encode_usage(report: UsageReport) -> bytes:
+    """Return the datagram of a usage report."""
+    engines = [
+        [
+            engine.server,
+            engine.requests,
+            engine.tokens,
+            [[*use.key, use.in_flight, use.started] for use in engine.uses],
+            [[*want.key, want.waiting, want.is_missing] for want in engine.wants],
+        ]
+        for engine in report.engines
+    ]
+    fields = [report.host, report.incarnation, report.sequence, engines]
+    return cbor2.dumps([PROTOCOL_VERSION, int(_Kind.USAGE), *fields])
+
+
+def encode_status(status: EngineStatus) -> bytes:
+    """Return the datagram of an engine's status."""
+    copies = [
+        [*copy.key, _STATES.index(copy.state), int(copy.ready_in * 1000)]
+        for copy in status.copies
+    ]
+    fields = [
+        status.owner,
+        status.server,
+        status.fencing_number,
+        status.sequence,
+        status.can_load,
+        status.requests,
+        status.tokens,
+        copies,
+    ]
+    return cbor2.dumps([PROTOCOL_VERSION, int(_Kind.STATUS), *fields])
+
+
+def decode_report(data: bytes) -> UsageReport | EngineStatus | None:
+    """Return a report, ``None`` for a kind that only newer hosts know.
+
+    Raises :class:`PeerProtocolError` for anything that is not a valid report.
+    """
+    try:
+        version, kind, *fields = cbor2.loads(data)
+        if version != PROTOCOL_VERSION:
+            raise PeerProtocolError(f"report version {version!r} is not supported")
+        if kind == _Kind.USAGE:
+            return _usage(fields)
+        if kind == _Kind.STATUS:
+            return _status(fields)
+    except (cbor2.CBORError, ValueError, TypeError, IndexError) as error:
+        raise PeerProtocolError(f"report is malformed: {error!r}") from error
+    return None
+
+
+def _usage(fields: list[Any]) -> UsageReport:
+    host, incarnation, sequence, engines = fields[:4]
+    return UsageReport(
+        HostId(str(host)), int(incarnation), int(sequence), tuple(map(_engine, engines))
+    )
+
+
+def _engine(fields: list[Any]) -> EngineUsage:
+    server, requests, tokens, uses, wants = fields[:5]
+    return EngineUsage(
+        ServerId(str(server)),
+        int(requests),
+        int(tokens),
+        tuple(CopyUse(_key(item), int(item[3]), int(item[4])) for item in uses),
+        tuple(CopyWant(_key(item), int(item[3]), bool(item[4])) for item in wants),
+    )
+
+
+def _status(fields: list[Any]) -> EngineStatus:
+    owner, server, fencing, sequence, can_load, requests, tokens, copies = fields[:8]
+    return EngineStatus(
+        HostId(str(owner)),
+        ServerId(str(server)),
+        FencingNumber(int(fencing)),
+        int(sequence),
+        bool(can_load),
+        int(requests),
+        int(tokens),
+        tuple(
+            CopyStatus(_key(item), _STATES[item[3]], int(item[4]) / 1000)
+            for item in copies
+        ),
+    )
+
+
+def _key(fields: list[Any]) -> AdapterCopyKey:
+    return AdapterCopyKey(str(fields[0]), str(fields[1]), int(fields[2]))
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests straight to backend servers, and own engines' adapter slots."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/change_signal.py
@@ -0,0 +1,29 @@
+"""Wake tasks that wait for a change."""
+
+import asyncio
+from collections.abc import Hashable
+
+
+class ChangeSignal:
+    """Wake the waiters of a topic, or let them time out."""
+
+    def __init__(self) -> None:
+        self._waiters: dict[Hashable, set[asyncio.Future[None]]] = {}
+
+    async def wait(self, topic: Hashable, seconds: float) -> None:
+        """Return when the topic changes or the time is over."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiters = self._waiters.setdefault(topic, set())
+        waiters.add(future)
+        try:
+            await asyncio.wait((future,), timeout=seconds)
+        finally:
+            waiters.discard(future)
+            if not waiters and self._waiters.get(topic) is waiters:
+                del self._waiters[topic]
+
+    def notify(self, topic: Hashable) -> None:
+        """Wake all waiters of a topic."""
+        for future in self._waiters.get(topic, ()):
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -0,0 +1,232 @@
+"""Find a server for each request, loading its adapter where needed."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import DomainName, ServerId
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.adapter_key import (
+    FIRST_VERSION,
+    AdapterCopyKey,
+)
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.operations.router.assignment import (
+    Assignment,
+    NoAssignment,
+)
+from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.engine_choice import (
+    EngineCandidate,
+    EngineDecision,
+    EngineVerdict,
+    choose_engine,
+)
+from gooseberrydeal._internal.policy.plain_server_choice import (
+    PlainCandidate,
+    choose_plain_server,
+)
+
+logger = logging.getLogger(__name__)
+
+# A waiting request looks again this often, in case no report wakes it.
+_LOOK_AGAIN_SECONDS: Final = 0.06
+# A load that takes longer than this went wrong; another engine is asked.
+_LOAD_PATIENCE_SECONDS: Final = 1.2
+# Requests wait for room or a load no longer than this part of the caller's patience.
+_MOST_WAIT_PART: Final = 0.3
+# A new adapter version replaces the old one this long after it was declared, well
+# before the bound; until then the old one may serve while the new one loads.
+_OLD_VERSION_PART: Final = 0.4
+_RETRY_AFTER_SECONDS: Final = 0.4
+
+
+class Dispatcher:
+    """Decide with what this host knows; everything it needs is in memory."""
+
+    def __init__(
+        self,
+        servers: ServerTable,
+        view: MetadataView,
+        domain: DomainName,
+        version_bound: float,
+        signal: ChangeSignal,
+        on_want: Callable[[ServerRecord], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._servers = servers
+        self._view = view
+        self._domain = domain
+        self._version_seconds = version_bound * _OLD_VERSION_PART
+        self._signal = signal
+        self._on_want = on_want
+        self._clock = clock
+        self._rng = rng
+        self._spreading: dict[AdapterCopyKey, float] = {}
+
+    async def assign(self, request: RoutedRequest) -> Assignment | NoAssignment:
+        """Return a server at once, or after its adapter is loaded."""
+        if request.facts.adapter is None:
+            return self._assign_plain(request)
+        return await self._assign_engine(request)
+
+    def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
+        now = self._clock()
+        records = {r.id: r for r in self._usable(request)}
+        candidates = [
+            PlainCandidate(
+                server=record.id,
+                requests=record.load.requests(now),
+                slots=record.entry.slots,
+                pace=record.load.pace,
+                is_local=record.entry.domain == self._domain,
+                failure_rate=record.health.failure_rate(now),
+                is_avoided=record.health.is_avoided(now),
+            )
+            for record in records.values()
+        ]
+        best = choose_plain_server(candidates, self._rng)
+        if best is None:
+            return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+        return Assignment(records[best.server])
+
+    async def _assign_engine(
+        self, request: RoutedRequest
+    ) -> Assignment | NoAssignment:
+        begun = self._clock()
+        patience = request.deadline - request.arrived_at
+        latest = begun + patience * _MOST_WAIT_PART
+        wanted: tuple[ServerRecord, AdapterCopyKey, float] | None = None
+        try:
+            while True:
+                now = self._clock()
+                copy = self._copy_for(request, now)
+                decision = self._decide(request, copy, now)
+                record = self._servers.get(decision.server or ServerId(""))
+                if decision.verdict is EngineVerdict.SEND and record is not None:
+                    return self._send(record, copy, decision, now)
+                if decision.verdict is EngineVerdict.NO_ENGINE:
+                    return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+                if now >= latest:
+                    reason = RefusalReason.OVERLOADED
+                    if wanted is not None:
+                        reason = RefusalReason.LOAD_FAILED
+                    return NoAssignment(reason, _RETRY_AFTER_SECONDS)
+                if decision.verdict is EngineVerdict.LOAD and record is not None:
+                    wanted = self._want(wanted, record, copy, now)
+                seconds = _LOOK_AGAIN_SECONDS
+                if wanted is not None:
+                    ready_in = wanted[0].ready_in(copy, now)
+                    seconds = ready_in if 0 < ready_in else seconds
+                await self._signal.wait(copy, min(seconds, latest - now))
+        finally:
+            if wanted is not None:
+                wanted[0].unwant(wanted[1])
+
+    def _send(
+        self,
+        record: ServerRecord,
+        copy: AdapterCopyKey,
+        decision: EngineDecision,
+        now: float,
+    ) -> Assignment:
+        if decision.spread_to is not None:
+            self._spread(copy, decision.spread_to, now)
+        return Assignment(record, copy)
+
+    def _spread(self, copy: AdapterCopyKey, server: ServerId, now: float) -> None:
+        """Ask for a further copy; the request doesn't wait for it."""
+        record = self._servers.get(server)
+        if record is None or self._spreading.get(copy, 0.0) > now:
+            return
+        self._spreading[copy] = now + _LOAD_PATIENCE_SECONDS
+        if record.want(copy):
+            self._on_want(record)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LOAD_PATIENCE_SECONDS / 2, record.unwant, copy)
+
+    def _want(
+        self,
+        wanted: tuple[ServerRecord, AdapterCopyKey, float] | None,
+        record: ServerRecord,
+        copy: AdapterCopyKey,
+        now: float,
+    ) -> tuple[ServerRecord, AdapterCopyKey, float]:
+        """Ask the engine's owner for a load, and stay with it for a while."""
+        if wanted is not None:
+            is_same = wanted[0] is record and wanted[1] == copy
+            is_patient = now - wanted[2] < _LOAD_PATIENCE_SECONDS
+            if is_same or (is_patient and wanted[1] == copy and wanted[0].can_load(now)):
+                return wanted
+            wanted[0].unwant(wanted[1])
+        if record.want(copy):
+            self._on_want(record)
+        return record, copy, now
+
+    def _copy_for(self, request: RoutedRequest, now: float) -> AdapterCopyKey:
+        """Return the version to run: the newest, or the old one for a moment."""
+        adapter = request.facts.adapter
+        assert adapter is not None
+        declared = self._view.versions.get(adapter)
+        if declared is None:
+            return AdapterCopyKey(adapter.model, adapter.adapter, FIRST_VERSION)
+        newest = AdapterCopyKey(adapter.model, adapter.adapter, declared.version)
+        if now - declared.learned_at >= self._version_seconds:
+            return newest
+        held = self._held_versions(request, newest, now)
+        if newest in held or not held:
+            return newest
+        return max(held, key=lambda key: key.version)
+
+    def _held_versions(
+        self, request: RoutedRequest, newest: AdapterCopyKey, now: float
+    ) -> set[AdapterCopyKey]:
+        return {
+            key
+            for record in self._servers.of_service(request.service)
+            for key in record.versions(newest.model, newest.adapter)
+            if record.copy_state(key, now) is CopyState.READY
+        }
+
+    def _decide(
+        self, request: RoutedRequest, copy: AdapterCopyKey, now: float
+    ) -> EngineDecision:
+        candidates = [
+            self._candidate(record, copy, now) for record in self._usable(request)
+        ]
+        return choose_engine(copy, request.tokens, candidates)
+
+    def _candidate(
+        self, record: ServerRecord, copy: AdapterCopyKey, now: float
+    ) -> EngineCandidate:
+        size = record.service.engine
+        slots = size.adapter_slots if size is not None else 0
+        return EngineCandidate(
+            server=record.id,
+            requests=record.load.requests(now),
+            tokens=record.load.tokens(now),
+            batch_size=record.entry.slots,
+            token_capacity=size.token_capacity if size is not None else 0,
+            pace=record.load.pace,
+            is_local=record.entry.domain == self._domain,
+            has_model=record.holds_model(copy.model),
+            copy=record.copy_state(copy, now),
+            ready_in=record.ready_in(copy, now),
+            can_load=record.can_load(now) and record.busy_slots(now) < slots,
+            failure_rate=record.health.failure_rate(now),
+            is_avoided=record.health.is_avoided(now),
+        )
+
+    def _usable(self, request: RoutedRequest) -> list[ServerRecord]:
+        return [
+            record
+            for record in self._servers.of_service(request.service)
+            if record.id not in request.excluded
+        ]
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -0,0 +1,40 @@
+"""Hold what the metadata store says."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
+from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    RoutingConfiguration,
+)
+
+HOST_PREFIX: Final = "gooseberrydeal/hosts/"
+OWNER_PREFIX: Final = "gooseberrydeal/owners/"
+
+
+@dataclass(slots=True)
+class AdapterVersion:
+    """Hold an adapter's newest version and when this host learned of it."""
+
+    version: int
+    learned_at: float
+
+
+@dataclass(slots=True)
+class MetadataView:
+    """Join configuration, versions, members and owners as last read."""
+
+    configuration: RoutingConfiguration | None = None
+    versions: dict[AdapterKey, AdapterVersion] = field(default_factory=dict)
+    hosts: dict[HostId, HostMembership] = field(default_factory=dict)
+    owners: dict[ServerId, OwnerClaim] = field(default_factory=dict)
+    is_complete: bool = False
+    heard_at: float = 0.0
+
+    def newest(self, key: AdapterKey) -> int:
+        """Return the newest declared version of an adapter, 0 if none is."""
+        found = self.versions.get(key)
+        return 0 if found is None else found.version
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -0,0 +1,16 @@
+"""Answer requests that the system does not serve."""
+
+from gooseberrydeal._internal.models.http_status import HTTP_STATUS
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.http_heads import Header
+from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+
+
+def refuse(
+    exchange: CallerExchange, reason: RefusalReason, retry_after: float | None
+) -> None:
+    """Send the status of a reason; ``retry_after`` is in seconds."""
+    headers: list[Header] = [(b"Content-Type", b"text/plain")]
+    if retry_after is not None:
+        headers.append((b"Retry-After", b"%.2f" % retry_after))
+    exchange.respond(HTTP_STATUS[reason], headers, reason.value.encode() + b"\n")
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -0,0 +1,229 @@
+"""Serve one request: assign, send, pass on, and repeat where that is allowed."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.forward_facts import ForwardFacts
+from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.framing import request_bytes
+from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.operations.router.assignment import (
+    Assignment,
+    NoAssignment,
+)
+from gooseberrydeal._internal.operations.router.attempt import Attempt
+from gooseberrydeal._internal.operations.router.attempt_outcome import AttemptOutcome
+from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
+from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
+from gooseberrydeal._internal.operations.router.refusals import refuse
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+
+logger = logging.getLogger(__name__)
+
+# A copy that was not ready when expected is asked for again after this long.
+_NOT_READY_SECONDS: Final = 0.05
+# Sends that servers refused or that reached none, before the caller is refused.
+_MOST_SENDS: Final = 6
+_RETRY_AFTER_SECONDS: Final = 0.4
+
+RetryPermit = Callable[[RoutedRequest], bool]
+
+
+class RequestRun:
+    """Own one request from its arrival to the end of its reply."""
+
+    def __init__(
+        self,
+        request: RoutedRequest,
+        exchange: CallerExchange,
+        codec: RelayCodec,
+        dispatcher: Dispatcher,
+        may_retry: RetryPermit,
+        clock: Callable[[], float],
+    ) -> None:
+        self._request = request
+        self._exchange = exchange
+        self._codec = codec
+        self._dispatcher = dispatcher
+        self._may_retry = may_retry
+        self._clock = clock
+        self._events = EventSplitter()
+        self._last_status = 0
+
+    async def serve(self) -> None:
+        """Answer the request by its deadline."""
+        left = self._request.deadline - self._clock()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                await self._serve()
+        except TimeoutError:
+            self._end_at_deadline()
+
+    async def _serve(self) -> None:
+        while True:
+            found = await self._dispatcher.assign(self._request)
+            if isinstance(found, NoAssignment):
+                self._give_up(found.reason, found.retry_after)
+                return
+            outcome = await self._attempt(found)
+            if outcome is None:
+                continue
+            if not self._goes_on(found, outcome):
+                return
+
+    async def _attempt(self, found: Assignment) -> AttemptOutcome | None:
+        """Send once; return ``None`` if nothing reached the server."""
+        request, record = self._request, found.record
+        if request.sends and not self._may_retry(request):
+            self._give_up(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
+            return AttemptOutcome.SERVED
+        record.begin(found.copy, request.tokens)
+        try:
+            try:
+                connection = await record.pool.acquire()
+            except ServerUnreachableError as error:
+                record.health.note_unreachable(self._clock())
+                request.excluded.add(record.id)
+                logger.info(
+                    "not sent: %s",
+                    error,
+                    extra=self._context(record.id),
+                )
+                return None
+            request.sends += 1
+            attempt = Attempt(
+                self._exchange,
+                self._codec,
+                record,
+                connection,
+                request.facts.request_id,
+                may_repeat=self._can_run_again(),
+                events=self._events,
+                now=self._clock(),
+            )
+            try:
+                connection.send(
+                    self._message(found),
+                    attempt,
+                    is_head_request=self._exchange.head.method == b"HEAD",
+                )
+                outcome = await attempt.outcome()
+            except BaseException:
+                record.pool.discard(connection)
+                raise
+            record.pool.release(connection)
+            self._last_status = attempt.status
+            return outcome
+        finally:
+            record.end(found.copy, request.tokens)
+
+    def _message(self, found: Assignment) -> bytes:
+        request, head = self._request, self._exchange.head
+        is_continuing = self._exchange.is_started
+        facts = ForwardFacts(
+            server=found.record.id,
+            seconds_left=request.deadline - self._clock(),
+            rank=request.route.rank,
+            adapter_version=found.copy.version
+            if found.copy is not None and found.copy.adapter
+            else 0,
+            after_event=self._events.last_id if is_continuing else None,
+            keeps_caller_event=request.route.is_resumable,
+        )
+        headers = self._codec.forward_headers(head, facts)
+        return request_bytes(head.method, head.target, headers, self._exchange.body)
+
+    def _goes_on(self, found: Assignment, outcome: AttemptOutcome) -> bool:
+        """Note an outcome; return whether the request is sent once more."""
+        now = self._clock()
+        health = found.record.health
+        if outcome is AttemptOutcome.SERVED:
+            if self._last_status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                health.note_failure(now)
+            elif self._last_status:
+                health.note_answer(now)
+                if found.copy is not None:
+                    found.record.note_present(found.copy)
+            return False
+        logger.info(
+            "attempt %s with status %d",
+            outcome.value,
+            self._last_status,
+            extra=self._context(found.record.id),
+        )
+        if outcome is AttemptOutcome.NOT_RUN:
+            return self._after_not_run(found, now)
+        self._request.ran_on.add(found.record.id)
+        self._request.excluded.add(found.record.id)
+        health.note_failure(now)
+        if outcome is AttemptOutcome.LOST:
+            health.note_unreachable(now)
+        if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
+            return True
+        if self._exchange.is_started:
+            self._exchange.cut()
+            return False
+        refuse(self._exchange, RefusalReason.SERVER_FAILED, None)
+        return False
+
+    def _after_not_run(self, found: Assignment, now: float) -> bool:
+        """Look for another server; wait for a copy that isn't ready yet."""
+        copy = found.copy
+        if copy is not None and copy.adapter:
+            found.record.note_missing(copy, now + _NOT_READY_SECONDS)
+        else:
+            self._request.excluded.add(found.record.id)
+        if self._request.sends >= _MOST_SENDS:
+            self._give_up(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
+            return False
+        return True
+
+    def _can_run_again(self) -> bool:
+        """Return whether the request may run on one more server."""
+        request = self._request
+        if not request.route.is_repeatable:
+            return False
+        if self._exchange.is_started and self._events.last_id is None:
+            return False
+        return len(request.ran_on) + 1 < request.route.max_servers
+
+    def _give_up(self, reason: RefusalReason, retry_after: float) -> None:
+        if self._exchange.is_started:
+            self._exchange.cut()
+        elif self._request.ran_on:
+            refuse(self._exchange, RefusalReason.SERVER_FAILED, None)
+        else:
+            refuse(self._exchange, reason, retry_after)
+        logger.info(
+            "request given up: %s", reason.value, extra=self._context(None, reason)
+        )
+
+    def _end_at_deadline(self) -> None:
+        request = self._request
+        if self._exchange.is_started:
+            self._exchange.cut()
+        elif request.sends:
+            refuse(self._exchange, RefusalReason.DEADLINE, None)
+        else:
+            refuse(self._exchange, RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
+        logger.info(
+            "request ended at its deadline after %d sends",
+            request.sends,
+            extra=self._context(None, RefusalReason.DEADLINE),
+        )
+
+    def _context(
+        self, server: str | None, reason: RefusalReason | None = None
+    ) -> dict[str, str | None]:
+        adapter = self._request.facts.adapter
+        return {
+            "request_id": self._request.facts.request_id,
+            "server": server,
+            "adapter": None if adapter is None else str(adapter),
+            "reason": None if reason is None else reason.value,
+        }
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -0,0 +1,243 @@
+"""Hold what this host knows of one backend server."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    ServiceConfiguration,
+)
+from gooseberrydeal._internal.models.routing.server_entry import (
+    ServerEntry,
+    ServerState,
+)
+from gooseberrydeal._internal.models.routing.usage_report import (
+    CopyUse,
+    CopyWant,
+    EngineUsage,
+)
+from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
+from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
+from gooseberrydeal._internal.policy.server_health import ServerHealth
+
+# Several of the owner's heartbeats; its word on an engine counts no longer than this.
+STATUS_SECONDS: Final = 1.5
+
+
+class _Use:
+    __slots__ = ("in_flight", "started")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.started = 0
+
+
+class ServerRecord:
+    """Join a server's entry, its owner's status and this host's own use of it."""
+
+    def __init__(
+        self, entry: ServerEntry, service: ServiceConfiguration, most_connections: int
+    ) -> None:
+        self._entry = entry
+        self._service = service
+        self._pool = ConnectionPool(entry.address, most_connections)
+        self._load = LoadEstimate()
+        self._health = ServerHealth()
+        self._status: EngineStatus | None = None
+        self._status_at = 0.0
+        self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
+        self._uses: dict[AdapterCopyKey, _Use] = {}
+        self._wants: dict[AdapterCopyKey, int] = {}
+        self._missing: dict[AdapterCopyKey, float] = {}
+        self._take_held(0.0)
+
+    @property
+    def entry(self) -> ServerEntry:
+        """Return the server's own entry."""
+        return self._entry
+
+    @property
+    def id(self) -> ServerId:
+        """Return the server's id."""
+        return self._entry.id
+
+    @property
+    def service(self) -> ServiceConfiguration:
+        """Return the configuration of its service."""
+        return self._service
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """Return the connections to it."""
+        return self._pool
+
+    @property
+    def load(self) -> LoadEstimate:
+        """Return the estimate of its load."""
+        return self._load
+
+    @property
+    def health(self) -> ServerHealth:
+        """Return the judgement of its behaviour."""
+        return self._health
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Return whether new requests may be sent."""
+        return self._entry.state is ServerState.READY
+
+    @property
+    def wants(self) -> Mapping[AdapterCopyKey, int]:
+        """Return the copies that waiting requests need here."""
+        return self._wants
+
+    def update(
+        self, entry: ServerEntry, service: ServiceConfiguration, now: float
+    ) -> None:
+        """Take a newer entry over."""
+        is_restart = entry.started_at != self._entry.started_at
+        if entry.address != self._entry.address:
+            self._pool.close()
+            self._pool = ConnectionPool(entry.address, service.max_connections)
+        elif is_restart:
+            self._pool.close()
+        self._entry = entry
+        self._service = service
+        if is_restart:
+            self._copies.clear()
+        if not self.has_fresh_status(now):
+            self._take_held(now)
+
+    def take_status(self, status: EngineStatus, now: float) -> bool:
+        """Take the owner's word; return whether it is newer than what is known."""
+        known = self._status
+        if known is not None:
+            if status.fencing_number < known.fencing_number:
+                return False
+            same = status.fencing_number == known.fencing_number
+            if same and status.sequence <= known.sequence:
+                return False
+        self._status = status
+        self._status_at = now
+        self._copies = {
+            copy.key: (copy.state, now + copy.ready_in) for copy in status.copies
+        }
+        self._load.report_others(
+            max(0, status.requests - self._load.own),
+            max(0, status.tokens - self._load.own_tokens),
+            now,
+        )
+        return True
+
+    def has_fresh_status(self, now: float) -> bool:
+        """Return whether the owner was heard of lately."""
+        return self._status is not None and now - self._status_at < STATUS_SECONDS
+
+    def can_load(self, now: float) -> bool:
+        """Return whether the owner is heard and may give orders."""
+        return (
+            self._status is not None
+            and self._status.can_load
+            and self.has_fresh_status(now)
+        )
+
+    def copy_state(self, key: AdapterCopyKey, now: float) -> CopyState | None:
+        """Return the state of a copy."""
+        found = self._copies.get(key)
+        if found is None:
+            return None
+        state, ready_at = found
+        if self._missing.get(key, 0.0) > now:
+            return CopyState.LOADING
+        if state is CopyState.LOADING and ready_at <= now:
+            return CopyState.READY
+        return state
+
+    def ready_in(self, key: AdapterCopyKey, now: float) -> float:
+        """Return the seconds until a loading copy is ready."""
+        found = self._copies.get(key)
+        ready_at = 0.0 if found is None else found[1]
+        return max(0.0, ready_at - now, self._missing.get(key, 0.0) - now)
+
+    def versions(self, model: str, adapter: str) -> list[AdapterCopyKey]:
+        """Return the held copies of an adapter."""
+        return [k for k in self._copies if k.adapter == adapter and k.model == model]
+
+    def holds_model(self, model: str) -> bool:
+        """Return whether the engine holds a base model."""
+        held = self._entry.held
+        return held is not None and any(name == model for name, _ in held.base_models)
+
+    def busy_slots(self, now: float) -> int:
+        """Return how many adapter slots can't be given to another adapter now."""
+        count = 0
+        for key, (state, ready_at) in self._copies.items():
+            use = self._uses.get(key)
+            if state is not CopyState.READY and ready_at > now:
+                count += 1
+            elif use is not None and use.in_flight:
+                count += 1
+        return count
+
+    def begin(self, key: AdapterCopyKey | None, tokens: int) -> None:
+        """Count a request that is sent."""
+        self._load.begin(tokens)
+        if key is not None and key.adapter:
+            use = self._uses.setdefault(key, _Use())
+            use.in_flight += 1
+            use.started += 1
+
+    def end(self, key: AdapterCopyKey | None, tokens: int) -> None:
+        """Count a request that has ended."""
+        self._load.end(tokens)
+        if key is not None and key in self._uses:
+            self._uses[key].in_flight -= 1
+
+    def want(self, key: AdapterCopyKey) -> bool:
+        """Ask for a copy; return whether nobody on this host had asked before."""
+        count = self._wants.get(key, 0)
+        self._wants[key] = count + 1
+        return count == 0
+
+    def unwant(self, key: AdapterCopyKey) -> None:
+        """Take back one :meth:`want`."""
+        count = self._wants.get(key, 0) - 1
+        if count > 0:
+            self._wants[key] = count
+        else:
+            self._wants.pop(key, None)
+
+    def note_missing(self, key: AdapterCopyKey, until: float) -> None:
+        """Note that the engine denied having a copy; it is awaited until then."""
+        self._missing[key] = until
+
+    def note_present(self, key: AdapterCopyKey) -> None:
+        """Note that the engine ran a request on a copy."""
+        self._missing.pop(key, None)
+
+    def usage(self, now: float) -> EngineUsage:
+        """Return what the owner should know of this host's use."""
+        for key in [k for k, use in self._uses.items() if not use.in_flight]:
+            if key not in self._copies:
+                del self._uses[key]
+        for key in [k for k, until in self._missing.items() if until < now - 1.0]:
+            del self._missing[key]
+        uses = tuple(
+            CopyUse(key, use.in_flight, use.started)
+            for key, use in self._uses.items()
+        )
+        wants = tuple(
+            CopyWant(key, count, key in self._missing)
+            for key, count in self._wants.items()
+        )
+        load = self._load
+        return EngineUsage(self.id, load.own, load.own_tokens, uses, wants)
+
+    def _take_held(self, now: float) -> None:
+        """Use the server's own list while no owner is heard."""
+        held = self._entry.held
+        if held is not None:
+            self._copies = {key: (CopyState.READY, now) for key in held.adapters}
--- /dev/null
+++ b/src/gooseberrydeal/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate the platform's names, formats and calls; decide nothing."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -0,0 +1,129 @@
+"""Translate the operators' configuration."""
+
+import json
+import logging
+from typing import Any, Final
+
+from gooseberrydeal._internal.exceptions import DeclarationError
+from gooseberrydeal._internal.models.ids import ServiceName
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
+from gooseberrydeal._internal.models.routing.route import (
+    RequestKind,
+    Route,
+    WeightedService,
+)
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    BaseModel,
+    CallerLimits,
+    EngineSize,
+    RoutingConfiguration,
+    ServiceConfiguration,
+)
+
+logger = logging.getLogger(__name__)
+
+_KINDS: Final = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.ONCE,
+    "streaming": RequestKind.STREAMING,
+}
+
+
+def decode_configuration(value: bytes) -> RoutingConfiguration:
+    """Return a configuration, or raise :class:`DeclarationError`.
+
+    A route or service that can't be read costs only itself.
+    """
+    try:
+        data = json.loads(value)
+        version = int(data["version"])
+        routes = _each(data.get("routes", ()), _route, "route")
+        services = _each(data.get("services", ()), _service, "service")
+        limits = _limits(data.get("limits") or {})
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise DeclarationError([f"the configuration is unreadable: {error}"]) from error
+    return RoutingConfiguration(
+        version, tuple(routes), {item.name: item for item in services}, limits
+    )
+
+
+def decode_adapter_version(value: bytes) -> tuple[AdapterKey, int]:
+    """Return an adapter and its newest version; raise :class:`DeclarationError`."""
+    try:
+        data = json.loads(value)
+        adapter = data.get("adapter") or ""
+        return AdapterKey(str(data["model"]), str(adapter)), int(data["version"])
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise DeclarationError([f"the version is unreadable: {error}"]) from error
+
+
+def _each(items: Any, decode: Any, what: str) -> list[Any]:
+    found = []
+    for item in items:
+        try:
+            found.append(decode(item))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            logger.warning("a %s of the configuration is unreadable: %r", what, error)
+    return found
+
+
+def _route(data: Any) -> Route:
+    weighted = [
+        WeightedService(ServiceName(item["service"]), float(item["weight"]))
+        for item in data.get("weightedServices") or ()
+    ]
+    if not weighted:
+        weighted = [WeightedService(ServiceName(data["service"]), 1.0)]
+    return Route(
+        name=str(data["name"]),
+        host=str(data["host"]).lower(),
+        path_prefix=str(data["pathPrefix"]),
+        kind=_KINDS[data["kind"]],
+        timeout=float(data["timeoutMs"]) / 1000,
+        target_latency=float(data["targetLatencyMs"]) / 1000,
+        services=tuple(weighted),
+        # Counts the servers that may run one request, not the sends.
+        max_servers=int(data.get("maxAttempts") or 1),
+        rank=int(data.get("priority") or 0),
+        is_resumable=bool(data.get("resumable")),
+    )
+
+
+def _service(data: Any) -> ServiceConfiguration:
+    engine = data.get("engine")
+    return ServiceConfiguration(
+        name=ServiceName(data["name"]),
+        health_path=str(data.get("healthPath") or "/"),
+        max_connections=int(data.get("maxConnections") or 100),
+        engine=None if not engine else _engine(engine),
+    )
+
+
+def _engine(data: Any) -> EngineSize:
+    models = {
+        str(item["name"]): BaseModel(
+            str(item["name"]),
+            float(item["weightsMb"]),
+            float(item.get("adapterMb") or 0.0),
+            float(item.get("loadS") or 0.0),
+        )
+        for item in data.get("models") or ()
+    }
+    return EngineSize(
+        models=models,
+        weight_megabytes=float(data.get("weightsMb") or 0.0),
+        adapter_slots=int(data.get("adapterSlots") or 0),
+        token_capacity=int(data.get("kvCapacity") or 0),
+        batch_size=int(data.get("slots") or 1),
+        loads_per_second=float(data.get("loadsPerS") or 0.0),
+    )
+
+
+def _limits(data: Any) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(data.get("maxHeaderBytes") or usual.header_bytes),
+        body_bytes=int(data.get("maxBodyBytes") or usual.body_bytes),
+        header_timeout=float(data.get("headerTimeoutMs") or 3000) / 1000,
+        idle_timeout=float(data.get("idleTimeoutMs") or 15000) / 1000,
+    )
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/load_estimate.py
@@ -0,0 +1,71 @@
+"""Estimate a server's load from old reports and own sends."""
+
+from typing import Final
+
+# The others' load drifts away from a report as their requests end.
+_DRIFT_SECONDS: Final = 1.0
+
+
+class LoadEstimate:
+    """Join the newest report with what this host has sent and finished itself.
+
+    A report counts the requests of all hosts at its time. What this host had in flight
+    then is taken off, and what it has in flight now is added.
+    """
+
+    def __init__(self) -> None:
+        self._own = 0
+        self._own_tokens = 0
+        self._others = 0.0
+        self._others_tokens = 0.0
+        self._reported_at = 0.0
+        self._pace = 1.0
+
+    @property
+    def own(self) -> int:
+        """Return how many requests this host has in flight."""
+        return self._own
+
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens of the requests that this host has in flight."""
+        return self._own_tokens
+
+    @property
+    def pace(self) -> float:
+        """Return how long work takes, 1.0 as usual."""
+        return self._pace
+
+    def begin(self, tokens: int) -> None:
+        """Count a request that is sent."""
+        self._own += 1
+        self._own_tokens += tokens
+
+    def end(self, tokens: int) -> None:
+        """Count a request that has ended."""
+        self._own -= 1
+        self._own_tokens -= tokens
+
+    def report(self, total: int, pace: float, now: float) -> None:
+        """Take the server's own count of running and waiting requests."""
+        self._others = max(0.0, float(total - self._own))
+        self._reported_at = now
+        self._pace = pace
+
+    def report_others(self, requests: int, tokens: int, now: float) -> None:
+        """Take the count of the other hosts' requests."""
+        self._others = float(requests)
+        self._others_tokens = float(tokens)
+        self._reported_at = now
+
+    def requests(self, now: float) -> float:
+        """Return the estimated requests at the server, running and waiting."""
+        return self._own + self._others * self._trust(now)
+
+    def tokens(self, now: float) -> float:
+        """Return the estimated tokens in the server's memory."""
+        return self._own_tokens + self._others_tokens * self._trust(now)
+
+    def _trust(self, now: float) -> float:
+        age = max(0.0, now - self._reported_at)
+        return float(0.5 ** (age / _DRIFT_SECONDS))
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -0,0 +1,60 @@
+"""Judge a backend server by how it behaves, not by its health answers."""
+
+from typing import Final
+
+# A server that could not be reached is tried again after this long, then doubling.
+_FIRST_PAUSE_SECONDS: Final = 0.4
+_MOST_PAUSE_SECONDS: Final = 3.0
+# Weight of the newest outcome in the moving rate of failures.
+_NEWEST_WEIGHT: Final = 0.12
+# One service's usual errors may reach a seventh of its answers; above this rate of
+# failures a server counts as faulty.
+_FAULTY_RATE: Final = 0.3
+# The rate of a server that is no longer used halves in this time, so that it is tried.
+_FORGET_SECONDS: Final = 3.0
+
+
+class ServerHealth:
+    """Track lost connections and failed answers of one server."""
+
+    def __init__(self) -> None:
+        self._pause = 0.0
+        self._avoided_until = 0.0
+        self._failure_rate = 0.0
+        self._noted_at = 0.0
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the server should rest unless no other is left."""
+        return now < self._avoided_until
+
+    def failure_rate(self, now: float) -> float:
+        """Return the recent share of failed answers, between 0 and 1."""
+        age = max(0.0, now - self._noted_at)
+        return float(self._failure_rate * 0.5 ** (age / _FORGET_SECONDS))
+
+    def is_faulty(self, now: float) -> bool:
+        """Return whether many of the recent answers failed."""
+        return self.failure_rate(now) > _FAULTY_RATE
+
+    def note_answer(self, now: float) -> None:
+        """Note a whole answer."""
+        self._pause = 0.0
+        self._avoided_until = 0.0
+        self._note(now, 0.0)
+
+    def note_failure(self, now: float) -> None:
+        """Note a failed or broken answer."""
+        self._note(now, 1.0)
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that no connection could be made, or that it went silent."""
+        if now < self._avoided_until:
+            return
+        doubled = self._pause * 2 or _FIRST_PAUSE_SECONDS
+        self._pause = min(_MOST_PAUSE_SECONDS, doubled)
+        self._avoided_until = now + self._pause
+
+    def _note(self, now: float, failed: float) -> None:
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + _NEWEST_WEIGHT * (failed - rate)
+        self._noted_at = now
--- a/src/gooseberrydeal/_internal/utils/clock.py
+++ b/src/gooseberrydeal/_internal/utils/clock.py
@@ -26,3 +26,7 @@
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
         return time.time()
+
+    def elapsed(self) -> float:
+        """Return seconds that never go back and count a suspended machine's time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
