Keep connections to servers open after whole responses

Cause: the parser tells whether a connection may be kept only until its callback for the end of a message returns; asked afterwards it always said no, so that each request opened a connection.

Ruled out: the servers' idle timeout, which is 10 s in all 3,259 responses seen.

--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -43,6 +43,7 @@
         self._is_complete = False
         self._is_framed = False
         self._has_extra = False
+        self._may_keep_open = False
         self._saw_end_of_input = False
         self._body: list[bytes] = []
         self._idle_seconds = _DEFAULT_IDLE_SECONDS
@@ -61,8 +62,10 @@
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent now."""
-        return self.is_open and self._sink is None and self._loop.time() < (
-            self._idle_until
+        return (
+            self.is_open
+            and self._sink is None
+            and self._loop.time() < (self._idle_until)
         )
 
     def send(self, data: bytes, sink: ResponseSink, *, is_head_request: bool) -> None:
@@ -179,6 +182,10 @@
         """Note the end of the response, but not that of an interim one."""
         if self._status >= HTTPStatus.OK:
             self._is_complete = True
+            # The parser knows this only until the callback returns.
+            self._may_keep_open = self._parser is not None and (
+                self._parser.should_keep_alive()
+            )
         else:
             self._reset_message()
 
@@ -190,6 +197,7 @@
         self._is_complete = False
         self._is_framed = False
         self._has_extra = False
+        self._may_keep_open = False
         self._body.clear()
 
     def _flush(self) -> None:
@@ -200,10 +208,8 @@
 
     def _complete(self) -> None:
         """Finish a whole response and keep the connection if nothing else came."""
-        parser = self._parser
         keep = (
-            parser is not None
-            and parser.should_keep_alive()
+            self._may_keep_open
             and self._is_framed
             and not self._is_head_request
             and not self._has_extra
