Bind an owner's orders to the lease of its claim

The host that had lost the store found its lease ended, took a new one, and its owners, whose claims had gone with the old lease, believed in it until the next change was read. The successor, in its first start, gave orders without any pause, as if no one could have owned the engine.

Change: a claim names its lease; orders need that very lease. The pause after a predecessor is left out only for servers that cannot have had one: all changes since they appeared are known. Engines that join later now get orders at once too.

--- a/src/gooseberrydeal/_internal/models/routing/owner_claim.py
+++ b/src/gooseberrydeal/_internal/models/routing/owner_claim.py
@@ -3,26 +3,29 @@
 import json
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import HostId
+from gooseberrydeal._internal.models.ids import HostId, LeaseId
 
 
 @dataclass(frozen=True, slots=True)
 class OwnerClaim:
-    """Name the owner of an engine; the store's revision orders the owners."""
+    """Name the owner of an engine and the lease that its claim is bound to.
+
+    The store's revision of the record orders the owners.
+    """
 
     owner: HostId
-    incarnation: int
+    lease: LeaseId
     revision: int = 0
 
     def encode(self) -> bytes:
         """Return the record's bytes."""
-        return json.dumps([self.owner, self.incarnation]).encode()
+        return json.dumps([self.owner, self.lease]).encode()
 
     @classmethod
     def decode(cls, data: bytes, revision: int) -> "OwnerClaim":
         """Return the record, or raise ``ValueError``."""
         try:
-            owner, incarnation = json.loads(data)
-            return cls(HostId(str(owner)), int(incarnation), revision)
+            owner, lease = json.loads(data)
+            return cls(HostId(str(owner)), LeaseId(str(lease)), revision)
         except (TypeError, ValueError) as error:
             raise ValueError("the owner record is unreadable") from error
--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -54,8 +54,6 @@
         turn_seconds: float,
         publish: Callable[[EngineStatus], None],
         clock: Callable[[], float],
-        *,
-        is_first_start: bool,
     ) -> None:
         self._membership = membership
         self._store = store
@@ -66,7 +64,6 @@
         self._turn_seconds = turn_seconds
         self._publish = publish
         self._clock = clock
-        self._is_first_start = is_first_start
         self._owners: dict[ServerId, EngineOwner] = {}
         self._running: dict[ServerId, asyncio.Task[None]] = {}
         self._order_after: dict[ServerId, float] = {}
@@ -130,10 +127,11 @@
             hosts = self._view.hosts.values()
             wanted = preferred_owner(record.id, record.entry.domain, hosts)
             if wanted == self._membership.host:
-                pause = 0.0 if self._is_first_start else self._takeover_seconds()
+                is_new = record.id in self._view.never_owned
+                pause = 0.0 if is_new else self._takeover_seconds()
                 await self._take(record, 0, pause)
         elif claim.owner == self._membership.host:
-            if claim.incarnation == self._membership.incarnation:
+            if self._is_own(claim):
                 self._begin(record, claim, self._order_after.get(record.id, 0.0))
             else:
                 await self._take(record, claim.revision, 0.0)
@@ -142,21 +140,24 @@
         return BELIEF_SECONDS + self._turn_seconds + _MARGIN_SECONDS
 
     async def _take(self, record: ServerRecord, revision: int, pause: float) -> None:
-        own = OwnerClaim(self._membership.host, self._membership.incarnation)
+        lease = self._lease.lease
+        if lease is None:
+            return
+        own = OwnerClaim(self._membership.host, lease)
         self._order_after[record.id] = self._clock() + pause
         try:
             taken = await self._store.put(
                 OWNER_PREFIX + record.id,
                 own.encode(),
                 if_revision=revision,
-                lease=self._lease.lease,
+                lease=lease,
             )
         except LeaseLostError:
             logger.info("an engine was not taken: the lease has ended")
             return
         if taken is None:
             return
-        claim = OwnerClaim(own.owner, own.incarnation, taken)
+        claim = OwnerClaim(own.owner, own.lease, taken)
         self._view.owners[record.id] = claim
         logger.info(
             "engine taken; orders begin in %.1f s",
@@ -172,7 +173,11 @@
             self._view,
             self._membership.host,
             FencingNumber(claim.revision),
-            lambda: self._lease.is_valid and self._clock() >= after,
+            lambda: (
+                self._lease.is_valid
+                and self._lease.lease == claim.lease
+                and self._clock() >= after
+            ),
             lambda: self._servers.fetching,
             self._publish,
             self._load_times.setdefault(record.id, LoadTime()),
@@ -189,5 +194,6 @@
         self._running.pop(server).cancel()
 
     def _is_own(self, claim: OwnerClaim) -> bool:
-        own = self._membership
-        return claim.owner == own.host and claim.incarnation == own.incarnation
+        """Return whether a claim is ours and its lease the one that we hold."""
+        is_ours = claim.owner == self._membership.host
+        return is_ours and claim.lease == self._lease.lease
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -74,6 +74,8 @@
         servers: ServerTable,
         clock: Callable[[], float],
         on_change: Callable[[], None],
+        *,
+        is_first_start: bool,
     ) -> None:
         self._store = store
         self._names = names
@@ -84,6 +86,8 @@
         self._revision = 0
         self._absent: dict[ServerId, float] = {}
         self._had_outage = False
+        self._is_first_start = is_first_start
+        self._appeared: set[ServerId] = set()
         self._returned_until = 0.0
 
     async def run(self) -> None:
@@ -113,8 +117,13 @@
         page = await self._store.list("")
         self._heard()
         present = {item.key for item in page.items}
+        is_first = self._is_first_start and not self._view.is_complete
         for item in page.items:
             self._take(item)
+        self._view.never_owned.clear()
+        if is_first:
+            unowned = {record.id for record in self._servers.records}
+            self._view.never_owned |= unowned - self._view.owners.keys()
         self._drop_absent(present)
         self._revision = page.revision
         self._view.is_complete = True
@@ -193,6 +202,7 @@
         self._servers.set_host_count(len(self._view.hosts))
 
     def _take_owner(self, server: ServerId, item: StoreItem) -> None:
+        self._view.never_owned.discard(server)
         if item.value is None:
             self._view.owners.pop(server, None)
         else:
@@ -204,6 +214,10 @@
             self._remove_server(server)
             return
         self._absent.pop(server, None)
+        is_new = server not in self._appeared and item.created == item.revision
+        if is_new and server not in self._view.owners:
+            self._view.never_owned.add(server)
+        self._appeared.add(server)
         self._servers.put(self._names.server(server, item.value))
 
     def _remove_server(self, server: ServerId) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -25,12 +25,17 @@
 
 @dataclass(slots=True)
 class MetadataView:
-    """Join configuration, versions, members and owners as last read."""
+    """Join configuration, versions, members and owners as last read.
+
+    ``never_owned`` lists the servers that no host can have owned: all changes since
+    they appeared are known, and none was a claim.
+    """
 
     configuration: RoutingConfiguration | None = None
     versions: dict[AdapterKey, AdapterVersion] = field(default_factory=dict)
     hosts: dict[HostId, HostMembership] = field(default_factory=dict)
     owners: dict[ServerId, OwnerClaim] = field(default_factory=dict)
+    never_owned: set[ServerId] = field(default_factory=set)
     is_complete: bool = False
     heard_at: float = 0.0
 
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -77,11 +77,16 @@
             settings.bounds.lease,
             self._exchange.publish,
             now,
-            is_first_start=settings.is_first_start,
         )
         self._exchange.serve(self._ownership)
         self._follower = MetadataFollower(
-            store, names, self._view, self._servers, now, self._metadata_changed
+            store,
+            names,
+            self._view,
+            self._servers,
+            now,
+            self._metadata_changed,
+            is_first_start=settings.is_first_start,
         )
         dispatcher = Dispatcher(
             self._servers,
--- /dev/null
+++ b/tests/lib/owner_world.py
@@ -0,0 +1,140 @@
+"""Run the owners of engines on several hosts over one store in memory."""
+
+import asyncio
+from collections.abc import Callable
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    RoutingConfiguration,
+)
+from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
+from gooseberrydeal._internal.models.routing.store_item import StoreItem
+from gooseberrydeal._internal.models.routing.usage_report import (
+    CopyUse,
+    CopyWant,
+    EngineUsage,
+)
+from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
+from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
+from gooseberrydeal._internal.operations.router.metadata_follower import (
+    MetadataFollower,
+)
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+from tests.lib.fake_engine_orders import FakeAdapterEngine, FakeEngineOrders
+from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
+from tests.lib.routing_builders import MODEL, configuration, membership, server_entry
+
+SERVER = ServerId("i-1")
+TURN_SECONDS = 3.0
+
+
+class FakeNames:
+    """Know two keys: the configuration, and one engine's entry."""
+
+    def __init__(self, engine: FakeAdapterEngine) -> None:
+        self._engine = engine
+
+    def configuration(self, item: StoreItem) -> RoutingConfiguration | None:
+        if item.key != "configuration":
+            return None
+        return configuration(slots=self._engine.slots)
+
+    def adapter_version(self, item: StoreItem) -> None:
+        return None
+
+    def server_id(self, key: str) -> ServerId | None:
+        return ServerId(key[8:]) if key.startswith("servers/") else None
+
+    def server(self, server: ServerId, value: bytes) -> ServerEntry:
+        return server_entry(server, started_at=int(value), held=None)
+
+
+class OwnerHost:
+    """Run the store's follower, the lease and the owners of one host."""
+
+    def __init__(
+        self,
+        name: str,
+        data: StoreData,
+        engine: FakeAdapterEngine,
+        *,
+        is_first_start: bool = True,
+        number: int = 1,
+    ) -> None:
+        clock: Callable[[], float] = asyncio.get_running_loop().time
+        member = membership(name, number=number)
+        self.store = FakeMetadataStore(data)
+        self.orders = FakeEngineOrders(engine, clock)
+        self.view = MetadataView()
+        self.servers = ServerTable(clock)
+        self.statuses: list[EngineStatus] = []
+        self.lease = LeaseKeeper(self.store, member, clock, lambda: None)
+        self.ownership = EngineOwnership(
+            member,
+            self.store,
+            self.orders,
+            self.view,
+            self.servers,
+            self.lease,
+            TURN_SECONDS,
+            self.statuses.append,
+            clock,
+        )
+        self.follower = MetadataFollower(
+            self.store,
+            FakeNames(engine),
+            self.view,
+            self.servers,
+            clock,
+            self.ownership.changed,
+            is_first_start=is_first_start,
+        )
+        self._tasks = TaskOwner()
+
+    def start(self) -> "OwnerHost":
+        self._tasks.start(self.follower.run(), "follower")
+        self._tasks.start(self.lease.run(), "lease")
+        self._tasks.start(self.ownership.run(), "ownership")
+        return self
+
+    async def kill(self) -> None:
+        await self.ownership.stop()
+        await self._tasks.stop()
+
+    @property
+    def owns(self) -> bool:
+        return SERVER in self.ownership.owners
+
+    def want(
+        self, wants: list[AdapterCopyKey], uses: dict[AdapterCopyKey, int] | None = None
+    ) -> None:
+        """Hand a usage report to the owner if it is here."""
+        owner = self.ownership.owners.get(SERVER)
+        if owner is None:
+            return
+        usage = EngineUsage(
+            SERVER,
+            0,
+            0,
+            0,
+            tuple(CopyUse(key, count, count) for key, count in (uses or {}).items()),
+            tuple(CopyWant(key, 1) for key in wants),
+        )
+        owner.take_usage(membership("asker").host, usage)
+
+
+def new_data() -> StoreData:
+    """Return a store with a configuration and one engine's entry."""
+    data = StoreData()
+    data.write("configuration", b"1", None)
+    data.write(f"servers/{SERVER}", b"1", None)
+    return data
+
+
+def new_engine(slots: int = 4) -> FakeAdapterEngine:
+    """Return an engine that holds its base model."""
+    return FakeAdapterEngine(slots, base_models={MODEL})
--- /dev/null
+++ b/tests/unit/test_routing_policies.py
@@ -0,0 +1,307 @@
+"""Check the decisions of direct routing one by one."""
+
+import random
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
+from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
+from gooseberrydeal._internal.policy.engine_assignment import preferred_owner
+from gooseberrydeal._internal.policy.engine_choice import EngineVerdict, choose_engine
+from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
+from gooseberrydeal._internal.policy.load_time import LoadTime
+from gooseberrydeal._internal.policy.plain_server_choice import (
+    PlainCandidate,
+    choose_plain_server,
+)
+from gooseberrydeal._internal.policy.retry_window import RetryWindow
+from gooseberrydeal._internal.policy.route_table import RouteTable
+from gooseberrydeal._internal.policy.server_health import ServerHealth
+from tests.lib.routing_builders import (
+    adapter_key,
+    candidate,
+    copy_key,
+    membership,
+    route,
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/", "short"),
+        ("/a/x", "short"),
+        ("/a/b/", "long"),
+        ("/a/b/c/d", "long"),
+        ("/a/bc", "short"),
+        ("/ab/", None),
+        ("/a", None),
+        ("", None),
+    ],
+)
+def test_longest_prefix_wins(path: str, name: str | None) -> None:
+    table = RouteTable(
+        [
+            route(name="short", path_prefix="/a/"),
+            route(name="long", path_prefix="/a/b/"),
+        ]
+    )
+    found = table.find("example", path)
+    assert (found.name if found else None) == name
+    assert table.find("other", path) is None
+
+
+@given(
+    prefixes=st.sets(st.sampled_from(["/", "/a/", "/a/b/", "/b/", "/a/b/c/"])),
+    path=st.text(alphabet="/abc", max_size=9).map(lambda text: "/" + text),
+)
+def test_route_table_agrees_with_a_plain_search(prefixes: set[str], path: str) -> None:
+    table = RouteTable(route(name=p, path_prefix=p) for p in prefixes)
+    fitting = [p for p in prefixes if path.startswith(p)]
+    expected = max(fitting, key=len, default=None)
+    found = table.find("example", path)
+    assert (found.name if found else None) == expected
+
+
+@given(
+    events=st.lists(st.tuples(st.booleans(), st.floats(0, 3)), max_size=200),
+    hosts=st.integers(1, 9),
+)
+def test_retries_stay_within_the_share_of_any_window(
+    events: list[tuple[bool, float]], hosts: int
+) -> None:
+    window = RetryWindow(0.2, 50.0, 10.0)
+    now = 0.0
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for is_first, pause in events:
+        now += pause
+        if is_first:
+            window.note_first(now)
+            firsts.append(now)
+        elif window.take(now, hosts):
+            repeats.append(now)
+        counted = sum(at > now - 10.5 - 0.5 for at in firsts)
+        used = sum(at > now - 10.0 for at in repeats)
+        assert used <= 0.2 * counted + 50.0 / hosts
+
+
+def test_unreachable_server_rests_for_longer_each_time() -> None:
+    health = ServerHealth()
+    health.note_unreachable(0.0)
+    assert health.is_avoided(0.3)
+    assert not health.is_avoided(0.41)
+    health.note_unreachable(0.5)
+    assert health.is_avoided(1.2)
+    health.note_answer(1.25)
+    assert not health.is_avoided(1.26)
+
+
+def test_failure_rate_is_forgotten_without_use() -> None:
+    health = ServerHealth()
+    for step in range(20):
+        health.note_failure(step / 10)
+    assert health.is_faulty(2.0)
+    assert not health.is_faulty(12.0)
+
+
+def test_own_requests_are_counted_once_in_an_estimate() -> None:
+    load = LoadEstimate()
+    for _ in range(3):
+        load.begin(100, 80)
+    load.report(5, 1.0, 10.0)
+    assert load.requests(10.0) == pytest.approx(5.0)
+    load.end(100)
+    assert load.requests(10.0) == pytest.approx(4.0)
+
+
+def test_unread_tokens_of_others_are_read_meanwhile() -> None:
+    load = LoadEstimate()
+    load.report_others(2, 0, 1000, 5.0)
+    load.begin(100, 80)
+    assert load.unread_tokens(5.05, 10_000.0) == pytest.approx(580.0)
+    assert load.unread_tokens(6.0, 10_000.0) == pytest.approx(80.0)
+    load.note_read(80)
+    assert load.unread_tokens(6.0, 10_000.0) == 0.0
+
+
+def test_holder_with_the_shortest_queue_is_taken() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=4000.0),
+        candidate("i-2", copy=CopyState.READY, unread_tokens=500.0),
+        candidate("i-3"),
+    ]
+    found = choose_engine(copy_key(), 700, engines)
+    assert (found.verdict, found.server) == (EngineVerdict.SEND, "i-2")
+
+
+def test_a_long_queue_is_worth_a_further_copy() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=20_000.0),
+        candidate("i-2"),
+    ]
+    found = choose_engine(copy_key(), 700, engines)
+    assert (found.verdict, found.server) == (EngineVerdict.LOAD, "i-2")
+
+
+def test_a_short_queue_is_not_worth_a_fetch() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=7_000.0),
+        candidate("i-2"),
+    ]
+    assert choose_engine(copy_key(), 700, engines).server == "i-1"
+
+
+def test_hosts_agree_where_an_adapter_is_loaded_first() -> None:
+    engines = [candidate(f"i-{number}") for number in range(9)]
+    shuffled = random.Random(1).sample(engines, len(engines))
+    first = choose_engine(copy_key("a77"), 700, engines)
+    assert first.verdict is EngineVerdict.LOAD
+    assert choose_engine(copy_key("a77"), 700, shuffled).server == first.server
+
+
+def test_engine_that_still_has_the_weights_is_loaded_again() -> None:
+    engines = [candidate(f"i-{number}", is_warm=number == 4) for number in range(9)]
+    for adapter in range(20):
+        assert choose_engine(copy_key(f"a{adapter}"), 700, engines).server == "i-4"
+
+
+@pytest.mark.parametrize(
+    "full",
+    [{"requests": 127.0}, {"tokens": 140_000.0, "requests": 5.0}, {"has_model": False}],
+)
+def test_full_engines_get_nothing(full: dict[str, float]) -> None:
+    engines = [candidate("i-1", copy=CopyState.READY, **full)]
+    assert choose_engine(copy_key(), 700, engines).verdict is EngineVerdict.WAIT
+
+
+def test_without_engines_nothing_is_awaited() -> None:
+    assert choose_engine(copy_key(), 700, []).verdict is EngineVerdict.NO_ENGINE
+
+
+def test_a_burst_is_spread_over_the_engines_that_hold_its_adapters() -> None:
+    """Play a second's burst on few adapters and look at the longest queue."""
+    rng = random.Random(7)
+    unread = {f"i-{n}": 0.0 for n in range(9)}
+    holders = {f"a{k}": rng.sample(sorted(unread), 3) for k in range(12)}
+    for _ in range(180):
+        adapter = f"a{min(11, int(rng.expovariate(0.5)))}"
+        engines = [
+            candidate(
+                server,
+                unread_tokens=tokens,
+                copy=CopyState.READY if server in holders[adapter] else None,
+            )
+            for server, tokens in unread.items()
+        ]
+        found = choose_engine(copy_key(adapter), 700, engines)
+        assert found.server is not None
+        if found.verdict is EngineVerdict.LOAD:
+            holders[adapter].append(found.server)
+        unread[found.server] += 650
+    mean = sum(unread.values()) / len(unread)
+    assert max(unread.values()) < 2 * mean
+
+
+def test_plain_server_with_free_slots_is_taken() -> None:
+    full = PlainCandidate(ServerId("i-1"), 6.0, 6, 1.0, True)
+    free = PlainCandidate(ServerId("i-2"), 1.0, 6, 1.0, False)
+    chosen = choose_plain_server([full, free], random.Random(1))
+    assert chosen is free
+    assert choose_plain_server([], random.Random(1)) is None
+
+
+def test_copies_in_use_never_make_way() -> None:
+    slots = AdapterSlots(2)
+    keys = [copy_key("a1"), copy_key("a2")]
+    slots.reset(keys, [], 0.0)
+    assert slots.victim({keys[0]: 1}, set(), {}, 5.0) == keys[1]
+    assert slots.victim({keys[0]: 1, keys[1]: 2}, set(), {}, 5.0) is None
+    assert slots.victim({}, set(keys), {}, 5.0) is None
+
+
+def test_least_recent_demand_and_old_versions_make_way_first() -> None:
+    slots = AdapterSlots(3)
+    old, rare, busy = copy_key("a1"), copy_key("a2"), copy_key("a3")
+    slots.reset([old, rare, busy], [], 0.0)
+    slots.copies[old].note_use(100, 1.0)
+    slots.copies[busy].note_use(10, 1.0)
+    assert slots.victim({}, set(), {}, 5.0) == rare
+    assert slots.victim({}, set(), {adapter_key("a1"): 2}, 5.0) == old
+
+
+def test_demand_of_the_past_fades() -> None:
+    slots = AdapterSlots(2)
+    past, now = copy_key("a1"), copy_key("a2")
+    slots.reset([past, now], [], 0.0)
+    slots.copies[past].note_use(20, 0.0)
+    slots.copies[now].note_use(3, 40.0)
+    assert slots.victim({}, set(), {}, 41.0) == past
+
+
+def test_a_load_takes_the_slot_of_an_older_version() -> None:
+    slots = AdapterSlots(1)
+    slots.reset([copy_key("a1", 1)], [], 0.0)
+    assert slots.older_version(copy_key("a1", 2)) == copy_key("a1", 1)
+    slots.begin_load(copy_key("a1", 2), 1.0, 0.5)
+    assert list(slots.copies) == [copy_key("a1", 2)]
+    assert (slots.loading(0.9), slots.loading(1.0)) == (1, 0)
+
+
+def test_load_time_settles_just_above_the_real_one() -> None:
+    times = LoadTime()
+    early = 0
+    for number in range(300):
+        if times.expect(copy_key(f"a{number}"), 0) >= 0.25:
+            times.note_ready()
+        else:
+            times.note_early()
+            early += 1
+    assert 0.23 < times.fetch_seconds < 0.29
+    assert early < 300 / 15
+
+
+def test_weights_that_were_held_load_faster() -> None:
+    times = LoadTime()
+    cold = times.expect(copy_key(), 0)
+    times.note_held(copy_key())
+    assert times.expect(copy_key(), 0) < cold / 4
+    times.note_restart()
+    assert times.expect(copy_key(), 0) == cold
+
+
+def test_many_fetches_at_once_are_slower() -> None:
+    times = LoadTime()
+    assert times.expect(copy_key(), 47) > 1.8 * times.expect(copy_key(), 3)
+
+
+def test_owners_are_of_the_engines_own_domain() -> None:
+    hosts = [membership("h1", "d1"), membership("h2", "d2"), membership("h3", "d2")]
+    for number in range(10):
+        server = ServerId(f"i-{number}")
+        assert preferred_owner(server, hosts[1].domain, hosts) in ("h2", "h3")
+    assert preferred_owner(ServerId("i-1"), hosts[1].domain, hosts[:1]) == "h1"
+    assert preferred_owner(ServerId("i-1"), hosts[1].domain, []) is None
+
+
+@given(
+    events=st.lists(st.sampled_from([b"id: 1\ndata: x\n\n", b"data: y\r\n\r\n"])),
+    cuts=st.lists(st.integers(0, 60)),
+    rest=st.sampled_from([b"", b"id: 9\nda"]),
+)
+def test_events_pass_whole_and_in_order(
+    events: list[bytes], cuts: list[int], rest: bytes
+) -> None:
+    data = b"".join(events) + rest
+    points = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+    splitter = EventSplitter()
+    pieces = [splitter.feed(data[begin:end]) for begin, end in pairwise(points)]
+    assert b"".join(pieces) == b"".join(events)
+    assert splitter.rest() == rest
+    has_id = any(event.startswith(b"id") for event in events)
+    assert splitter.last_id == ("1" if has_id else None)
