--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -21,7 +21,8 @@
     """Describe an engine; a newer status of a higher fencing number goes first.
 
     ``requests`` and ``tokens`` count what all hosts have in flight there, and
-    ``unread_tokens`` the prompts whose response has not begun.
+    ``unread_tokens`` the prompts whose response has not begun. ``spare_slots`` is how
+    many more adapters could be loaded now, ``pace`` how long work takes, 1.0 as usual.
     """
 
     owner: HostId
@@ -29,7 +30,9 @@
     fencing_number: FencingNumber
     sequence: int
     can_load: bool
+    spare_slots: int
     requests: int
     tokens: int
     unread_tokens: int
+    pace: float
     copies: tuple[CopyStatus, ...]
--- a/src/gooseberrydeal/_internal/models/routing/route.py
+++ b/src/gooseberrydeal/_internal/models/routing/route.py
@@ -30,7 +30,8 @@
     """Select requests by host and path prefix and say how to serve them.
 
     Times are in seconds. ``max_servers`` bounds the servers that may run one request.
-    ``rank`` is 0 for the most urgent kind of request.
+    ``rank`` is 0 for the most urgent kind of request. A stream is late if two of its
+    events are further apart than ``longest_pause``.
     """
 
     name: str
@@ -43,6 +44,7 @@
     max_servers: int
     rank: int = 0
     is_resumable: bool = False
+    longest_pause: float = 1.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
+++ b/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineSize:
-    """Describe what the engines of a service can hold."""
+    """Describe what the engines of a service can hold.
+
+    ``event_tokens`` is how many tokens one event of a stream carries.
+    """
 
     models: Mapping[str, BaseModel]
     weight_megabytes: float
@@ -27,6 +30,7 @@
     token_capacity: int
     batch_size: int
     loads_per_second: float
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/models/routing/usage_report.py
+++ b/src/gooseberrydeal/_internal/models/routing/usage_report.py
@@ -31,13 +31,16 @@
 class EngineUsage:
     """Hold a host's use of one engine.
 
-    ``unread_tokens`` are those of prompts whose response has not begun.
+    ``unread_tokens`` are those of prompts whose response has not begun. ``pace`` is
+    the server's last word on how long work takes, ``pace_age`` seconds ago.
     """
 
     server: ServerId
     requests: int
     tokens: int
     unread_tokens: int
+    pace: float = 1.0
+    pace_age: float = 60.0
     uses: tuple[CopyUse, ...] = ()
     wants: tuple[CopyWant, ...] = ()
 
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -41,6 +41,8 @@
             engine.requests,
             engine.tokens,
             engine.unread_tokens,
+            int(engine.pace * 100),
+            int(min(60.0, engine.pace_age) * 1000),
             [[*use.key, use.in_flight, use.started] for use in engine.uses],
             [[*want.key, want.waiting, want.is_missing] for want in engine.wants],
         ]
@@ -62,9 +64,11 @@
         status.fencing_number,
         status.sequence,
         status.can_load,
+        status.spare_slots,
         status.requests,
         status.tokens,
         status.unread_tokens,
+        int(status.pace * 100),
         copies,
     ]
     return cbor2.dumps([PROTOCOL_VERSION, int(_Kind.STATUS), *fields])
@@ -96,29 +100,33 @@
 
 
 def _engine(fields: list[Any]) -> EngineUsage:
-    server, requests, tokens, unread, uses, wants = fields[:6]
+    server, requests, tokens, unread, pace, pace_age, uses, wants = fields[:8]
     return EngineUsage(
         ServerId(str(server)),
         int(requests),
         int(tokens),
         int(unread),
+        int(pace) / 100,
+        int(pace_age) / 1000,
         tuple(CopyUse(_key(item), int(item[3]), int(item[4])) for item in uses),
         tuple(CopyWant(_key(item), int(item[3]), bool(item[4])) for item in wants),
     )
 
 
 def _status(fields: list[Any]) -> EngineStatus:
-    owner, server, fencing, sequence, can_load, requests, tokens = fields[:7]
-    unread, copies = fields[7:9]
+    owner, server, fencing, sequence, can_load, spare = fields[:6]
+    requests, tokens, unread, pace, copies = fields[6:11]
     return EngineStatus(
         HostId(str(owner)),
         ServerId(str(server)),
         FencingNumber(int(fencing)),
         int(sequence),
         bool(can_load),
+        int(spare),
         int(requests),
         int(tokens),
         int(unread),
+        int(pace) / 100,
         tuple(
             CopyStatus(_key(item), _STATES[item[3]], int(item[4]) / 1000)
             for item in copies
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -1,6 +1,7 @@
 """Find a server for each request, loading its adapter where needed."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -21,12 +22,15 @@
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
 from gooseberrydeal._internal.policy.engine_choice import (
     READ_TOKENS_A_SECOND,
     EngineCandidate,
     EngineDecision,
     EngineVerdict,
+    PromptSize,
     choose_engine,
+    unread_limit,
 )
 from gooseberrydeal._internal.policy.plain_server_choice import (
     PlainCandidate,
@@ -45,6 +49,9 @@
 # before the bound; until then the old one may serve while the new one loads.
 _OLD_VERSION_PART: Final = 0.4
 _RETRY_AFTER_SECONDS: Final = 0.4
+# For this part of the target latency a request rather waits than makes the pauses in
+# other streams too long.
+_PAUSE_FIRST_PART: Final = 0.4
 
 
 class Dispatcher:
@@ -69,6 +76,7 @@
         self._on_want = on_want
         self._clock = clock
         self._rng = rng
+        self._demand = AdapterDemand()
 
     async def assign(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Return a server at once, or after its adapter is loaded."""
@@ -98,6 +106,8 @@
 
     async def _assign_engine(self, request: RoutedRequest) -> Assignment | NoAssignment:
         begun = self._clock()
+        assert request.facts.adapter is not None
+        self._demand.note_request(request.facts.adapter, begun)
         patience = request.deadline - request.arrived_at
         latest = begun + patience * _MOST_WAIT_PART
         wanted: tuple[ServerRecord, AdapterCopyKey, float] | None = None
@@ -138,9 +148,8 @@
         if wanted is not None:
             is_same = wanted[0] is record and wanted[1] == copy
             is_patient = now - wanted[2] < _LOAD_PATIENCE_SECONDS
-            if is_same or (
-                is_patient and wanted[1] == copy and wanted[0].can_load(now)
-            ):
+            is_served = wanted[1] == copy and wanted[0].takes_orders(now)
+            if is_same or (is_patient and is_served):
                 return wanted
             wanted[0].unwant(wanted[1])
         if record.want(copy):
@@ -175,16 +184,23 @@
     def _decide(
         self, request: RoutedRequest, copy: AdapterCopyKey, now: float
     ) -> EngineDecision:
+        waited = now - request.arrived_at
+        pause = request.route.longest_pause
+        if waited > request.route.target_latency * _PAUSE_FIRST_PART:
+            pause = math.inf
         candidates = [
-            self._candidate(record, copy, now) for record in self._usable(request)
+            self._candidate(record, copy, pause, now)
+            for record in self._usable(request)
         ]
-        return choose_engine(copy, request.tokens, candidates)
+        size = PromptSize(request.facts.prompt_tokens, request.tokens)
+        uses_ahead = self._demand.uses_ahead(copy.key, now) * len(self._view.hosts)
+        return choose_engine(copy, size, candidates, uses_ahead)
 
     def _candidate(
-        self, record: ServerRecord, copy: AdapterCopyKey, now: float
+        self, record: ServerRecord, copy: AdapterCopyKey, pause: float, now: float
     ) -> EngineCandidate:
         size = record.service.engine
-        slots = size.adapter_slots if size is not None else 0
+        event_tokens = size.event_tokens if size is not None else 1
         return EngineCandidate(
             server=record.id,
             requests=record.load.requests(now),
@@ -197,8 +213,9 @@
             has_model=record.holds_model(copy.model),
             copy=record.copy_state(copy, now),
             ready_in=record.ready_in(copy, now),
-            can_load=record.can_load(now) and record.busy_slots(now) < slots,
+            can_load=record.can_load(now),
             is_warm=record.is_warm(copy),
+            unread_limit=unread_limit(pause, event_tokens, record.load.pace),
             failure_rate=record.health.failure_rate(now),
             is_avoided=record.health.is_avoided(now),
         )
--- a/src/gooseberrydeal/_internal/operations/router/engine_demand.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_demand.py
@@ -68,6 +68,11 @@
         """Return the tokens of the requests in flight."""
         return sum(usage.tokens for usage in self._all())
 
+    def pace(self, now: float) -> float:
+        """Return the server's newest word on how long work takes."""
+        ages = [(now - at + u.pace_age, u.pace) for at, u in self._usages.values()]
+        return min(ages, default=(0.0, 1.0))[1]
+
     def unread_tokens(self) -> int:
         """Return the tokens of prompts whose response has not begun."""
         return sum(usage.unread_tokens for usage in self._all())
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import ServerError
@@ -92,8 +92,10 @@
         self._ordered_at = 0.0
         self._read_at = 0.0
         self._paused_until = 0.0
+        self._wanted_since: dict[AdapterCopyKey, float] = {}
         self._unproved: set[AdapterCopyKey] = set()
         self._published_unread = 0
+        self._published_pace = 1.0
         self._announcing: asyncio.TimerHandle | None = None
 
     @property
@@ -115,7 +117,8 @@
         if usage.wants:
             self._wake.set()
         drift = abs(self._demand.unread_tokens() - self._published_unread)
-        if drift > _DRIFT_TOKENS and self._announcing is None:
+        has_new_pace = self._demand.pace(now) != self._published_pace
+        if (drift > _DRIFT_TOKENS or has_new_pace) and self._announcing is None:
             loop = asyncio.get_running_loop()
             self._announcing = loop.call_later(_COLLECT_SECONDS, self._announce)
 
@@ -167,7 +170,7 @@
         if await self._load_base_model():
             return
         wants = self._demand.wants()
-        ordered = sorted(wants, key=lambda key: (-wants[key][0], key))
+        ordered = self._oldest_first(wants)
         changed = False
         for key in ordered:
             if not self._may_order() or not self._is_known:
@@ -176,6 +179,12 @@
         if changed:
             self._announce()
 
+    def _oldest_first(self, wants: Collection[AdapterCopyKey]) -> list[AdapterCopyKey]:
+        now = self._clock()
+        since = {key: self._wanted_since.get(key, now) for key in wants}
+        self._wanted_since = since
+        return sorted(since, key=lambda key: (since[key], key))
+
     async def _serve_want(
         self, key: AdapterCopyKey, is_missing: bool, wanted: set[AdapterCopyKey]
     ) -> bool:
@@ -315,6 +324,7 @@
             self._announcing.cancel()
             self._announcing = None
         self._published_unread = self._demand.unread_tokens()
+        self._published_pace = self._demand.pace(now)
         self._sequence += 1
         self._slots.loading(now)
         copies = tuple(
@@ -328,9 +338,11 @@
                 self._fencing,
                 self._sequence,
                 self._may_order() and self._is_known,
+                self._slots.spare(self._demand.in_use(), set(self._demand.wants())),
                 self._demand.requests(),
                 self._demand.tokens(),
                 self._published_unread,
+                self._published_pace,
                 copies,
             )
         )
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -49,6 +49,7 @@
         self._socket = DatagramSocket(self._received)
         self._sequence = 0
         self._urgent: set[ServerRecord] = set()
+        self._reported_pace: dict[ServerId, float] = {}
         self._reported_unread: dict[ServerId, int] = {}
         self._heard: dict[HostId, tuple[int, int]] = {}
 
@@ -84,7 +85,8 @@
     def used(self, record: ServerRecord) -> None:
         """Tell an engine's owner soon if the queue of prompts there has changed."""
         reported = self._reported_unread.get(record.id, 0)
-        if abs(record.load.own_unread - reported) > _DRIFT_TOKENS:
+        has_new_pace = record.load.pace != self._reported_pace.get(record.id, 1.0)
+        if abs(record.load.own_unread - reported) > _DRIFT_TOKENS or has_new_pace:
             self.want(record)
 
     def publish(self, status: EngineStatus) -> None:
@@ -107,6 +109,7 @@
             if claim is not None:
                 usage = record.usage(now)
                 self._reported_unread[record.id] = usage.unread_tokens
+                self._reported_pace[record.id] = usage.pace
                 by_owner.setdefault(claim.owner, []).append(usage)
         for owner, usages in by_owner.items():
             self._tell(owner, usages)
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -139,6 +139,7 @@
             max(0, status.requests - self._load.own),
             max(0, status.tokens - self._load.own_tokens),
             max(0, status.unread_tokens - self._load.own_unread),
+            max(0.1, status.pace),
             now,
         )
         return True
@@ -147,13 +148,18 @@
         """Return whether the owner was heard of lately."""
         return self._status is not None and now - self._status_at < STATUS_SECONDS
 
-    def can_load(self, now: float) -> bool:
+    def takes_orders(self, now: float) -> bool:
         """Return whether the owner is heard and may give orders."""
-        return (
-            self._status is not None
-            and self._status.can_load
-            and self.has_fresh_status(now)
-        )
+        status = self._status
+        return status is not None and status.can_load and self.has_fresh_status(now)
+
+    def can_load(self, now: float) -> bool:
+        """Return whether the owner is heard and has a slot to give."""
+        status = self._status
+        if status is None or not self.takes_orders(now):
+            return False
+        asked = sum(key not in self._copies for key in self._wants)
+        return status.spare_slots > asked
 
     def copy_state(self, key: AdapterCopyKey, now: float) -> CopyState | None:
         """Return the state of a copy."""
@@ -186,17 +192,6 @@
         held = self._entry.held
         return held is not None and any(name == model for name, _ in held.base_models)
 
-    def busy_slots(self, now: float) -> int:
-        """Return how many adapter slots can't be given to another adapter now."""
-        count = 0
-        for key, (state, ready_at) in self._copies.items():
-            use = self._uses.get(key)
-            if (state is not CopyState.READY and ready_at > now) or (
-                use is not None and use.in_flight
-            ):
-                count += 1
-        return count
-
     def begin(
         self, key: AdapterCopyKey | None, tokens: int, prompt_tokens: int
     ) -> None:
@@ -252,7 +247,14 @@
         )
         load = self._load
         return EngineUsage(
-            self.id, load.own, load.own_tokens, load.own_unread, uses, wants
+            self.id,
+            load.own,
+            load.own_tokens,
+            load.own_unread,
+            load.pace,
+            load.pace_age(now),
+            uses,
+            wants,
         )
 
     def _take_held(self, now: float) -> None:
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -92,6 +92,7 @@
         max_servers=int(data.get("maxAttempts") or 1),
         rank=int(data.get("priority") or 0),
         is_resumable=bool(data.get("resumable")),
+        longest_pause=float(data.get("gapAimMs") or 1000) / 1000,
     )
 
 
@@ -122,6 +123,8 @@
         token_capacity=int(data.get("kvCapacity") or 0),
         batch_size=int(data.get("slots") or 1),
         loads_per_second=float(data.get("loadsPerS") or 0.0),
+        # Tokens in one event of a stream.
+        event_tokens=int(data.get("stride") or 1),
     )
 
 
--- a/src/gooseberrydeal/_internal/policy/adapter_slots.py
+++ b/src/gooseberrydeal/_internal/policy/adapter_slots.py
@@ -61,6 +61,17 @@
         """Return how many slots are empty."""
         return self._slots - len(self._copies)
 
+    def spare(
+        self, in_use: Mapping[AdapterCopyKey, int], wanted: set[AdapterCopyKey]
+    ) -> int:
+        """Return how many adapters could be loaded beside those that are wanted."""
+        taken = sum(
+            copy.state is not CopyState.READY or bool(in_use.get(key)) or key in wanted
+            for key, copy in self._copies.items()
+        )
+        pending = sum(key not in self._copies for key in wanted)
+        return max(0, self._slots - taken - pending)
+
     def loading(self, now: float) -> int:
         """Return how many loads are on their way."""
         self._settle(now)
--- a/src/gooseberrydeal/_internal/policy/load_estimate.py
+++ b/src/gooseberrydeal/_internal/policy/load_estimate.py
@@ -4,6 +4,8 @@
 
 # The others' load drifts away from a report as their requests end.
 _DRIFT_SECONDS: Final = 1.0
+# What this host heard itself so lately is newer than what others passed on.
+_FRESH_PACE_SECONDS: Final = 0.1
 
 
 class LoadEstimate:
@@ -22,6 +24,7 @@
         self._others_unread = 0.0
         self._reported_at = 0.0
         self._pace = 1.0
+        self._pace_at = -60.0
 
     @property
     def own(self) -> int:
@@ -43,6 +46,10 @@
         """Return this host's prompt tokens that no response has begun for."""
         return self._own_unread
 
+    def pace_age(self, now: float) -> float:
+        """Return how many seconds ago this host heard of the pace."""
+        return now - self._pace_at
+
     def begin(self, tokens: int, prompt_tokens: int = 0) -> None:
         """Count a request that is sent, and its prompt as unread."""
         self._own += 1
@@ -63,11 +70,14 @@
         self._others = max(0.0, float(total - self._own))
         self._reported_at = now
         self._pace = pace
+        self._pace_at = now
 
     def report_others(
-        self, requests: int, tokens: int, unread_tokens: int, now: float
+        self, requests: int, tokens: int, unread_tokens: int, pace: float, now: float
     ) -> None:
-        """Take the counts of the other hosts' requests."""
+        """Take the counts of the other hosts' requests, and the pace they saw."""
+        if self.pace_age(now) > _FRESH_PACE_SECONDS:
+            self._pace = pace
         self._others = float(requests)
         self._others_tokens = float(tokens)
         self._others_unread = float(unread_tokens)
@@ -86,7 +96,7 @@
 
         Those of other hosts are read at the given rate since they were reported.
         """
-        read = max(0.0, now - self._reported_at) * tokens_per_second
+        read = max(0.0, now - self._reported_at) * tokens_per_second / self._pace
         return self._own_unread + max(0.0, self._others_unread - read)
 
     def _trust(self, now: float) -> float:
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -121,8 +121,8 @@
             0,
             0,
             0,
-            tuple(CopyUse(key, count, count) for key, count in (uses or {}).items()),
-            tuple(CopyWant(key, 1) for key in wants),
+            uses=tuple(CopyUse(key, n, n) for key, n in (uses or {}).items()),
+            wants=tuple(CopyWant(key, 1) for key in wants),
         )
         owner.take_usage(membership("asker").host, usage)
 
