Reach engines without spending requests; repeat lost orders; load urgent adapters first

In a zone cut each host spent some ten requests a second on engines behind it, 1.8 s each. In bursts most late first tokens had waited for a load (p90 1 to 2.5 s): an order without an answer held its engine's owner up for some 1.6 s, engines that had started again were not used until their next entry was read, owners served wants in the order of names, and copies counted as in use for up to a quarter of a second after their last stream.

Ruled out: the failures of the last seconds before the closing kill; streams in progress end there whatever is done.

Change: an unreachable server is tried by connections in the background, the others of its failure domain with it; engines whose owner has fallen silent are less liked. A repeatable request leaves a silent server. Unanswered orders are repeated with the same condition. Owners tell base models, and load first what can still be in time. Where few engines have a slot to give, held adapters get no further copies.

--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -35,4 +35,5 @@
     tokens: int
     unread_tokens: int
     pace: float
+    base_models: tuple[str, ...]
     copies: tuple[CopyStatus, ...]
--- a/src/gooseberrydeal/_internal/models/routing/usage_report.py
+++ b/src/gooseberrydeal/_internal/models/routing/usage_report.py
@@ -19,11 +19,13 @@
 class CopyWant:
     """Ask for a copy on behalf of waiting requests.
 
+    ``slack`` is the time in seconds until the latest of them misses its target latency.
     ``is_missing`` says that the engine denied having a copy that should be ready.
     """
 
     key: AdapterCopyKey
     waiting: int
+    slack: float = 0.0
     is_missing: bool = False
 
 
--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -10,8 +10,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Several round trips between failure domains, and one lost opening packet.
-_CONNECT_SECONDS: Final = 1.2
+# Many round trips between failure domains, but less than a lost opening packet takes
+# to be sent again: another server is tried sooner.
+_CONNECT_SECONDS: Final = 0.4
 
 
 class ConnectionPool:
@@ -55,6 +56,10 @@
             self._in_use -= 1
             raise
 
+    async def probe(self) -> None:
+        """Open a connection and keep it, or raise :class:`ServerUnreachableError`."""
+        self._idle.append(await self._open())
+
     def release(self, connection: ServerConnection) -> None:
         """Take a connection back after its response has ended."""
         self._in_use -= 1
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -44,7 +44,10 @@
             int(engine.pace * 100),
             int(min(60.0, engine.pace_age) * 1000),
             [[*use.key, use.in_flight, use.started] for use in engine.uses],
-            [[*want.key, want.waiting, want.is_missing] for want in engine.wants],
+            [
+                [*want.key, want.waiting, int(want.slack * 1000), want.is_missing]
+                for want in engine.wants
+            ],
         ]
         for engine in report.engines
     ]
@@ -69,6 +72,7 @@
         status.tokens,
         status.unread_tokens,
         int(status.pace * 100),
+        list(status.base_models),
         copies,
     ]
     return cbor2.dumps([PROTOCOL_VERSION, int(_Kind.STATUS), *fields])
@@ -109,13 +113,16 @@
         int(pace) / 100,
         int(pace_age) / 1000,
         tuple(CopyUse(_key(item), int(item[3]), int(item[4])) for item in uses),
-        tuple(CopyWant(_key(item), int(item[3]), bool(item[4])) for item in wants),
+        tuple(
+            CopyWant(_key(item), int(item[3]), int(item[4]) / 1000, bool(item[5]))
+            for item in wants
+        ),
     )
 
 
 def _status(fields: list[Any]) -> EngineStatus:
     owner, server, fencing, sequence, can_load, spare = fields[:6]
-    requests, tokens, unread, pace, copies = fields[6:11]
+    requests, tokens, unread, pace, models, copies = fields[6:12]
     return EngineStatus(
         HostId(str(owner)),
         ServerId(str(server)),
@@ -127,6 +134,7 @@
         int(tokens),
         int(unread),
         int(pace) / 100,
+        tuple(map(str, models)),
         tuple(
             CopyStatus(_key(item), _STATES[item[3]], int(item[4]) / 1000)
             for item in copies
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -57,6 +57,7 @@
         self._is_events = False
         self._verdict: AttemptOutcome | None = None
         self._status = 0
+        self._received = 0
         self._on_head = on_head
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[AttemptOutcome] = self._loop.create_future()
@@ -71,13 +72,32 @@
         """Return whether the caller receives this response."""
         return self._is_passing
 
+    @property
+    def received(self) -> int:
+        """Return how many pieces of the response came."""
+        return self._received
+
+    @property
+    def finished(self) -> asyncio.Future[AttemptOutcome]:
+        """Return what will hold the outcome."""
+        return self._done
+
     async def outcome(self) -> AttemptOutcome:
         """Return how the attempt ended."""
         return await self._done
 
+    def give_up(self) -> None:
+        """Close the connection to a server that has fallen silent."""
+        self._connection.abort()
+        self._events.rest()
+        self._exchange.watch_pressure(None)
+        if not self._done.done():
+            self._done.cancel()
+
     def head_received(self, head: ResponseHead) -> None:
         """Decide whether the response is passed on."""
         self._status = head.status
+        self._received += 1
         self._on_head()
         facts = self._codec.read_reply(head)
         if facts.load is not None:
@@ -98,6 +118,7 @@
 
     def body_received(self, data: bytes) -> None:
         """Pass bytes on, whole events only in a stream."""
+        self._received += 1
         if not self._is_passing:
             return
         if self._is_events:
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -44,7 +44,7 @@
 # A load that takes longer than this went wrong; another engine is asked.
 _LOAD_PATIENCE_SECONDS: Final = 1.2
 # Requests wait for room or a load no longer than this part of the caller's patience.
-_MOST_WAIT_PART: Final = 0.3
+_MOST_WAIT_PART: Final = 0.5
 # A new adapter version replaces the old one this long after it was declared, well
 # before the bound; until then the old one may serve while the new one loads.
 _OLD_VERSION_PART: Final = 0.4
@@ -95,7 +95,7 @@
                 pace=record.load.pace,
                 is_local=record.entry.domain == self._domain,
                 failure_rate=record.health.failure_rate(now),
-                is_avoided=record.health.is_avoided(now),
+                is_avoided=record.health.is_unreachable,
             )
             for record in records.values()
         ]
@@ -127,7 +127,8 @@
                         reason = RefusalReason.LOAD_FAILED
                     return NoAssignment(reason, _RETRY_AFTER_SECONDS)
                 if decision.verdict is EngineVerdict.LOAD and record is not None:
-                    wanted = self._want(wanted, record, copy, now)
+                    on_time_until = request.arrived_at + request.route.target_latency
+                    wanted = self._want(wanted, record, copy, on_time_until, now)
                 seconds = _LOOK_AGAIN_SECONDS
                 if wanted is not None:
                     ready_in = wanted[0].ready_in(copy, now)
@@ -142,6 +143,7 @@
         wanted: tuple[ServerRecord, AdapterCopyKey, float] | None,
         record: ServerRecord,
         copy: AdapterCopyKey,
+        on_time_until: float,
         now: float,
     ) -> tuple[ServerRecord, AdapterCopyKey, float]:
         """Ask the engine's owner for a load, and stay with it for a while."""
@@ -152,7 +154,7 @@
             if is_same or (is_patient and is_served):
                 return wanted
             wanted[0].unwant(wanted[1])
-        if record.want(copy):
+        if record.want(copy, on_time_until):
             self._on_want(record)
         return record, copy, now
 
@@ -215,9 +217,10 @@
             ready_in=record.ready_in(copy, now),
             can_load=record.can_load(now),
             is_warm=record.is_warm(copy),
+            is_unheard=record.is_unheard(now),
             unread_limit=unread_limit(pause, event_tokens, record.load.pace),
             failure_rate=record.health.failure_rate(now),
-            is_avoided=record.health.is_avoided(now),
+            is_avoided=record.health.is_unreachable,
         )
 
     def _usable(self, request: RoutedRequest) -> list[ServerRecord]:
--- a/src/gooseberrydeal/_internal/operations/router/engine_demand.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_demand.py
@@ -5,7 +5,7 @@
 
 from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
-from gooseberrydeal._internal.models.routing.usage_report import EngineUsage
+from gooseberrydeal._internal.models.routing.usage_report import CopyWant, EngineUsage
 
 # Several report periods; a host that is silent for longer has stopped.
 _SILENT_SECONDS: Final = 1.5
@@ -51,13 +51,19 @@
                     total[use.key] = total.get(use.key, 0) + use.in_flight
         return total
 
-    def wants(self) -> dict[AdapterCopyKey, tuple[int, bool]]:
-        """Return waiting requests for each wanted copy, and whether it is missing."""
-        total: dict[AdapterCopyKey, tuple[int, bool]] = {}
-        for usage in self._all():
+    def wants(self, now: float) -> dict[AdapterCopyKey, CopyWant]:
+        """Return the wanted copies, those of several hosts added up."""
+        total: dict[AdapterCopyKey, CopyWant] = {}
+        for at, usage in self._usages.values():
             for want in usage.wants:
-                waiting, missing = total.get(want.key, (0, False))
-                total[want.key] = waiting + want.waiting, missing or want.is_missing
+                slack = want.slack - (now - at)
+                known = total.get(want.key, CopyWant(want.key, 0, slack))
+                total[want.key] = CopyWant(
+                    want.key,
+                    known.waiting + want.waiting,
+                    max(known.slack, slack),
+                    known.is_missing or want.is_missing,
+                )
         return total
 
     def requests(self) -> int:
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import ServerError
@@ -30,6 +30,7 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.policy.adapter_slots import MOST_LOADING, AdapterSlots
 from gooseberrydeal._internal.policy.load_time import LoadTime
+from gooseberrydeal._internal.policy.want_order import by_slack
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +39,9 @@
 # Reports are priced: one is read no more often than this.
 _REPORT_PACE_SECONDS: Final = 0.5
 _HEARTBEAT_SECONDS: Final = 0.4
+# An order without an answer is sent again with the same count of orders before it, so
+# that no more than one of them is carried out.
+_MOST_SENDS: Final = 3
 # Orders that the engine rejected are not repeated sooner.
 _REJECTED_PAUSE_SECONDS: Final = 0.25
 # An entry of the store is compared with the own view only if no order was given for
@@ -92,7 +96,6 @@
         self._ordered_at = 0.0
         self._read_at = 0.0
         self._paused_until = 0.0
-        self._wanted_since: dict[AdapterCopyKey, float] = {}
         self._unproved: set[AdapterCopyKey] = set()
         self._published_unread = 0
         self._published_pace = 1.0
@@ -169,22 +172,16 @@
             return
         if await self._load_base_model():
             return
-        wants = self._demand.wants()
-        ordered = self._oldest_first(wants)
+        wants = self._demand.wants(now)
+        ordered = by_slack({key: want.slack for key, want in wants.items()})
         changed = False
         for key in ordered:
             if not self._may_order() or not self._is_known:
                 break
-            changed |= await self._serve_want(key, wants[key][1], set(wants))
+            changed |= await self._serve_want(key, wants[key].is_missing, set(wants))
         if changed:
             self._announce()
 
-    def _oldest_first(self, wants: Collection[AdapterCopyKey]) -> list[AdapterCopyKey]:
-        now = self._clock()
-        since = {key: self._wanted_since.get(key, now) for key in wants}
-        self._wanted_since = since
-        return sorted(since, key=lambda key: (since[key], key))
-
     async def _serve_want(
         self, key: AdapterCopyKey, is_missing: bool, wanted: set[AdapterCopyKey]
     ) -> bool:
@@ -249,7 +246,11 @@
             self._host,
             self._fencing,
         )
-        outcome = await self._orders.order(self._record.entry, order)
+        outcome = OrderOutcome.UNKNOWN
+        for _ in range(_MOST_SENDS):
+            if outcome is not OrderOutcome.UNKNOWN or not self._may_order():
+                break
+            outcome = await self._orders.order(self._record.entry, order)
         self._ordered_at = self._clock()
         if outcome in (OrderOutcome.DONE, OrderOutcome.ACCEPTED):
             self._order_count += 1
@@ -338,11 +339,12 @@
                 self._fencing,
                 self._sequence,
                 self._may_order() and self._is_known,
-                self._slots.spare(self._demand.in_use(), set(self._demand.wants())),
+                self._slots.spare(self._demand.in_use(), set(self._demand.wants(now))),
                 self._demand.requests(),
                 self._demand.tokens(),
                 self._published_unread,
                 self._published_pace,
+                tuple(sorted(self._base_models)),
                 copies,
             )
         )
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -25,6 +25,8 @@
 _COLLECT_SECONDS: Final = 0.002
 # Owners learn of a change of this host's unread prompt tokens by more than this.
 _DRIFT_TOKENS: Final = 500
+# With so few slots to give, owners learn at once of copies out of use.
+_FEW_SLOTS: Final = 2
 # Engines in one datagram, to stay below the usual packet size.
 _ENGINES_A_DATAGRAM: Final = 4
 
@@ -86,7 +88,13 @@
         """Tell an engine's owner soon if the queue of prompts there has changed."""
         reported = self._reported_unread.get(record.id, 0)
         has_new_pace = record.load.pace != self._reported_pace.get(record.id, 1.0)
-        if abs(record.load.own_unread - reported) > _DRIFT_TOKENS or has_new_pace:
+        has_drifted = abs(record.load.own_unread - reported) > _DRIFT_TOKENS
+        if has_drifted or has_new_pace:
+            self.want(record)
+
+    def freed(self, record: ServerRecord) -> None:
+        """Tell an engine's owner of a copy out of use if slots are scarce there."""
+        if record.spare_slots <= _FEW_SLOTS:
             self.want(record)
 
     def publish(self, status: EngineStatus) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -41,6 +41,8 @@
         dispatcher: Dispatcher,
         bounds: RoutingBounds,
         on_use: Callable[[ServerRecord], None],
+        on_freed: Callable[[ServerRecord], None],
+        on_lost: Callable[[ServerRecord], None],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -49,6 +51,8 @@
         self._dispatcher = dispatcher
         self._bounds = bounds
         self._on_use = on_use
+        self._on_freed = on_freed
+        self._on_lost = on_lost
         self._clock = clock
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
@@ -114,6 +118,8 @@
                 self._dispatcher,
                 self._may_retry,
                 self._on_use,
+                self._on_freed,
+                self._on_lost,
                 self._clock,
             ).serve()
         finally:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -32,6 +32,10 @@
 # Sends that servers refused or that reached none, before the caller is refused.
 _MOST_SENDS: Final = 6
 _RETRY_AFTER_SECONDS: Final = 0.4
+# A server that sends nothing for this many times the target latency, and at least for
+# so long, is given up if another one may run the request.
+_SILENT_TARGETS: Final = 2.0
+_LEAST_SILENCE_SECONDS: Final = 0.3
 
 RetryPermit = Callable[[RoutedRequest], bool]
 
@@ -47,6 +51,8 @@
         dispatcher: Dispatcher,
         may_retry: RetryPermit,
         on_use: Callable[[ServerRecord], None],
+        on_freed: Callable[[ServerRecord], None],
+        on_lost: Callable[[ServerRecord], None],
         clock: Callable[[], float],
     ) -> None:
         self._request = request
@@ -55,6 +61,8 @@
         self._dispatcher = dispatcher
         self._may_retry = may_retry
         self._on_use = on_use
+        self._on_freed = on_freed
+        self._on_lost = on_lost
         self._clock = clock
         self._events = EventSplitter()
         self._last_status = 0
@@ -93,7 +101,7 @@
             try:
                 connection = await record.pool.acquire()
             except ServerUnreachableError as error:
-                record.health.note_unreachable(self._clock())
+                self._on_lost(record)
                 request.excluded.add(record.id)
                 logger.info(
                     "not sent: %s",
@@ -118,7 +126,7 @@
                     attempt,
                     is_head_request=self._exchange.head.method == b"HEAD",
                 )
-                outcome = await attempt.outcome()
+                outcome = await self._outcome(attempt)
             except BaseException:
                 record.pool.discard(connection)
                 raise
@@ -127,7 +135,24 @@
             return outcome
         finally:
             reading.end()
-            record.end(found.copy, request.tokens)
+            if record.end(found.copy, request.tokens):
+                self._on_freed(record)
+
+    async def _outcome(self, attempt: Attempt) -> AttemptOutcome:
+        """Wait for the end; give a silent server up if the request may run again."""
+        if not self._can_run_again(pending=1):
+            return await attempt.outcome()
+        route = self._request.route
+        silence = max(_LEAST_SILENCE_SECONDS, _SILENT_TARGETS * route.target_latency)
+        while True:
+            seen = attempt.received
+            try:
+                async with asyncio.timeout(silence):
+                    return await asyncio.shield(attempt.finished)
+            except TimeoutError:
+                if attempt.received == seen:
+                    attempt.give_up()
+                    return AttemptOutcome.CUT if seen else AttemptOutcome.LOST
 
     def _message(self, found: Assignment) -> bytes:
         request, head = self._request, self._exchange.head
@@ -166,8 +191,8 @@
         self._request.ran_on.add(found.record.id)
         self._request.excluded.add(found.record.id)
         health.note_failure(now)
-        if outcome is AttemptOutcome.LOST:
-            health.note_unreachable(now)
+        if outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT):
+            self._on_lost(found.record)
         if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
             return True
         if self._exchange.is_started:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -20,6 +20,7 @@
     MetadataNames,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.reachability import Reachability
 from gooseberrydeal._internal.operations.router.readiness import Readiness
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
@@ -98,12 +99,15 @@
             now,
             rng,
         )
+        self._reachability = Reachability(self._servers, settings.domain)
         self._handler = RequestHandler(
             self._view,
             codec,
             dispatcher,
             settings.bounds,
             self._exchange.used,
+            self._exchange.freed,
+            self._reachability.lost,
             now,
             rng,
         )
@@ -140,6 +144,7 @@
         cut = self._listener.busy_count
         self._listener.abort()
         self._readiness.stop()
+        await self._reachability.stop()
         await self._ownership.stop()
         await self._tasks.stop()
         self._exchange.close()
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -26,6 +26,8 @@
 
 # Several of the owner's heartbeats; its word on an engine counts no longer than this.
 STATUS_SECONDS: Final = 1.5
+# Two heartbeats and a half.
+_SILENT_SECONDS: Final = 1.0
 # Copies that an engine may still have in its own memory, by the least recent use.
 _SEEN_COPIES: Final = 96
 
@@ -54,6 +56,7 @@
         self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
         self._uses: dict[AdapterCopyKey, _Use] = {}
         self._wants: dict[AdapterCopyKey, int] = {}
+        self._on_time_until: dict[AdapterCopyKey, float] = {}
         self._missing: dict[AdapterCopyKey, float] = {}
         self._seen: OrderedDict[AdapterCopyKey, None] = OrderedDict()
         self._take_held(0.0)
@@ -113,6 +116,7 @@
         if is_restart:
             self._copies.clear()
             self._seen.clear()
+            self._status = None
         if not self.has_fresh_status(now):
             self._take_held(now)
 
@@ -148,6 +152,15 @@
         """Return whether the owner was heard of lately."""
         return self._status is not None and now - self._status_at < STATUS_SECONDS
 
+    @property
+    def spare_slots(self) -> int:
+        """Return how many more adapters the owner could load when last heard."""
+        return 0 if self._status is None else self._status.spare_slots
+
+    def is_unheard(self, now: float) -> bool:
+        """Return whether the owner was heard before and has fallen silent."""
+        return self._status is not None and now - self._status_at > _SILENT_SECONDS
+
     def takes_orders(self, now: float) -> bool:
         """Return whether the owner is heard and may give orders."""
         status = self._status
@@ -189,6 +202,8 @@
 
     def holds_model(self, model: str) -> bool:
         """Return whether the engine holds a base model."""
+        if self._status is not None and self._status.base_models:
+            return model in self._status.base_models
         held = self._entry.held
         return held is not None and any(name == model for name, _ in held.base_models)
 
@@ -201,15 +216,22 @@
             use = self._uses.setdefault(key, _Use())
             use.in_flight += 1
 
-    def end(self, key: AdapterCopyKey | None, tokens: int) -> None:
-        """Count a request that has ended."""
+    def end(self, key: AdapterCopyKey | None, tokens: int) -> bool:
+        """Count a request that has ended; return whether its copy is out of use."""
         self._load.end(tokens)
-        if key is not None and key in self._uses:
-            self._uses[key].in_flight -= 1
+        if key is None or key not in self._uses:
+            return False
+        self._uses[key].in_flight -= 1
+        return self._uses[key].in_flight == 0
+
+    def want(self, key: AdapterCopyKey, on_time_until: float) -> bool:
+        """Ask for a copy; return whether nobody on this host had asked before.
 
-    def want(self, key: AdapterCopyKey) -> bool:
-        """Ask for a copy; return whether nobody on this host had asked before."""
+        A request that waits for it misses its target latency at ``on_time_until``.
+        """
         count = self._wants.get(key, 0)
+        latest = max(self._on_time_until.get(key, 0.0), on_time_until)
+        self._on_time_until[key] = latest
         self._wants[key] = count + 1
         return count == 0
 
@@ -220,6 +242,7 @@
             self._wants[key] = count
         else:
             self._wants.pop(key, None)
+            self._on_time_until.pop(key, None)
 
     def note_missing(self, key: AdapterCopyKey, until: float) -> None:
         """Note that the engine denied having a copy; it is awaited until then."""
@@ -242,7 +265,12 @@
             CopyUse(key, use.in_flight, use.started) for key, use in self._uses.items()
         )
         wants = tuple(
-            CopyWant(key, count, key in self._missing)
+            CopyWant(
+                key,
+                count,
+                self._on_time_until.get(key, now) - now,
+                key in self._missing,
+            )
             for key, count in self._wants.items()
         )
         load = self._load
--- a/src/gooseberrydeal/_internal/platform/engine_client.py
+++ b/src/gooseberrydeal/_internal/platform/engine_client.py
@@ -22,9 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Longer than the slowest answer of an engine that works, shorter than the delay after
-# which lost orders are carried out.
-_CALL_SECONDS: Final = 0.8
+# Many round trips between failure domains. An order that has no answer by then is
+# repeated, and the later one of the two is void.
+_CALL_SECONDS: Final = 0.3
 _CONNECTIONS: Final = 2
 _OUTCOMES: Final = {
     HTTPStatus.OK: OrderOutcome.DONE,
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -27,6 +27,9 @@
 # A fetch is priced at about a third of a short request, so a further copy must save
 # more time than this.
 _FETCH_PENALTY_SECONDS: Final = 0.25
+# Where less than this part of the engines has a slot to give, an adapter that is held
+# somewhere gets no further copy.
+_SCARCE_PART: Final = 0.5
 # An engine further down the adapter's own order must begin so much sooner.
 _KEEP_ORDER_SECONDS: Final = 0.02
 # Engines in an adapter's own order among which the least loaded is taken.
@@ -41,6 +44,9 @@
 # An engine of another failure domain costs bytes between domains.
 _OTHER_DOMAIN_SECONDS: Final = 0.01
 _FAILURE_SECONDS: Final = 1.0
+# An engine whose owner has fallen silent may be behind the same cut, as long as no
+# connection to it has failed yet.
+_UNHEARD_SECONDS: Final = 0.4
 _LAST_RESORT_SECONDS: Final = 60.0
 
 
@@ -59,7 +65,8 @@
     ``unread_tokens`` are those of prompts that wait to be read. ``copy`` is the state
     of the wanted copy and ``ready_in`` the seconds until it is ready. ``can_load`` says
     that its owner is heard and has a slot to give, ``is_warm`` that it held the copy
-    lately. More ``unread_limit`` tokens would make the pauses in its streams too long.
+    lately, ``is_unheard`` that its owner has fallen silent. More ``unread_limit``
+    tokens would make the pauses in its streams too long.
     """
 
     server: ServerId
@@ -78,6 +85,7 @@
     unread_limit: float = math.inf
     failure_rate: float = 0.0
     is_avoided: bool = False
+    is_unheard: bool = False
 
     def has_room(self, tokens: int) -> bool:
         """Return whether batch and memory have room for a request."""
@@ -98,6 +106,7 @@
         wait = (wait + self.requests * disturbed) * self.pace
         wait += 0.0 if self.is_local else _OTHER_DOMAIN_SECONDS
         wait += self.failure_rate * _FAILURE_SECONDS
+        wait += _UNHEARD_SECONDS if self.is_unheard else 0.0
         return wait + (_LAST_RESORT_SECONDS if self.is_avoided else 0.0)
 
 
@@ -162,12 +171,19 @@
             for item in roomy
             if item.copy is CopyState.LOADING
         ]
-        options += _loads(copy, prompt, roomy, uses_ahead)
+        if not _is_scarce(roomy) or not options:
+            options += _loads(copy, prompt, roomy, uses_ahead)
     if not options:
         return EngineDecision(EngineVerdict.WAIT)
     return min(options, key=lambda option: (option.wait, option.server))
 
 
+def _is_scarce(engines: Sequence[EngineCandidate]) -> bool:
+    """Return whether slots are too scarce for further copies of an adapter."""
+    able = sum(item.can_load for item in engines)
+    return able < len(engines) * _SCARCE_PART
+
+
 def _loads(
     copy: AdapterCopyKey,
     prompt: int,
--- a/src/gooseberrydeal/_internal/policy/server_health.py
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -2,9 +2,6 @@
 
 from typing import Final
 
-# A server that could not be reached is tried again after this long, then doubling.
-_FIRST_PAUSE_SECONDS: Final = 0.4
-_MOST_PAUSE_SECONDS: Final = 3.0
 # Weight of the newest outcome in the moving rate of failures.
 _NEWEST_WEIGHT: Final = 0.12
 # One service's usual errors may reach a seventh of its answers; above this rate of
@@ -15,17 +12,17 @@
 
 
 class ServerHealth:
-    """Track lost connections and failed answers of one server."""
+    """Track whether a server is reached, and its failed answers."""
 
     def __init__(self) -> None:
-        self._pause = 0.0
-        self._avoided_until = 0.0
+        self._is_unreachable = False
         self._failure_rate = 0.0
         self._noted_at = 0.0
 
-    def is_avoided(self, now: float) -> bool:
-        """Return whether the server should rest unless no other is left."""
-        return now < self._avoided_until
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether the server is avoided until a connection can be made."""
+        return self._is_unreachable
 
     def failure_rate(self, now: float) -> float:
         """Return the recent share of failed answers, between 0 and 1."""
@@ -38,21 +35,20 @@
 
     def note_answer(self, now: float) -> None:
         """Note a whole answer."""
-        self._pause = 0.0
-        self._avoided_until = 0.0
+        self._is_unreachable = False
         self._note(now, 0.0)
 
     def note_failure(self, now: float) -> None:
         """Note a failed or broken answer."""
         self._note(now, 1.0)
 
-    def note_unreachable(self, now: float) -> None:
-        """Note that no connection could be made, or that it went silent."""
-        if now < self._avoided_until:
-            return
-        doubled = self._pause * 2 or _FIRST_PAUSE_SECONDS
-        self._pause = min(_MOST_PAUSE_SECONDS, doubled)
-        self._avoided_until = now + self._pause
+    def note_unreachable(self) -> None:
+        """Note that no connection could be made, or that one was lost."""
+        self._is_unreachable = True
+
+    def note_reachable(self) -> None:
+        """Note that a connection could be made."""
+        self._is_unreachable = False
 
     def _note(self, now: float, failed: float) -> None:
         rate = self.failure_rate(now)
