Test the relay on real sockets and the platform's formats one by one

Cause found by the tests: header fields within one packet were not counted against the callers' limit. They are counted as they are parsed now, besides the bytes of a head that is still incomplete.

--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -20,6 +20,8 @@
 _LINGER_SECONDS: Final = 0.5
 # Requests that a caller sent ahead of the reply before reading stops.
 _MOST_AHEAD: Final = 4
+# A colon, a space and the end of the line.
+_FIELD_OVERHEAD_BYTES: Final = 4
 
 
 class RequestHandler(Protocol):
@@ -58,6 +60,7 @@
         self._target = b""
         self._headers: list[Header] = []
         self._header_bytes = 0
+        self._field_bytes = 0
         self._is_head_complete = False
         self._is_receiving = False
         self._body: list[bytes] = []
@@ -100,11 +103,7 @@
             return
         if self._is_receiving and not self._is_head_complete:
             self._header_bytes += len(data)
-            if self._header_bytes > self._handler.limits.header_bytes:
-                self._refuse(
-                    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                    "the header fields are too large",
-                )
+            self._check_head(self._header_bytes)
         self._begin_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -130,6 +129,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
+        self._field_bytes = 0
         self._is_head_complete = False
         self._is_receiving = True
         self._body = []
@@ -145,6 +145,8 @@
         """Take a header field, and leave out trailers."""
         if self._is_head_complete:
             return
+        self._field_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        self._check_head(self._field_bytes)
         lower = name.lower()
         if lower == b"transfer-encoding" and value.lower() != b"chunked":
             self._must_close = True
@@ -236,6 +238,13 @@
         if not exchange.is_finished:
             exchange.cut()
 
+    def _check_head(self, length: int) -> None:
+        if length > self._handler.limits.header_bytes and not self._is_closing:
+            self._refuse(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the header fields are too large",
+            )
+
     def _check_length(self, length: int) -> None:
         if length > self._handler.limits.body_bytes and not self._is_closing:
             self._refuse(
--- a/src/gooseberrydeal/_internal/network/http1/caller_listener.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_listener.py
@@ -30,9 +30,16 @@
         """Return how many connections receive or serve a request."""
         return sum(not connection.is_idle for connection in self._connections)
 
+    @property
+    def bound_address(self) -> str:
+        """Return the address that is listened on, as ``IP:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def start(self) -> None:
         """Listen, or raise ``OSError``."""
-        host, port = split_ip_and_port(self._address)
+        host, port = split_ip_and_port(self._address, any_port=True)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._connection, host, port, backlog=_BACKLOG, reuse_address=True
--- a/src/gooseberrydeal/_internal/utils/ip_address.py
+++ b/src/gooseberrydeal/_internal/utils/ip_address.py
@@ -6,15 +6,19 @@
 _HIGHEST_PORT: Final = 65535
 
 
-def split_ip_and_port(text: str) -> tuple[str, int]:
-    """Return the IP address and port of ``IP:port``, or raise ``ValueError``."""
+def split_ip_and_port(text: str, *, any_port: bool = False) -> tuple[str, int]:
+    """Return the IP address and port of ``IP:port``, or raise ``ValueError``.
+
+    Port 0 is allowed only where the system may choose any.
+    """
     host, separator, port = text.rpartition(":")
     if not separator:
         raise ValueError(f"{text!r} is not IP:port")
     address = ip_address(host.strip("[]"))
     number = int(port)
-    if not 0 < number <= _HIGHEST_PORT:
-        raise ValueError(f"port {number} is not between 1 and {_HIGHEST_PORT}")
+    lowest = 0 if any_port else 1
+    if not lowest <= number <= _HIGHEST_PORT:
+        raise ValueError(f"port {number} is not between {lowest} and {_HIGHEST_PORT}")
     return str(address), number
 
 
--- /dev/null
+++ b/tests/lib/relay_world.py
@@ -0,0 +1,226 @@
+"""Run the request path of one host over real sockets, without store or owners."""
+
+import asyncio
+import random
+from typing import Any
+
+from gooseberrydeal._internal.models.ids import (
+    DomainName,
+    FencingNumber,
+    HostId,
+    ServerId,
+)
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_status import (
+    CopyStatus,
+    EngineStatus,
+)
+from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.models.routing.route import (
+    RequestKind,
+    Route,
+    WeightedService,
+)
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    CallerLimits,
+    RoutingConfiguration,
+)
+from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
+from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.reachability import Reachability
+from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
+from tests.lib.routing_builders import (
+    LANGUAGE,
+    MODEL,
+    PLAIN,
+    copy_key,
+    membership,
+    route,
+    server_entry,
+    service,
+)
+from tests.lib.scripted_server import ScriptedServer
+
+_LIMITS = CallerLimits(
+    header_bytes=2000, body_bytes=5000, header_timeout=0.3, idle_timeout=0.4
+)
+
+
+def _routes() -> tuple[Route, ...]:
+    plain = (WeightedService(PLAIN, 1.0),)
+    return (
+        route(name="stream", path_prefix="/stream/", timeout=3.0),
+        route(
+            name="resumable",
+            path_prefix="/resumable/",
+            timeout=3.0,
+            target_latency=0.1,
+            is_resumable=True,
+            max_servers=2,
+        ),
+        route(
+            name="once",
+            path_prefix="/once/",
+            kind=RequestKind.ONCE,
+            services=plain,
+            timeout=0.6,
+        ),
+        route(
+            name="safe",
+            path_prefix="/safe/",
+            kind=RequestKind.IDEMPOTENT,
+            services=plain,
+            timeout=0.9,
+            target_latency=0.1,
+            max_servers=2,
+        ),
+    )
+
+
+class RelayWorld:
+    """Serve callers from scripted servers; the first is the only one to begin with."""
+
+    def __init__(
+        self, plain: list[ScriptedServer], engines: list[ScriptedServer]
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        self.view = MetadataView()
+        self.view.configuration = RoutingConfiguration(
+            1, _routes(), {LANGUAGE: service(), PLAIN: service(PLAIN)}, _LIMITS
+        )
+        self.view.hosts[HostId("h1")] = membership()
+        self.servers = ServerTable(clock)
+        self.servers.configure(self.view.configuration)
+        for number, server in enumerate(plain):
+            self.servers.put(
+                server_entry(
+                    f"p-{number}", service=PLAIN, address=server.address, slots=6
+                )
+            )
+        for number, server in enumerate(engines):
+            self.servers.put(server_entry(f"e-{number}", address=server.address))
+            self._hold(f"e-{number}")
+        signal = ChangeSignal()
+        self.wanted: list[ServerRecord] = []
+        dispatcher = Dispatcher(
+            self.servers,
+            self.view,
+            DomainName("d1"),
+            5.0,
+            signal,
+            self.wanted.append,
+            clock,
+            random.Random(1),
+        )
+        self.reachability = Reachability(self.servers, DomainName("d1"))
+
+        def ignore(record: ServerRecord) -> None:
+            return
+
+        self.handler = RequestHandler(
+            self.view,
+            PlatformRelayCodec(),
+            dispatcher,
+            RoutingBounds(),
+            ignore,
+            ignore,
+            self.reachability.lost,
+            clock,
+            random.Random(2),
+        )
+        self.listener = CallerListener("127.0.0.1:0", self.handler)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self.listener.bound_address.rsplit(":", 1)
+        return host, int(port)
+
+    async def __aenter__(self) -> "RelayWorld":
+        await self.listener.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.listener.abort()
+        await self.reachability.stop()
+        for record in self.servers.records:
+            record.pool.close()
+
+    def _hold(self, server: str) -> None:
+        copies = tuple(
+            CopyStatus(copy_key(f"a{n}"), CopyState.READY) for n in range(1, 4)
+        )
+        self.servers.take_status(
+            EngineStatus(
+                HostId("h1"),
+                ServerId(server),
+                FencingNumber(1),
+                1,
+                can_load=False,
+                spare_slots=0,
+                requests=0,
+                tokens=0,
+                unread_tokens=0,
+                pace=1.0,
+                base_models=(MODEL,),
+                copies=copies,
+            )
+        )
+
+
+class Caller:
+    """Speak raw HTTP to the world."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, world: RelayWorld) -> "Caller":
+        return cls(*await asyncio.open_connection(*world.address))
+
+    def send(
+        self, path: str, request_id: str = "q1", body: bytes = b"x", **fields: Any
+    ) -> None:
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: example",
+            f"X-Request-Id: {request_id}",
+            f"Content-Length: {len(body)}",
+        ]
+        if path.startswith(("/stream", "/resumable")):
+            lines += [f"X-Model: {MODEL}/a1", "X-Token-Counts: 10,20"]
+        lines += [f"{k.replace('_', '-')}: {value}" for k, value in fields.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def head(self) -> tuple[int, dict[str, str]]:
+        data = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5.0)
+        first, *lines = data.decode().strip().split("\r\n")
+        fields = {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in lines)}
+        return int(first.split()[1]), fields
+
+    async def reply(self) -> tuple[int, dict[str, str], bytes]:
+        status, fields = await self.head()
+        if "content-length" in fields:
+            length = int(fields["content-length"])
+            return status, fields, await self.reader.readexactly(length)
+        return status, fields, await self.chunks()
+
+    async def chunks(self) -> bytes:
+        """Return a chunked body; raise ``IncompleteReadError`` if it is cut."""
+        body = b""
+        while True:
+            size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+            body += await self.reader.readexactly(size)
+            await self.reader.readexactly(2)
+            if not size:
+                return body
+
+    def close(self) -> None:
+        self.writer.close()
--- a/tests/lib/scripted_server.py
+++ b/tests/lib/scripted_server.py
@@ -1,6 +1,8 @@
 """Answer HTTP/1.1 requests with bytes chosen by a test."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -70,6 +72,13 @@
             writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of an orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def response(
     body: bytes = b"ok", status: str = "200 OK", *headers: str, framed: bool = True
 ) -> bytes:
--- /dev/null
+++ b/tests/unit/test_report_codec.py
@@ -0,0 +1,104 @@
+"""Check that reports between hosts survive their way, and that others are refused."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydeal._internal.exceptions import PeerProtocolError
+from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_status import (
+    CopyStatus,
+    EngineStatus,
+)
+from gooseberrydeal._internal.models.routing.usage_report import (
+    CopyUse,
+    CopyWant,
+    EngineUsage,
+    UsageReport,
+)
+from gooseberrydeal._internal.network.report_codec import (
+    decode_report,
+    encode_status,
+    encode_usage,
+)
+
+_counts = st.integers(0, 2**31)
+_hundredths = st.integers(0, 6000).map(lambda number: number / 100)
+_thousandths = st.integers(-5000, 5000).map(lambda number: number / 1000)
+_keys = st.builds(AdapterCopyKey, st.text(max_size=8), st.text(max_size=8), _counts)
+_usages = st.builds(
+    EngineUsage,
+    st.text(max_size=9).map(ServerId),
+    _counts,
+    _counts,
+    _counts,
+    _hundredths,
+    st.integers(0, 60).map(float),
+    st.lists(st.builds(CopyUse, _keys, _counts, _counts), max_size=3).map(tuple),
+    st.lists(
+        st.builds(CopyWant, _keys, _counts, _thousandths, st.booleans()), max_size=3
+    ).map(tuple),
+)
+_statuses = st.builds(
+    EngineStatus,
+    st.text(max_size=9).map(HostId),
+    st.text(max_size=9).map(ServerId),
+    _counts.map(FencingNumber),
+    _counts,
+    st.booleans(),
+    _counts,
+    _counts,
+    _counts,
+    _counts,
+    _hundredths,
+    st.lists(st.text(max_size=8), max_size=2).map(tuple),
+    st.lists(
+        st.builds(
+            CopyStatus,
+            _keys,
+            st.sampled_from(CopyState),
+            st.integers(0, 3000).map(lambda number: number / 1000),
+        ),
+        max_size=3,
+    ).map(tuple),
+)
+
+
+@given(usages=st.lists(_usages, max_size=3).map(tuple), number=_counts)
+def test_usage_reports_survive(usages: tuple[EngineUsage, ...], number: int) -> None:
+    report = UsageReport(HostId("h1"), number, number, usages)
+    found = decode_report(encode_usage(report))
+    assert isinstance(found, UsageReport)
+    assert (found.host, found.sequence) == ("h1", number)
+    for got, sent in zip(found.engines, usages, strict=True):
+        assert (got.uses, got.server) == (sent.uses, sent.server)
+        assert got.pace == pytest.approx(sent.pace, abs=0.011)
+        assert [w.key for w in got.wants] == [w.key for w in sent.wants]
+        for got_want, want in zip(got.wants, sent.wants, strict=True):
+            assert got_want.slack == pytest.approx(want.slack, abs=0.002)
+            assert got_want.is_missing == want.is_missing
+
+
+@given(status=_statuses)
+def test_statuses_survive(status: EngineStatus) -> None:
+    found = decode_report(encode_status(status))
+    assert isinstance(found, EngineStatus)
+    assert (found.server, found.spare_slots) == (status.server, status.spare_slots)
+    assert found.base_models == status.base_models
+    assert [(c.key, c.state) for c in found.copies] == [
+        (c.key, c.state) for c in status.copies
+    ]
+
+
+@given(data=st.binary(max_size=60))
+def test_other_bytes_are_refused_or_left_out(data: bytes) -> None:
+    try:
+        decode_report(data)
+    except PeerProtocolError:
+        return
+
+
+def test_reports_of_newer_kinds_are_left_out() -> None:
+    assert decode_report(b"\x83\x01\x18\x63\x80") is None
