Learn the time of a load from requests that came too early

The expected time had fallen to 0.15 s (0.25 s is true): a report that a copy was missing met a copy still marked as loading, since its time was checked only where another load was about to be ordered, so it was left out, and the retry that succeeded counted as a load that was ready. The refused sends used the retry budget up, and further ones made callers refused.

Change: the copy's time is checked first. A request whose send was refused waits for the budget until its target latency instead of being refused at once. A fifth of the budget is kept back instead of a third.

Test: test_requests_that_come_too_early_correct_the_expected_time failed before.

--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -187,6 +187,7 @@
     ) -> bool:
         """Load a wanted copy if that is possible now; return whether it was ordered."""
         now = self._clock()
+        is_loading_full = self._slots.loading(now) >= MOST_LOADING
         copy = self._slots.copies.get(key)
         if copy is not None:
             if is_missing and copy.state is CopyState.READY:
@@ -194,7 +195,7 @@
             return False
         if key.model not in self._base_models:
             return False
-        if self._slots.loading(now) >= MOST_LOADING:
+        if is_loading_full:
             return False
         older = self._slots.older_version(key)
         in_use = self._demand.in_use()
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -29,6 +29,8 @@
 
 # A copy that was not ready when expected is asked for again after this long.
 _NOT_READY_SECONDS: Final = 0.05
+# A used-up budget allows retries again as its window slides.
+_BUDGET_SECONDS: Final = 0.1
 # Sends that servers refused or that reached none, before the caller is refused.
 _MOST_SENDS: Final = 6
 _RETRY_AFTER_SECONDS: Final = 0.4
@@ -91,7 +93,7 @@
     async def _attempt(self, found: Assignment) -> AttemptOutcome | None:
         """Send once; return ``None`` if nothing reached the server."""
         request, record = self._request, found.record
-        if request.sends and not self._may_retry(request):
+        if request.sends and not await self._wait_for_retry():
             self._give_up(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
             return AttemptOutcome.SERVED
         prompt_tokens = request.facts.prompt_tokens
@@ -154,6 +156,16 @@
                     attempt.give_up()
                     return AttemptOutcome.CUT if seen else AttemptOutcome.LOST
 
+    async def _wait_for_retry(self) -> bool:
+        """Wait until the budget allows a further send; return whether it does."""
+        request = self._request
+        latest = request.arrived_at + request.route.target_latency
+        while not self._may_retry(request):
+            if self._clock() >= latest:
+                return False
+            await asyncio.sleep(_BUDGET_SECONDS)
+        return True
+
     def _message(self, found: Assignment) -> bytes:
         request, head = self._request, self._exchange.head
         is_continuing = self._exchange.is_started
--- a/src/gooseberrydeal/_internal/policy/retry_window.py
+++ b/src/gooseberrydeal/_internal/policy/retry_window.py
@@ -6,7 +6,7 @@
 
 # Hosts join and leave unnoticed for a while, and others may count the window's edges
 # differently; this part of the share is never used.
-_RESERVE: Final = 0.35
+_RESERVE: Final = 0.2
 _BUCKET_SECONDS: Final = 0.5
 
 
--- a/tests/functional/test_engine_owners.py
+++ b/tests/functional/test_engine_owners.py
@@ -6,6 +6,11 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.adapter_order import OrderAction
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.usage_report import (
+    CopyUse,
+    CopyWant,
+    EngineUsage,
+)
 from tests.lib.fake_engine_orders import MOST_IN_TRANSIT, FakeAdapterEngine
 from tests.lib.owner_world import (
     SERVER,
@@ -229,3 +234,32 @@
         assert engine.crashes == 0
 
     run_virtual(play())
+
+
+def test_requests_that_come_too_early_correct_the_expected_time() -> None:
+    """Play a host that sends when the status says so, and tells what it met."""
+
+    async def play() -> None:
+        engine = new_engine(slots=3)
+        host = OwnerHost("h1", new_data(), engine).start()
+        await asyncio.sleep(2.0)
+        loop = asyncio.get_running_loop()
+        early = 0
+        for number in range(80):
+            key = copy_key(f"a{number}")
+            host.want([key])
+            await asyncio.sleep(0.02)
+            status = host.statuses[-1]
+            (copy,) = [copy for copy in status.copies if copy.key == key]
+            await asyncio.sleep(copy.ready_in)
+            if engine.copies[key] > loop.time():
+                early += number >= 40
+                wants = (CopyWant(key, 1, 0.5, is_missing=True),)
+                host.report(EngineUsage(SERVER, 0, 0, 0, wants=wants))
+                await asyncio.sleep(engine.copies[key] - loop.time())
+            use = CopyUse(key, 0, number + 1)
+            host.report(EngineUsage(SERVER, 0, 0, 0, uses=(use,)))
+            await asyncio.sleep(0.7)
+        assert early <= 4
+
+    run_virtual(play())
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -105,6 +105,10 @@
         await self.ownership.stop()
         await self._tasks.stop()
 
+    def report(self, usage: EngineUsage) -> None:
+        """Hand a usage report to the owner."""
+        self.ownership.owners[SERVER].take_usage(membership("asker").host, usage)
+
     @property
     def owns(self) -> bool:
         return SERVER in self.ownership.owners
