--- a/src/gooseberrydeal/_internal/lab/cli.py
+++ b/src/gooseberrydeal/_internal/lab/cli.py
@@ -35,6 +35,17 @@
         raise typer.Exit(ExitCode.OK if is_right else ExitCode.FAILED)
 
 
+@app.command()
+def router_demo() -> None:
+    """Show requests routed straight to engines, as on the users' platform."""
+    from gooseberrydeal._internal.lab.router.router_demo import (  # noqa: PLC0415
+        RouterDemo,
+    )
+
+    is_right = asyncio.run(RouterDemo().run())
+    raise typer.Exit(ExitCode.OK if is_right else ExitCode.FAILED)
+
+
 @app.command()
 def bench(
     scenario: Annotated[str, typer.Argument(help="stalls, crest, blocking, ...")],
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/router/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the users' platform: its metadata store and its model engines."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/lab/router/metadata_app.py
@@ -0,0 +1,185 @@
+"""Serve a stand-in of the platform's metadata store."""
+
+import asyncio
+import base64
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Final
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+_FIRST_REVISION: Final = 10
+_LOOK_SECONDS: Final = 0.05
+
+
+@dataclass(slots=True)
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class _Change:
+    key: str
+    revision: int
+    item: _Item | None
+
+
+@dataclass(slots=True)
+class _Lease:
+    seconds: float
+    until: float
+    keys: set[str] = field(default_factory=set)
+
+
+class MetadataApp:
+    """Keep keys, revisions and leases in memory, and be away on request."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+        self._changes: list[_Change] = []
+        self._leases: dict[int, _Lease] = {}
+        self._revision = _FIRST_REVISION
+        self._next_lease = 1
+        self._is_away = False
+
+    def set_away(self, *, is_away: bool) -> None:
+        """Refuse all calls, or serve again."""
+        self._is_away = is_away
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key and return its revision."""
+        self._revision += 1
+        known = self._items.get(key)
+        created = known.created if known is not None else self._revision
+        item = _Item(value, self._revision, created, lease)
+        self._items[key] = item
+        self._changes.append(_Change(key, self._revision, item))
+        if lease in self._leases:
+            self._leases[lease].keys.add(key)
+        return self._revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key if it is there."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            self._changes.append(_Change(key, self._revision, None))
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/-/kv-range", self._range),
+                Route("/-/kv-watch", self._watch),
+                Route("/-/kv-txn", self._transact, methods=["POST"]),
+                Route("/-/kv-lease", self._grant, methods=["POST"]),
+                Route("/-/kv-keep/{lease:int}", self._renew, methods=["POST"]),
+                Route("/-/kv-lease-end/{lease:int}", self._end, methods=["DELETE"]),
+            ]
+        )
+
+    async def _range(self, request: Request) -> Response:
+        if self._is_refused():
+            return _refusal()
+        prefix = request.query_params["pathPrefix"]
+        items = [
+            _row(key, item)
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix)
+        ]
+        return JSONResponse(
+            {"items": items, "truncated": False, "storeRevision": self._revision}
+        )
+
+    async def _watch(self, request: Request) -> Response:
+        prefix = request.query_params["pathPrefix"]
+        after = int(request.query_params["after"])
+        until = time.monotonic() + int(request.query_params["waitMs"]) / 1000
+        while True:
+            if self._is_refused():
+                return _refusal()
+            found = [
+                _row(change.key, change.item, change.revision)
+                for change in self._changes
+                if change.revision > after and change.key.startswith(prefix)
+            ]
+            if found or time.monotonic() >= until:
+                body = {"events": found, "storeRevision": self._revision}
+                return JSONResponse(body)
+            await asyncio.sleep(_LOOK_SECONDS)
+
+    async def _transact(self, request: Request) -> Response:
+        if self._is_refused():
+            return _refusal()
+        body = await request.json()
+        for row in body["precondition"]:
+            item = self._items.get(row["key"])
+            if (item.revision if item is not None else 0) != row["revision"]:
+                status = HTTPStatus.PRECONDITION_FAILED
+                return JSONResponse({"items": []}, status)
+        if any(row["lease"] not in (0, *self._leases) for row in body["puts"]):
+            return JSONResponse({}, HTTPStatus.NOT_FOUND)
+        for row in body["puts"]:
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        return JSONResponse({"revision": self._revision})
+
+    async def _grant(self, request: Request) -> Response:
+        if self._is_refused():
+            return _refusal()
+        milliseconds = (await request.json())["ttlMs"]
+        lease, self._next_lease = self._next_lease, self._next_lease + 1
+        seconds = milliseconds / 1000
+        self._leases[lease] = _Lease(seconds, time.monotonic() + seconds)
+        return JSONResponse({"lease": lease, "ttlMs": milliseconds})
+
+    async def _renew(self, request: Request) -> Response:
+        if self._is_refused():
+            return _refusal()
+        lease = self._leases.get(request.path_params["lease"])
+        if lease is None:
+            return JSONResponse({}, HTTPStatus.NOT_FOUND)
+        lease.until = time.monotonic() + lease.seconds
+        return JSONResponse({"ttlMs": int(lease.seconds * 1000)})
+
+    async def _end(self, request: Request) -> Response:
+        if self._is_refused():
+            return _refusal()
+        self._drop(request.path_params["lease"])
+        return JSONResponse({})
+
+    def _is_refused(self) -> bool:
+        now = time.monotonic()
+        for lease in [k for k, held in self._leases.items() if held.until <= now]:
+            self._drop(lease)
+        return self._is_away
+
+    def _drop(self, number: int) -> None:
+        lease = self._leases.pop(number, None)
+        for key in sorted(lease.keys) if lease is not None else ():
+            item = self._items.get(key)
+            if item is not None and item.lease == number:
+                self.remove(key)
+
+
+def _row(key: str, item: _Item | None, revision: int = 0) -> dict[str, Any]:
+    if item is None:
+        return {"key": key, "revision": revision, "removed": True}
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "createdRev": item.created,
+        "lease": item.lease,
+    }
+
+
+def _refusal() -> Response:
+    return JSONResponse({}, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/src/gooseberrydeal/_internal/operations/router/readiness.py
+++ b/src/gooseberrydeal/_internal/operations/router/question_listener.py
@@ -1,4 +1,4 @@
-"""Answer the platform's question whether this host takes callers."""
+"""Answer small questions over HTTP: readiness and metrics."""
 
 import asyncio
 import logging
@@ -12,10 +12,12 @@
 
 logger = logging.getLogger(__name__)
 
+Answer = Callable[[], tuple[HTTPStatus, bytes]]
 
-class _ReadinessConnection(asyncio.Protocol):
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
+
+class _QuestionConnection(asyncio.Protocol):
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
 
@@ -27,22 +29,24 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            logger.info("a readiness question is malformed: %s", error)
+            logger.info("a question is malformed: %s", error)
             if self._transport is not None:
                 self._transport.close()
 
     def on_message_complete(self) -> None:
-        status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        status, body = self._answer()
+        fields = ((b"Content-Type", b"text/plain; charset=utf-8"),) if body else ()
+        head = response_head(status, reason_of(status), fields, len(body))
         if self._transport is not None:
-            self._transport.write(response_head(status, reason_of(status), (), 0))
+            self._transport.write(head + body)
 
 
-class Readiness:
-    """Own the listening socket of the readiness question."""
+class QuestionListener:
+    """Own a listening socket on which every request gets the same kind of answer."""
 
-    def __init__(self, address: str, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, address: str, answer: Answer) -> None:
         self._address = address
-        self._is_ready = is_ready
+        self._answer = answer
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -50,7 +54,7 @@
         host, port = split_ip_and_port(self._address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ReadinessConnection(self._is_ready), host, port
+            lambda: _QuestionConnection(self._answer), host, port
         )
 
     def stop(self) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -15,6 +15,7 @@
 )
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.refusals import refuse
@@ -39,6 +40,7 @@
         view: MetadataView,
         codec: RelayCodec,
         dispatcher: Dispatcher,
+        metrics: RouterMetrics,
         bounds: RoutingBounds,
         on_use: Callable[[ServerRecord], None],
         on_freed: Callable[[ServerRecord], None],
@@ -49,6 +51,7 @@
         self._view = view
         self._codec = codec
         self._dispatcher = dispatcher
+        self._metrics = metrics
         self._bounds = bounds
         self._on_use = on_use
         self._on_freed = on_freed
@@ -116,6 +119,7 @@
                 exchange,
                 self._codec,
                 self._dispatcher,
+                self._metrics,
                 self._may_retry,
                 self._on_use,
                 self._on_freed,
@@ -140,6 +144,7 @@
     def _may_retry(self, request: RoutedRequest) -> bool:
         window = self._window(request.service)
         allowed = window.take(self._clock(), len(self._view.hosts))
+        self._metrics.retry_asked(is_allowed=allowed)
         if not allowed:
             logger.info(
                 "no retry: the budget of %s is used up",
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -12,6 +12,7 @@
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.framing import request_bytes
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
     Assignment,
     NoAssignment,
@@ -51,6 +52,7 @@
         exchange: CallerExchange,
         codec: RelayCodec,
         dispatcher: Dispatcher,
+        metrics: RouterMetrics,
         may_retry: RetryPermit,
         on_use: Callable[[ServerRecord], None],
         on_freed: Callable[[ServerRecord], None],
@@ -61,6 +63,7 @@
         self._exchange = exchange
         self._codec = codec
         self._dispatcher = dispatcher
+        self._metrics = metrics
         self._may_retry = may_retry
         self._on_use = on_use
         self._on_freed = on_freed
@@ -112,6 +115,14 @@
                 )
                 return None
             request.sends += 1
+            sent_at = self._clock()
+            if request.sends == 1:
+                self._metrics.waited(sent_at - request.arrived_at)
+
+            def head_seen() -> None:
+                reading.end()
+                self._metrics.first_byte(self._clock() - sent_at)
+
             attempt = Attempt(
                 self._exchange,
                 self._codec,
@@ -120,7 +131,7 @@
                 request.facts.request_id,
                 may_repeat=self._can_run_again(pending=1),
                 events=self._events,
-                on_head=reading.end,
+                on_head=head_seen,
             )
             try:
                 connection.send(
@@ -134,6 +145,7 @@
                 raise
             record.pool.release(connection)
             self._last_status = attempt.status
+            self._metrics.attempt_ended(outcome.value)
             return outcome
         finally:
             reading.end()
@@ -235,6 +247,7 @@
         return len(request.ran_on) + pending < request.route.max_servers
 
     def _give_up(self, reason: RefusalReason, retry_after: float) -> None:
+        self._metrics.refused(reason)
         if self._exchange.is_started:
             self._exchange.cut()
         elif self._request.ran_on:
@@ -247,6 +260,7 @@
 
     def _end_at_deadline(self) -> None:
         request = self._request
+        self._metrics.refused(RefusalReason.DEADLINE)
         if self._exchange.is_started:
             self._exchange.cut()
         elif request.sends:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from http import HTTPStatus
 from typing import Final
 
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
@@ -11,6 +12,7 @@
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
@@ -20,8 +22,10 @@
     MetadataNames,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.question_listener import (
+    QuestionListener,
+)
 from gooseberrydeal._internal.operations.router.reachability import Reachability
-from gooseberrydeal._internal.operations.router.readiness import Readiness
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
@@ -59,6 +63,7 @@
             settings.peers,
             rng.getrandbits(48),
         )
+        self._metrics = RouterMetrics()
         self._view = MetadataView()
         self._servers = ServerTable(now)
         signal = ChangeSignal()
@@ -104,6 +109,7 @@
             self._view,
             codec,
             dispatcher,
+            self._metrics,
             settings.bounds,
             self._exchange.used,
             self._exchange.freed,
@@ -112,13 +118,17 @@
             rng,
         )
         self._listener = CallerListener(settings.callers, self._handler)
-        self._readiness = Readiness(settings.readiness, self._is_ready)
+        self._readiness = QuestionListener(settings.readiness, self._readiness_answer)
+        self._metrics_listener = QuestionListener(
+            settings.metrics, self._metrics_answer
+        )
         self._tasks = TaskOwner()
 
     async def start(self) -> None:
         """Begin all tasks, or raise ``OSError``."""
         await self._exchange.open()
         await self._readiness.start()
+        await self._metrics_listener.start()
         await self._listener.start()
         self._tasks.start(self._follower.run(), "metadata follower")
         self._tasks.start(self._lease.run(), "lease")
@@ -142,14 +152,21 @@
             await asyncio.sleep(_LOOK_SECONDS)
             self._listener.close_idle()
         cut = self._listener.busy_count
+        await self.abort()
+        logger.info("stopped with %d answers cut", cut)
+        return cut
+
+    async def abort(self) -> None:
+        """End at once."""
         self._listener.abort()
         self._readiness.stop()
+        self._metrics_listener.stop()
         await self._reachability.stop()
         await self._ownership.stop()
         await self._tasks.stop()
         self._exchange.close()
-        logger.info("stopped with %d answers cut", cut)
-        return cut
+        for record in self._servers.records:
+            record.pool.close()
 
     def _is_ready(self) -> bool:
         return (
@@ -158,5 +175,20 @@
             and any(True for _ in self._servers.records)
         )
 
+    def _readiness_answer(self) -> tuple[HTTPStatus, bytes]:
+        if self._is_ready():
+            return HTTPStatus.OK, b""
+        return HTTPStatus.SERVICE_UNAVAILABLE, b""
+
+    def _metrics_answer(self) -> tuple[HTTPStatus, bytes]:
+        configuration = self._view.configuration
+        version = configuration.version if configuration is not None else 0
+        self._metrics.set_state("configuration_version", version)
+        self._metrics.set_state("servers", len(list(self._servers.records)))
+        self._metrics.set_state("hosts", len(self._view.hosts))
+        self._metrics.set_state("engines_owned", len(self._ownership.owners))
+        self._metrics.set_state("callers_connected", self._listener.open_count)
+        return HTTPStatus.OK, self._metrics.render()
+
     def _metadata_changed(self) -> None:
         self._ownership.changed()
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -26,6 +26,7 @@
     RoutingConfiguration,
 )
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
@@ -106,6 +107,7 @@
             self.servers.put(server_entry(f"e-{number}", address=server.address))
             self._hold(f"e-{number}")
         signal = ChangeSignal()
+        self.metrics = RouterMetrics()
         self.wanted: list[ServerRecord] = []
         dispatcher = Dispatcher(
             self.servers,
@@ -126,6 +128,7 @@
             self.view,
             PlatformRelayCodec(),
             dispatcher,
+            self.metrics,
             RoutingBounds(),
             ignore,
             ignore,
