Queue waiting requests at owners when no engine has a slot to give

Cause: with all slots in use a request asked nobody and looked again every 60 ms; the slot that came free went to whichever host looked first, so that the order by slack never applied and some waited for 2 s while others passed.

Change: it asks the first engine in its adapter's order, whose owner loads in the order of slack as soon as a copy is out of use; it leaves for an engine that has a slot.

--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -19,6 +19,7 @@
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.pending_want import PendingWant
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
@@ -110,7 +111,7 @@
         self._demand.note_request(request.facts.adapter, begun)
         patience = request.deadline - request.arrived_at
         latest = begun + patience * _MOST_WAIT_PART
-        wanted: tuple[ServerRecord, AdapterCopyKey, float] | None = None
+        wanted: PendingWant | None = None
         try:
             while True:
                 now = self._clock()
@@ -126,37 +127,43 @@
                     if wanted is not None:
                         reason = RefusalReason.LOAD_FAILED
                     return NoAssignment(reason, _RETRY_AFTER_SECONDS)
-                if decision.verdict is EngineVerdict.LOAD and record is not None:
+                asks = decision.verdict in (EngineVerdict.LOAD, EngineVerdict.QUEUE)
+                if asks and record is not None:
                     on_time_until = request.arrived_at + request.route.target_latency
-                    wanted = self._want(wanted, record, copy, on_time_until, now)
+                    is_queued = decision.verdict is EngineVerdict.QUEUE
+                    wish = PendingWant(record, copy, now, is_queued)
+                    wanted = self._want(wanted, wish, on_time_until, now)
                 seconds = _LOOK_AGAIN_SECONDS
                 if wanted is not None:
-                    ready_in = wanted[0].ready_in(copy, now)
+                    ready_in = wanted.record.ready_in(copy, now)
                     seconds = ready_in if ready_in > 0 else seconds
                 await self._signal.wait(copy, min(seconds, latest - now))
         finally:
             if wanted is not None:
-                wanted[0].unwant(wanted[1])
+                wanted.record.unwant(wanted.copy)
 
     def _want(
         self,
-        wanted: tuple[ServerRecord, AdapterCopyKey, float] | None,
-        record: ServerRecord,
-        copy: AdapterCopyKey,
+        pending: PendingWant | None,
+        wish: PendingWant,
         on_time_until: float,
         now: float,
-    ) -> tuple[ServerRecord, AdapterCopyKey, float]:
-        """Ask the engine's owner for a load, and stay with it for a while."""
-        if wanted is not None:
-            is_same = wanted[0] is record and wanted[1] == copy
-            is_patient = now - wanted[2] < _LOAD_PATIENCE_SECONDS
-            is_served = wanted[1] == copy and wanted[0].takes_orders(now)
-            if is_same or (is_patient and is_served):
-                return wanted
-            wanted[0].unwant(wanted[1])
-        if record.want(copy, on_time_until):
-            self._on_want(record)
-        return record, copy, now
+    ) -> PendingWant:
+        """Ask the engine's owner for a load, and stay with it for a while.
+
+        A request that was queued leaves for an engine that has a slot to give.
+        """
+        if pending is not None:
+            is_same = pending.record is wish.record and pending.copy == wish.copy
+            is_patient = now - pending.asked_at < _LOAD_PATIENCE_SECONDS
+            is_served = pending.copy == wish.copy and pending.record.takes_orders(now)
+            is_better = pending.is_queued and not wish.is_queued
+            if is_same or (is_patient and is_served and not is_better):
+                return pending
+            pending.record.unwant(pending.copy)
+        if wish.record.want(wish.copy, on_time_until):
+            self._on_want(wish.record)
+        return wish
 
     def _copy_for(self, request: RoutedRequest, now: float) -> AdapterCopyKey:
         """Return the version to run: the newest, or the old one for a moment."""
@@ -216,6 +223,7 @@
             copy=record.copy_state(copy, now),
             ready_in=record.ready_in(copy, now),
             can_load=record.can_load(now),
+            takes_orders=record.takes_orders(now),
             is_warm=record.is_warm(copy),
             is_unheard=record.is_unheard(now),
             unread_limit=unread_limit(pause, event_tokens, record.load.pace),
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -9,7 +9,7 @@
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
-from gooseberrydeal._internal.utils.rendezvous import ranked
+from gooseberrydeal._internal.utils.rendezvous import first, ranked
 
 # Prompt tokens that an engine reads in a second: the figure of the deployments' sheets.
 READ_TOKENS_A_SECOND: Final = 19_200.0
@@ -81,6 +81,7 @@
     copy: CopyState | None
     ready_in: float = 0.0
     can_load: bool = False
+    takes_orders: bool = False
     is_warm: bool = False
     unread_limit: float = math.inf
     failure_rate: float = 0.0
@@ -111,10 +112,14 @@
 
 
 class EngineVerdict(Enum):
-    """List what to do with a request."""
+    """List what to do with a request.
+
+    ``QUEUE`` asks for a load at an engine that has no slot to give yet.
+    """
 
     SEND = "send"
     LOAD = "load"
+    QUEUE = "queue"
     WAIT = "wait"
     NO_ENGINE = "no_engine"
 
@@ -174,10 +179,23 @@
         if not _is_scarce(roomy) or not options:
             options += _loads(copy, prompt, roomy, uses_ahead)
     if not options:
-        return EngineDecision(EngineVerdict.WAIT)
+        return _queue(copy, roomy)
     return min(options, key=lambda option: (option.wait, option.server))
 
 
+def _queue(copy: AdapterCopyKey, engines: Sequence[EngineCandidate]) -> EngineDecision:
+    """Return the engine at whose owner the request waits for a slot."""
+    able = {
+        str(item.server): item.server
+        for item in engines
+        if item.copy is None and item.takes_orders and not item.is_avoided
+    }
+    if not copy.adapter or not able:
+        return EngineDecision(EngineVerdict.WAIT)
+    name = first(f"{copy.model}/{copy.adapter}", able)
+    return EngineDecision(EngineVerdict.QUEUE, able[name or ""])
+
+
 def _is_scarce(engines: Sequence[EngineCandidate]) -> bool:
     """Return whether slots are too scarce for further copies of an adapter."""
     able = sum(item.can_load for item in engines)
--- a/tests/unit/test_routing_policies.py
+++ b/tests/unit/test_routing_policies.py
@@ -225,6 +225,18 @@
     assert (often.verdict, often.server) == (EngineVerdict.LOAD, "i-2")
 
 
+def test_a_request_queues_at_an_owner_when_no_slot_can_be_given() -> None:
+    engines = [
+        candidate(f"i-{n}", can_load=False, takes_orders=n != 3) for n in range(6)
+    ]
+    found = choose_engine(copy_key(), SIZE, engines)
+    assert found.verdict is EngineVerdict.QUEUE
+    assert found.server not in (None, "i-3")
+    assert choose_engine(copy_key(), SIZE, engines[::-1]).server == found.server
+    none = [candidate("i-1", can_load=False)]
+    assert choose_engine(copy_key(), SIZE, none).verdict is EngineVerdict.WAIT
+
+
 def test_without_engines_nothing_is_awaited() -> None:
     assert choose_engine(copy_key(), SIZE, []).verdict is EngineVerdict.NO_ENGINE
 
