Remove what nothing reads

Ruled out by a search for callers: prompt parts, sizes that no decision uses, counters that no metric shows, the flag for a fresh connection.

--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -83,7 +83,6 @@
         settings = HostSettings(
             host=HostId(name),
             domain=DomainName(_DOMAIN),
-            ip=callers.rpartition(":")[0],
             callers=callers,
             readiness=free_address(),
             peers=free_address(),
--- a/src/gooseberrydeal/_internal/models/routing/host_settings.py
+++ b/src/gooseberrydeal/_internal/models/routing/host_settings.py
@@ -9,7 +9,6 @@
 class RoutingBounds:
     """Hold the deployment's bounds; times are in seconds."""
 
-    drain: float = 2.0
     grace: float = 8.0
     lease: float = 3.0
     adapter_version: float = 5.0
@@ -32,13 +31,10 @@
 
     host: HostId
     domain: DomainName
-    ip: str
     callers: str
     readiness: str
     peers: str
     metrics: str
     store: StoreFacts
     is_first_start: bool = False
-    max_descriptors: int = 4096
-    checks_fencing: bool = False
     bounds: RoutingBounds = field(default_factory=RoutingBounds)
--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -10,8 +10,7 @@
 class RequestFacts:
     """Hold the fields that decide how a request is served.
 
-    ``patience`` is how many seconds the caller waits. ``prompt_parts`` names the parts
-    of the prompt in order, each with its tokens; requests share the first ones.
+    ``patience`` is how many seconds the caller waits.
     """
 
     request_id: RequestId
@@ -21,4 +20,3 @@
     adapter: AdapterKey | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
-    prompt_parts: tuple[tuple[str, int], ...] = ()
--- a/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
+++ b/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
@@ -13,7 +13,6 @@
 
     name: str
     megabytes: float
-    adapter_megabytes: float
     load_seconds: float
 
 
@@ -25,11 +24,8 @@
     """
 
     models: Mapping[str, BaseModel]
-    weight_megabytes: float
     adapter_slots: int
     token_capacity: int
-    batch_size: int
-    loads_per_second: float
     event_tokens: int = 1
 
 
@@ -38,7 +34,6 @@
     """Describe a service; ``engine`` is absent for plain services."""
 
     name: ServiceName
-    health_path: str
     max_connections: int
     engine: EngineSize | None = None
 
--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -23,23 +23,17 @@
         self._most = most
         self._idle: list[ServerConnection] = []
         self._in_use = 0
-        self._opened = 0
-
-    @property
-    def opened(self) -> int:
-        """Return how many connections were opened."""
-        return self._opened
 
     def set_limit(self, most: int) -> None:
         """Change how many connections may be open."""
         self._most = most
 
-    async def acquire(self, *, fresh: bool = False) -> ServerConnection:
+    async def acquire(self) -> ServerConnection:
         """Return a connection, or raise :class:`ServerUnreachableError`.
 
         Nothing has been sent on it if this fails.
         """
-        while self._idle and not fresh:
+        while self._idle:
             connection = self._idle.pop()
             if connection.is_reusable():
                 self._in_use += 1
@@ -91,5 +85,4 @@
             raise ServerUnreachableError(
                 f"no connection to {self._address}: {error or 'timeout'}"
             ) from error
-        self._opened += 1
         return connection
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -48,18 +48,12 @@
         self._body: list[bytes] = []
         self._idle_seconds = _DEFAULT_IDLE_SECONDS
         self._idle_until = 0.0
-        self._has_served = False
 
     @property
     def is_open(self) -> bool:
         """Return whether the connection can still carry bytes."""
         return self._transport is not None and not self._transport.is_closing()
 
-    @property
-    def has_served(self) -> bool:
-        """Return whether an earlier request was answered on this connection."""
-        return self._has_served
-
     def is_reusable(self) -> bool:
         """Return whether another request may be sent now."""
         return (
@@ -214,7 +208,6 @@
             and not self._is_head_request
             and not self._has_extra
         )
-        self._has_served = True
         if keep:
             self._idle_until = self._loop.time() + self._idle_seconds
             sink, self._sink = self._sink, None
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -67,11 +67,6 @@
         """Return the status of the response, 0 if none came."""
         return self._status
 
-    @property
-    def is_passing(self) -> bool:
-        """Return whether the caller receives this response."""
-        return self._is_passing
-
     @property
     def received(self) -> int:
         """Return how many pieces of the response came."""
--- a/src/gooseberrydeal/_internal/platform/boot_file.py
+++ b/src/gooseberrydeal/_internal/platform/boot_file.py
@@ -41,7 +41,6 @@
     return HostSettings(
         host=HostId(values["nodeName"]),
         domain=DomainName(values["zone"]),
-        ip=ip,
         callers=values["listen.front"],
         readiness=values["listen.ready"],
         peers=f"{ip}:{first_port}",
@@ -51,8 +50,6 @@
             shortest_lease=float(values.get("platform.ttlMinMs") or 1000) / 1000,
         ),
         is_first_start=values.get("bootstrap") == "true",
-        max_descriptors=int(values.get("limits.maxFds") or 4096),
-        checks_fencing=values.get("bounds.requireFence") == "true",
         bounds=_bounds(values),
     )
 
@@ -69,7 +66,6 @@
         return float(given) if given else default
 
     return RoutingBounds(
-        drain=seconds("drainMs", usual.drain),
         grace=plain("graceS", usual.grace),
         lease=seconds("leaseMs", usual.lease),
         # This bound alone is spelled with an underscore.
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -100,7 +100,6 @@
     engine = data.get("engine")
     return ServiceConfiguration(
         name=ServiceName(data["name"]),
-        health_path=str(data.get("healthPath") or "/"),
         max_connections=int(data.get("maxConnections") or 100),
         engine=None if not engine else _engine(engine),
     )
@@ -111,18 +110,14 @@
         str(item["name"]): BaseModel(
             str(item["name"]),
             float(item["weightsMb"]),
-            float(item.get("adapterMb") or 0.0),
             float(item.get("loadS") or 0.0),
         )
         for item in data.get("models") or ()
     }
     return EngineSize(
         models=models,
-        weight_megabytes=float(data.get("weightsMb") or 0.0),
         adapter_slots=int(data.get("adapterSlots") or 0),
         token_capacity=int(data.get("kvCapacity") or 0),
-        batch_size=int(data.get("slots") or 1),
-        loads_per_second=float(data.get("loadsPerS") or 0.0),
         # Tokens in one event of a stream.
         event_tokens=int(data.get("stride") or 1),
     )
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -7,7 +7,6 @@
 MODEL: Final = b"x-model"
 # Prompt tokens and the most output tokens, separated by a comma.
 TOKEN_COUNTS: Final = b"x-token-counts"
-PROMPT_PARTS: Final = b"x-prompt-prefix"
 LAST_EVENT: Final = b"last-event-id"
 EXPECT_SERVER: Final = b"x-expect-instance"
 # The version of the adapter where the request names one, else of the base model.
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -43,7 +43,6 @@
             adapter=_adapter(fields.get(names.MODEL)),
             prompt_tokens=prompt,
             output_tokens=output,
-            prompt_parts=_parts(fields.get(names.PROMPT_PARTS, b"")),
         )
 
     def forward_headers(self, head: RequestHead, facts: ForwardFacts) -> list[Header]:
@@ -109,15 +108,6 @@
     return AdapterKey(model, adapter)
 
 
-def _parts(value: bytes) -> tuple[tuple[str, int], ...]:
-    parts = []
-    for item in _text(value).split(","):
-        name, _, tokens = item.partition(":")
-        if name and tokens.isdigit():
-            parts.append((name, int(tokens)))
-    return tuple(parts)
-
-
 def _load(value: bytes | None) -> ReportedLoad | None:
     if value is None:
         return None
--- a/src/gooseberrydeal/_internal/platform/store_client.py
+++ b/src/gooseberrydeal/_internal/platform/store_client.py
@@ -31,12 +31,6 @@
 
     def __init__(self, address: str) -> None:
         self._client = JsonClient(address, _CONNECTIONS)
-        self._calls = 0
-
-    @property
-    def calls(self) -> int:
-        """Return how many calls were made."""
-        return self._calls
 
     async def list(self, prefix: str) -> StorePage:
         """Return all items under a prefix, and the revision of the first page."""
@@ -140,7 +134,6 @@
         seconds: float = _CALL_SECONDS,
         others: tuple[HTTPStatus, ...] = (),
     ) -> tuple[int, Any]:
-        self._calls += 1
         try:
             status, answer = await self._client.call(method, target, body, seconds)
         except ServerUnreachableError as error:
--- a/src/gooseberrydeal/_internal/policy/server_health.py
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -4,9 +4,6 @@
 
 # Weight of the newest outcome in the moving rate of failures.
 _NEWEST_WEIGHT: Final = 0.12
-# One service's usual errors may reach a seventh of its answers; above this rate of
-# failures a server counts as faulty.
-_FAULTY_RATE: Final = 0.3
 # The rate of a server that is no longer used halves in this time, so that it is tried.
 _FORGET_SECONDS: Final = 3.0
 
@@ -29,10 +26,6 @@
         age = max(0.0, now - self._noted_at)
         return float(self._failure_rate * 0.5 ** (age / _FORGET_SECONDS))
 
-    def is_faulty(self, now: float) -> bool:
-        """Return whether many of the recent answers failed."""
-        return self.failure_rate(now) > _FAULTY_RATE
-
     def note_answer(self, now: float) -> None:
         """Note a whole answer."""
         self._is_unreachable = False
--- a/tests/lib/routing_builders.py
+++ b/tests/lib/routing_builders.py
@@ -62,13 +62,13 @@
 
 
 def engine_size(slots: int = 4) -> EngineSize:
-    model = BaseModel(MODEL, 16_100.0, 14.0, 0.6)
-    return EngineSize({MODEL: model}, 17_000.0, slots, 150_000, 128, 9.0)
+    model = BaseModel(MODEL, 16_100.0, 0.6)
+    return EngineSize({MODEL: model}, slots, 150_000)
 
 
 def service(name: ServiceName = LANGUAGE, slots: int = 4) -> ServiceConfiguration:
     engine = engine_size(slots) if name == LANGUAGE else None
-    return ServiceConfiguration(name, "/health", 100, engine)
+    return ServiceConfiguration(name, 100, engine)
 
 
 def configuration(
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -55,7 +55,7 @@
     assert settings.metrics == "10.1.0.38:7381"
     assert settings.is_first_start
     bounds = settings.bounds
-    assert (bounds.drain, bounds.lease, bounds.adapter_version) == (2.5, 3.5, 4.0)
+    assert (bounds.lease, bounds.adapter_version) == (3.5, 4.0)
     assert bounds.retry_slack == 54.0
     assert bounds.grace == 8.0
 
@@ -200,22 +200,19 @@
             X_Deadline_Ms="2500",
             X_Model=f"{MODEL}/a3",
             X_Token_Counts="1460,80",
-            X_Prompt_Prefix="5c1e07a2:800,91bd3f06:410",
         )
     )
     assert (facts.host, facts.path, facts.patience) == ("letters.example", "/a/b", 2.5)
     assert facts.adapter == AdapterKey(MODEL, "a3")
     assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
-    assert facts.prompt_parts == (("5c1e07a2", 800), ("91bd3f06", 410))
 
 
 def test_unreadable_fields_count_as_absent() -> None:
     facts = PlatformRelayCodec().read_request(
-        _head(X_Deadline_Ms="soon", X_Token_Counts="7", X_Prompt_Prefix="x,:3,y:z")
+        _head(X_Deadline_Ms="soon", X_Token_Counts="7")
     )
     assert facts.patience is None
     assert (facts.prompt_tokens, facts.output_tokens) == (0, 0)
-    assert facts.prompt_parts == ()
 
 
 def test_system_fields_are_replaced() -> None:
--- a/tests/unit/test_routing_policies.py
+++ b/tests/unit/test_routing_policies.py
@@ -114,8 +114,8 @@
     health = ServerHealth()
     for step in range(20):
         health.note_failure(step / 10)
-    assert health.is_faulty(2.0)
-    assert not health.is_faulty(12.0)
+    assert health.failure_rate(2.0) > 0.5
+    assert health.failure_rate(12.0) < 0.1
 
 
 def test_own_requests_are_counted_once_in_an_estimate() -> None:
