--- /dev/null
+++ b/tests/functional/test_metadata_follower.py
@@ -0,0 +1,156 @@
+"""Check what a host believes while the metadata store comes and goes."""
+
+import asyncio
+
+from gooseberrydeal._internal.exceptions import DeclarationError
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    RoutingConfiguration,
+)
+from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
+from gooseberrydeal._internal.models.routing.store_item import StoreItem
+from gooseberrydeal._internal.operations.router.metadata_follower import (
+    MetadataFollower,
+)
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
+from tests.lib.routing_builders import configuration, server_entry
+from tests.lib.virtual_loop import run_virtual
+
+
+class _Names:
+    """Read plain values: a number is a version or a start, anything else is broken."""
+
+    def configuration(self, item: StoreItem) -> RoutingConfiguration | None:
+        if item.key != "configuration" or item.value is None:
+            return None
+        return configuration(int(item.value))
+
+    def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
+        if not item.key.startswith("versions/") or item.value is None:
+            return None
+        return AdapterKey("base", item.key[9:]), int(item.value)
+
+    def server_id(self, key: str) -> ServerId | None:
+        return ServerId(key[8:]) if key.startswith("servers/") else None
+
+    def server(self, server: ServerId, value: bytes) -> ServerEntry:
+        if not value.isdigit():
+            raise DeclarationError([f"{server} is unreadable"])
+        return server_entry(server, started_at=int(value))
+
+
+class _Host:
+    def __init__(self, data: StoreData) -> None:
+        clock = asyncio.get_running_loop().time
+        self.data = data
+        self.store = FakeMetadataStore(data)
+        self.view = MetadataView()
+        self.servers = ServerTable(clock)
+        self.follower = MetadataFollower(
+            self.store,
+            _Names(),
+            self.view,
+            self.servers,
+            clock,
+            lambda: None,
+            is_first_start=True,
+        )
+        self.tasks = TaskOwner()
+        self.tasks.start(self.follower.run(), "follower")
+
+    def known(self) -> set[str]:
+        return {str(record.id) for record in self.servers.records}
+
+    async def beat(self, seconds: float, servers: tuple[str, ...] = ("i-1",)) -> None:
+        """Let servers write their entries about once a second."""
+        for _ in range(int(seconds)):
+            for server in servers:
+                self.data.write(f"servers/{server}", b"1", None)
+            await asyncio.sleep(1.0)
+
+
+async def _started(*servers: str) -> _Host:
+    data = StoreData()
+    data.write("configuration", b"5", None)
+    for server in servers:
+        data.write(f"servers/{server}", b"1", None)
+    host = _Host(data)
+    await host.beat(2.0, servers)
+    assert host.known() == set(servers)
+    return host
+
+
+def test_a_server_that_leaves_is_forgotten_within_a_second() -> None:
+    async def play() -> None:
+        host = await _started("i-1", "i-2")
+        host.data.write("servers/i-2", None, None)
+        await host.beat(1.0)
+        assert host.known() == {"i-1"}
+
+    run_virtual(play())
+
+
+def test_servers_that_lapsed_in_an_outage_are_kept_for_a_while() -> None:
+    async def play() -> None:
+        host = await _started("i-1", "i-2", "i-3")
+        host.store.is_cut = True
+        await asyncio.sleep(4.0)
+        host.data.write("servers/i-2", None, None)
+        host.data.write("servers/i-3", None, None)
+        await asyncio.sleep(2.0)
+        host.store.is_cut = False
+        await host.beat(2.0)
+        assert host.known() == {"i-1", "i-2", "i-3"}
+        await host.beat(1.0, ("i-1", "i-2"))
+        await host.beat(3.0, ("i-1", "i-2"))
+        assert host.known() == {"i-1", "i-2"}
+
+    run_virtual(play())
+
+
+def test_a_lost_history_is_read_anew() -> None:
+    async def play() -> None:
+        host = await _started("i-1", "i-2")
+        host.store.is_cut = True
+        await asyncio.sleep(3.0)
+        host.data.write("configuration", b"9", None)
+        host.data.write("servers/i-2", None, None)
+        host.data.forget_history()
+        host.store.is_cut = False
+        await host.beat(6.0)
+        assert host.view.configuration is not None
+        assert host.view.configuration.version == 9
+        assert host.known() == {"i-1"}
+
+    run_virtual(play())
+
+
+def test_versions_never_go_back() -> None:
+    async def play() -> None:
+        host = await _started("i-1")
+        host.data.write("configuration", b"8", None)
+        host.data.write("versions/a1", b"3", None)
+        await host.beat(1.0)
+        host.data.write("configuration", b"7", None)
+        host.data.write("versions/a1", b"2", None)
+        await host.beat(2.0)
+        assert host.view.configuration is not None
+        assert host.view.configuration.version == 8
+        assert host.view.newest(AdapterKey("base", "a1")) == 3
+
+    run_virtual(play())
+
+
+def test_an_unreadable_entry_costs_only_itself() -> None:
+    async def play() -> None:
+        host = await _started("i-1", "i-2")
+        host.data.write("servers/i-2", b"rubbish", None)
+        host.data.write("servers/i-3", b"1", None)
+        await host.beat(1.0)
+        assert host.known() == {"i-1", "i-3"}
+
+    run_virtual(play())
