--- /dev/null
+++ b/tests/functional/test_relay_callers.py
@@ -0,0 +1,130 @@
+"""Check what callers may send, and what becomes of those that leave."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.relay_scripts import echo, run_relay
+from tests.lib.relay_world import Caller, RelayWorld
+from tests.lib.scripted_server import ReceivedRequest, ScriptedServer
+
+
+def test_a_callers_leaving_ends_the_servers_work() -> None:
+    async def endless(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.is_closing():
+            writer.write(b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
+    servers: list[ScriptedServer] = []
+
+    async def run() -> None:
+        server = await ScriptedServer(endless).start()
+        servers.append(server)
+        async with RelayWorld([], [server]) as world:
+            caller = await Caller.connect(world)
+            caller.send("/stream/a")
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            caller.writer.transport.abort()
+            while not server.closed:
+                await asyncio.sleep(0.01)
+            assert world.handler.in_progress == 0
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 5.0))
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/x HTTP/1.1\r\n\r\n",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\nContent-Length: 3\r\n"
+        b"Content-Length: 4\r\n\r\nabcd",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\n"
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\nX: a\n b\r\n\r\n",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\nX: a\rb\r\n\r\n",
+        b"POST /once/a HTTP/1.1\r\nHost: example\r\nContent-Length : 3\r\n\r\nabc",
+    ],
+)
+def test_ambiguous_requests_are_refused(request_bytes: bytes) -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.writer.write(request_bytes)
+        assert (await caller.head())[0] == 400
+        assert b"HTTP/1.1" not in await caller.reader.read()
+
+    assert not run_relay(play, [echo])[0].requests
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"GET /once/a HTTP/1.1\r\nX: " + b"a" * 3000 + b"\r\n\r\n", 431),
+        (b"POST /once/a HTTP/1.1\r\nContent-Length: 6000\r\n\r\n", 413),
+        (b"GET /nowhere/ HTTP/1.1\r\nHost: example\r\n\r\n", 404),
+        (b"GET /once/a HTTP/1.1\r\nHo", 408),
+    ],
+)
+def test_limits_of_callers_are_kept(request_bytes: bytes, status: int) -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.writer.write(request_bytes)
+        assert (await caller.head())[0] == status
+
+    assert not run_relay(play, [echo])[0].requests
+
+
+def test_requests_sent_ahead_are_answered_in_order() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        for number in range(8):
+            caller.send("/once/a", f"q{number}", str(number).encode())
+        for number in range(8):
+            assert (await caller.reply())[2] == str(number).encode()
+
+    run_relay(play, [echo])
+
+
+def test_a_stopping_host_ends_connections_and_then_refuses() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        world.handler.drain()
+        caller.send("/once/a")
+        status, fields, _ = await caller.reply()
+        assert (status, fields["connection"]) == (200, "close")
+        assert await caller.reader.read() == b""
+        world.handler.refuse_new()
+        other = await Caller.connect(world)
+        other.send("/once/a")
+        status, fields, _ = await other.reply()
+        assert status == 503
+        assert "retry-after" in fields
+
+    assert len(run_relay(play, [echo])[0].requests) == 1
+
+
+def test_a_caller_that_does_not_read_stops_the_server() -> None:
+    sent = 0
+    total = 64 * 1024 * 1024
+
+    async def flood(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {total}\r\n\r\n".encode())
+        block = bytes(64 * 1024)
+        while sent < total:
+            writer.write(block)
+            sent += len(block)
+            await writer.drain()
+
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/once/a")
+        await caller.head()
+        before = -1
+        while sent != before:
+            before = sent
+            await asyncio.sleep(0.1)
+        assert sent < total
+
+    run_relay(play, [flood])
--- /dev/null
+++ b/tests/functional/test_relay_streams.py
@@ -0,0 +1,69 @@
+"""Check streams through a relay, whole, broken and resumed."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.relay_scripts import id_of, run_relay
+from tests.lib.relay_world import Caller, RelayWorld
+from tests.lib.scripted_server import ReceivedRequest
+
+
+async def _stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    first = int(request.header("last-event-id") or 0) + 1
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{id_of(request)}"
+    writer.write(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    for number in range(first, 6):
+        event = f"id: {number}\ndata: e{number}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+    writer.write(b"0\r\n\r\n")
+
+
+async def _broken_stream(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{id_of(request)}"
+    part = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda"
+    writer.write(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+_WHOLE = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 6))
+
+
+def test_a_stream_is_passed_on() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/stream/a")
+        assert (await caller.reply())[2] == _WHOLE
+
+    request = run_relay(play, engines=[_stream])[0].requests[0]
+    assert request.header("x-expect-version") == "1"
+    assert request.header("x-request-priority") == "0"
+
+
+def test_a_broken_stream_ends_between_events() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/stream/a")
+        await caller.head()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await caller.chunks()
+
+    assert len(run_relay(play, engines=[_broken_stream])[0].requests) == 1
+
+
+def test_a_resumable_stream_goes_on_at_another_server() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        for number in range(4):
+            caller.send("/resumable/a", f"q{number}")
+            status, _, body = await caller.reply()
+            assert (status, body) == (200, _WHOLE)
+
+    broken, sound = run_relay(play, engines=[_broken_stream, _stream])
+    assert broken.requests
+    resumed = [r for r in sound.requests if r.header("last-event-id")]
+    assert {r.header("last-event-id") for r in resumed} == {"2"}
--- /dev/null
+++ b/tests/unit/test_engine_choice.py
@@ -0,0 +1,143 @@
+"""Check where requests go, and where adapters are loaded."""
+
+import random
+
+import pytest
+
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.policy.engine_choice import (
+    EngineVerdict,
+    PromptSize,
+    choose_engine,
+    unread_limit,
+)
+from tests.lib.routing_builders import candidate, copy_key
+
+SIZE = PromptSize(650, 720)
+
+
+def test_holder_with_the_shortest_queue_is_taken() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=4000.0),
+        candidate("i-2", copy=CopyState.READY, unread_tokens=500.0),
+        candidate("i-3"),
+    ]
+    found = choose_engine(copy_key(), SIZE, engines)
+    assert (found.verdict, found.server) == (EngineVerdict.SEND, "i-2")
+
+
+def test_a_long_queue_is_worth_a_further_copy() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=20_000.0),
+        candidate("i-2"),
+    ]
+    found = choose_engine(copy_key(), SIZE, engines)
+    assert (found.verdict, found.server) == (EngineVerdict.LOAD, "i-2")
+
+
+def test_a_short_queue_is_not_worth_a_fetch() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=7_000.0),
+        candidate("i-2"),
+    ]
+    assert choose_engine(copy_key(), SIZE, engines).server == "i-1"
+
+
+def test_hosts_agree_where_an_adapter_is_loaded_first() -> None:
+    engines = [candidate(f"i-{number}") for number in range(9)]
+    shuffled = random.Random(1).sample(engines, len(engines))
+    first = choose_engine(copy_key("a77"), SIZE, engines)
+    assert first.verdict is EngineVerdict.LOAD
+    assert choose_engine(copy_key("a77"), SIZE, shuffled).server == first.server
+
+
+def test_engine_that_still_has_the_weights_is_loaded_again() -> None:
+    engines = [candidate(f"i-{number}", is_warm=number == 4) for number in range(9)]
+    for adapter in range(20):
+        assert choose_engine(copy_key(f"a{adapter}"), SIZE, engines).server == "i-4"
+
+
+@pytest.mark.parametrize(
+    "full",
+    [{"requests": 127.0}, {"tokens": 140_000.0, "requests": 5.0}, {"has_model": False}],
+)
+def test_full_engines_get_nothing(full: dict[str, float]) -> None:
+    engines = [candidate("i-1", copy=CopyState.READY, **full)]
+    assert choose_engine(copy_key(), SIZE, engines).verdict is EngineVerdict.WAIT
+
+
+def test_prompts_wait_rather_than_lengthen_the_pauses_of_slow_engines() -> None:
+    slow = unread_limit(0.4, 2, 2.5)
+    assert slow < unread_limit(0.4, 2, 1.0)
+    engines = [
+        candidate(
+            "i-1",
+            copy=CopyState.READY,
+            unread_tokens=1300.0,
+            unread_limit=slow,
+            pace=2.5,
+        ),
+        candidate("i-2", copy=CopyState.READY, unread_tokens=3000.0),
+    ]
+    assert choose_engine(copy_key(), SIZE, engines).server == "i-2"
+    assert choose_engine(copy_key(), SIZE, engines[:1]).verdict is EngineVerdict.WAIT
+
+
+def test_a_long_prompt_avoids_engines_with_many_streams() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, requests=20.0),
+        candidate("i-2", copy=CopyState.READY, requests=2.0, unread_tokens=4000.0),
+    ]
+    short, long = SIZE, PromptSize(9000, 9100)
+    assert choose_engine(copy_key(), short, engines).server == "i-1"
+    assert choose_engine(copy_key(), long, engines).server == "i-2"
+
+
+def test_an_adapter_asked_for_often_is_worth_a_fetch_sooner() -> None:
+    engines = [
+        candidate("i-1", copy=CopyState.READY, unread_tokens=8_000.0),
+        candidate("i-2"),
+    ]
+    assert choose_engine(copy_key(), SIZE, engines).server == "i-1"
+    often = choose_engine(copy_key(), SIZE, engines, uses_ahead=20.0)
+    assert (often.verdict, often.server) == (EngineVerdict.LOAD, "i-2")
+
+
+def test_a_request_queues_at_an_owner_when_no_slot_can_be_given() -> None:
+    engines = [
+        candidate(f"i-{n}", can_load=False, takes_orders=n != 3) for n in range(6)
+    ]
+    found = choose_engine(copy_key(), SIZE, engines)
+    assert found.verdict is EngineVerdict.QUEUE
+    assert found.server not in (None, "i-3")
+    assert choose_engine(copy_key(), SIZE, engines[::-1]).server == found.server
+    none = [candidate("i-1", can_load=False)]
+    assert choose_engine(copy_key(), SIZE, none).verdict is EngineVerdict.WAIT
+
+
+def test_without_engines_nothing_is_awaited() -> None:
+    assert choose_engine(copy_key(), SIZE, []).verdict is EngineVerdict.NO_ENGINE
+
+
+def test_a_burst_is_spread_over_the_engines_that_hold_its_adapters() -> None:
+    """Play a second's burst on few adapters and look at the longest queue."""
+    rng = random.Random(7)
+    unread = {f"i-{n}": 0.0 for n in range(9)}
+    holders = {f"a{k}": rng.sample(sorted(unread), 3) for k in range(12)}
+    for _ in range(180):
+        adapter = f"a{min(11, int(rng.expovariate(0.5)))}"
+        engines = [
+            candidate(
+                server,
+                unread_tokens=tokens,
+                copy=CopyState.READY if server in holders[adapter] else None,
+            )
+            for server, tokens in unread.items()
+        ]
+        found = choose_engine(copy_key(adapter), SIZE, engines)
+        assert found.server is not None
+        if found.verdict is EngineVerdict.LOAD:
+            holders[adapter].append(found.server)
+        unread[found.server] += 650
+    mean = sum(unread.values()) / len(unread)
+    assert max(unread.values()) < 2 * mean
