--- a/src/gooseberrydeal/_internal/lab/router/metadata_app.py
+++ b/src/gooseberrydeal/_internal/lab/router/metadata_app.py
@@ -13,7 +13,7 @@
 from starlette.routing import Route
 
 _FIRST_REVISION: Final = 10
-_LOOK_SECONDS: Final = 0.05
+WATCH_LOOK_SECONDS: Final = 0.05
 
 
 @dataclass(slots=True)
@@ -112,7 +112,7 @@
             if found or time.monotonic() >= until:
                 body = {"events": found, "storeRevision": self._revision}
                 return JSONResponse(body)
-            await asyncio.sleep(_LOOK_SECONDS)
+            await asyncio.sleep(WATCH_LOOK_SECONDS)
 
     async def _transact(self, request: Request) -> Response:
         if self._is_refused():
--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -1,12 +1,16 @@
 """Run routers, engines and a metadata store in one process, over real sockets."""
 
+import asyncio
 import json
 import random
 from typing import Final
 
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.adapter_engine_app import AdapterEngineApp
-from gooseberrydeal._internal.lab.router.metadata_app import MetadataApp
+from gooseberrydeal._internal.lab.router.metadata_app import (
+    WATCH_LOOK_SECONDS,
+    MetadataApp,
+)
 from gooseberrydeal._internal.models.ids import DomainName, HostId
 from gooseberrydeal._internal.models.routing.host_settings import (
     HostSettings,
@@ -114,6 +118,9 @@
         for node in self._nodes.values():
             await node.abort()
         self._nodes.clear()
+        # Watches that wait end by themselves; cutting them would log errors.
+        self._store.set_away(is_away=True)
+        await asyncio.sleep(2 * WATCH_LOOK_SECONDS)
         for server in self._servers:
             await server.abort()
 
