--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -56,8 +56,8 @@
         """Count a request that the router ended itself."""
         self._refusals.inc({"reason": reason.value})
 
-    def retry_asked(self, *, is_allowed: bool) -> None:
-        """Count a question to the retry budget."""
+    def retry_decided(self, *, is_allowed: bool) -> None:
+        """Count a retry that the budget allowed or denied."""
         self._retries.inc({"allowed": str(is_allowed).lower()})
 
     def waited(self, seconds: float) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -144,7 +144,7 @@
     def _may_retry(self, request: RoutedRequest) -> bool:
         window = self._window(request.service)
         allowed = window.take(self._clock(), len(self._view.hosts))
-        self._metrics.retry_asked(is_allowed=allowed)
+        self._metrics.retry_decided(is_allowed=allowed)
         if not allowed:
             logger.info(
                 "no retry: the budget of %s is used up",
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -22,13 +22,13 @@
     MetadataNames,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
-from gooseberrydeal._internal.operations.router.question_listener import (
-    QuestionListener,
-)
 from gooseberrydeal._internal.operations.router.reachability import Reachability
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.status_endpoint import (
+    StatusEndpoint,
+)
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -118,10 +118,8 @@
             rng,
         )
         self._listener = CallerListener(settings.callers, self._handler)
-        self._readiness = QuestionListener(settings.readiness, self._readiness_answer)
-        self._metrics_listener = QuestionListener(
-            settings.metrics, self._metrics_answer
-        )
+        self._readiness = StatusEndpoint(settings.readiness, self._readiness_answer)
+        self._metrics_listener = StatusEndpoint(settings.metrics, self._metrics_answer)
         self._tasks = TaskOwner()
 
     async def start(self) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/question_listener.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_endpoint.py
@@ -1,4 +1,4 @@
-"""Answer small questions over HTTP: readiness and metrics."""
+"""Serve readiness and metrics over HTTP."""
 
 import asyncio
 import logging
@@ -15,7 +15,7 @@
 Answer = Callable[[], tuple[HTTPStatus, bytes]]
 
 
-class _QuestionConnection(asyncio.Protocol):
+class _StatusConnection(asyncio.Protocol):
     def __init__(self, answer: Answer) -> None:
         self._answer = answer
         self._parser = httptools.HttpRequestParser(self)
@@ -29,7 +29,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            logger.info("a question is malformed: %s", error)
+            logger.info("a request for readiness or metrics is malformed: %s", error)
             if self._transport is not None:
                 self._transport.close()
 
@@ -41,8 +41,8 @@
             self._transport.write(head + body)
 
 
-class QuestionListener:
-    """Own a listening socket on which every request gets the same kind of answer."""
+class StatusEndpoint:
+    """Own a listening socket on which every request gets the present status."""
 
     def __init__(self, address: str, answer: Answer) -> None:
         self._address = address
@@ -54,7 +54,7 @@
         host, port = split_ip_and_port(self._address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _QuestionConnection(self._answer), host, port
+            lambda: _StatusConnection(self._answer), host, port
         )
 
     def stop(self) -> None:
