Return a connection to the pool it came from

Cause, found by reading: when a server's entry names another address, its record takes a new pool. A connection of the old one, still in use, was then returned to the new pool, so that later requests went to the old address (refused there by the expected instance), and the new pool's limit was the service's whole limit instead of this host's share.

Change: a request keeps the pool it took its connection from; a pool that is replaced or whose server is gone closes its connections as they become idle; an entry's update sets the limit to the share of this host.

Test, which failed before: three requests at a server's new address, of which this host's share is two connections.

--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -57,7 +57,7 @@
     def release(self, connection: ServerConnection) -> None:
         """Take a connection back after its response has ended."""
         self._in_use -= 1
-        if connection.is_reusable():
+        if connection.is_reusable() and self._in_use < self._most:
             self._idle.append(connection)
         else:
             connection.abort()
@@ -67,6 +67,11 @@
         self._in_use -= 1
         connection.abort()
 
+    def retire(self) -> None:
+        """Close each connection as soon as it is idle, and open no others."""
+        self._most = 0
+        self.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -102,9 +102,11 @@
         prompt_tokens = request.facts.prompt_tokens
         record.begin(found.copy, request.tokens, prompt_tokens)
         reading = UnreadPrompt(record, prompt_tokens, self._on_use)
+        # The record takes another pool when the server's address changes.
+        pool = record.pool
         try:
             try:
-                connection = await record.pool.acquire()
+                connection = await pool.acquire()
             except ServerUnreachableError as error:
                 self._on_lost(record)
                 request.excluded.add(record.id)
@@ -141,9 +143,9 @@
                 )
                 outcome = await self._outcome(attempt)
             except BaseException:
-                record.pool.discard(connection)
+                pool.discard(connection)
                 raise
-            record.pool.release(connection)
+            pool.release(connection)
             self._last_status = attempt.status
             self._metrics.attempt_ended(outcome.value)
             return outcome
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -102,15 +102,21 @@
         return self._wants
 
     def update(
-        self, entry: ServerEntry, service: ServiceConfiguration, now: float
+        self,
+        entry: ServerEntry,
+        service: ServiceConfiguration,
+        most_connections: int,
+        now: float,
     ) -> None:
         """Take a newer entry over."""
         is_restart = entry.started_at != self._entry.started_at
         if entry.address != self._entry.address:
-            self._pool.close()
-            self._pool = ConnectionPool(entry.address, service.max_connections)
-        elif is_restart:
-            self._pool.close()
+            self._pool.retire()
+            self._pool = ConnectionPool(entry.address, most_connections)
+        else:
+            self._pool.set_limit(most_connections)
+            if is_restart:
+                self._pool.close()
         self._entry = entry
         self._service = service
         if is_restart:
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -66,11 +66,11 @@
             self._drop(entry.id)
             return
         record = self._records.get(entry.id)
+        most = self._most_connections(entry)
         if record is None:
-            most = self._most_connections(entry)
             self._records[entry.id] = ServerRecord(entry, service, most)
         else:
-            record.update(entry, service, self._clock())
+            record.update(entry, service, most, self._clock())
 
     def remove(self, server: ServerId) -> None:
         """Forget a server that is gone; its requests end by themselves."""
@@ -91,7 +91,7 @@
         self._fetching.pop(server, None)
         record = self._records.pop(server, None)
         if record is not None:
-            record.pool.close()
+            record.pool.retire()
 
     def _most_connections(self, entry: ServerEntry) -> int:
         if self._configuration is None:
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -1,10 +1,12 @@
 """Check on real sockets what callers get from servers through a relay."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
+from gooseberrydeal._internal.models.ids import ServerId
 from tests.lib.relay_scripts import echo, id_of, run_relay
 from tests.lib.relay_world import Caller, RelayWorld
 from tests.lib.scripted_server import ReceivedRequest, reset, response
@@ -211,6 +213,45 @@
     assert run_relay(play, [silent, echo])[0].requests
 
 
+def test_a_servers_new_address_has_connections_of_its_own() -> None:
+    may_answer = asyncio.Event()
+
+    async def echo_later(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await may_answer.wait()
+        await echo(request, writer)
+
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        # This host's share is two connections.
+        world.servers.set_host_count(1000)
+        moved = world.servers.get(ServerId("p-1"))
+        assert moved is not None
+        new_entry = replace(moved.entry, id=ServerId("p-0"))
+        world.servers.remove(ServerId("p-1"))
+        caller.send("/once/a", "q1")
+        while not world.servers.get(ServerId("p-0")).load.own:  # type: ignore[union-attr]
+            await asyncio.sleep(0.01)
+        world.servers.put(new_entry)
+        others = [await Caller.connect(world) for _ in range(3)]
+        for number, other in enumerate(others):
+            other.send("/once/a", f"q{number + 2}")
+            await asyncio.sleep(0.02)
+        assert (await others[2].reply())[0] == 503
+        may_answer.set()
+        assert (await caller.reply())[0] == 200
+        for other in others[:2]:
+            assert (await other.reply())[0] == 200
+        caller.send("/once/a", "q5")
+        assert (await caller.reply())[0] == 200
+        for other in others:
+            other.close()
+
+    old, new = run_relay(play, [echo_later, echo_later])
+    assert (len(old.requests), old.closed) == (1, 1)
+    assert len(new.requests) == 3
+
+
 def test_a_request_ends_at_its_routes_timeout() -> None:
     async def silent(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(5.0)
