Leave an engine that denies a copy three times

Cause: a request whose engine denied having its adapter (421) asked the same engine up to six times at 50 ms, each a further arrival that the shared retry budget pays for.

Change: denials are counted by request and server; the pause grows from 50 to 100 ms, and after the third denial another engine is asked, or the caller is refused at once with a time to come back.

Tests: an engine that always denies beside one that serves, and alone (6 sends before).

--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -28,8 +28,11 @@
 
 logger = logging.getLogger(__name__)
 
-# A copy that was not ready when expected is asked for again after this long.
+# A copy that was not ready when expected is asked for again after this long, after a
+# second denial after twice as long; then another engine is asked, since each refused
+# send takes from the retry budget of all hosts.
 _NOT_READY_SECONDS: Final = 0.05
+_MOST_DENIALS: Final = 3
 # A used-up budget allows retries again as its window slides.
 _BUDGET_SECONDS: Final = 0.1
 # Sends that servers refused or that reached none, before the caller is refused.
@@ -230,10 +233,14 @@
     def _after_not_run(self, found: Assignment, now: float) -> bool:
         """Look for another server; wait for a copy that isn't ready yet."""
         copy = found.copy
-        if copy is not None and copy.adapter:
-            found.record.note_missing(copy, now + _NOT_READY_SECONDS)
+        server = found.record.id
+        self._request.denials[server] += 1
+        denials = self._request.denials[server]
+        if copy is not None and copy.adapter and denials < _MOST_DENIALS:
+            pause = _NOT_READY_SECONDS * denials
+            found.record.note_missing(copy, now + pause)
         else:
-            self._request.excluded.add(found.record.id)
+            self._request.excluded.add(server)
         if self._request.sends >= _MOST_SENDS:
             self._give_up(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
             return False
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -1,5 +1,6 @@
 """Hold one request while it is served."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
@@ -12,7 +13,7 @@
     """Join a request with its route; times are on the monotonic clock, in seconds.
 
     ``excluded`` servers have refused or failed it. ``ran_on`` lists those that may have
-    begun it.
+    begun it. ``denials`` counts how often servers denied having its adapter.
     """
 
     facts: RequestFacts
@@ -22,6 +23,7 @@
     deadline: float
     excluded: set[ServerId] = field(default_factory=set)
     ran_on: set[ServerId] = field(default_factory=set)
+    denials: Counter[ServerId] = field(default_factory=Counter)
     sends: int = 0
 
     @property
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -6,7 +6,7 @@
 
 from tests.lib.relay_scripts import id_of, run_relay
 from tests.lib.relay_world import Caller, RelayWorld
-from tests.lib.scripted_server import ReceivedRequest
+from tests.lib.scripted_server import ReceivedRequest, response
 
 
 async def _stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -56,6 +56,36 @@
     assert len(run_relay(play, engines=[_broken_stream])[0].requests) == 1
 
 
+async def _without_adapter(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(
+        response(
+            b"", "421 Misdirected Request", id_of(request), "X-Not-Executed: no model"
+        )
+    )
+
+
+def test_an_engine_that_keeps_denying_a_copy_is_left_for_another() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/stream/a")
+        assert (await caller.reply())[2] == _WHOLE
+
+    lacking, other = run_relay(play, engines=[_without_adapter, _stream])
+    assert len(lacking.requests) <= 3
+    assert len(other.requests) == 1
+
+
+def test_a_request_ends_when_every_engine_keeps_denying_its_copy() -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/stream/a")
+        status, fields, _ = await caller.reply()
+        assert (status, "retry-after" in fields) == (503, True)
+
+    (lacking,) = run_relay(play, engines=[_without_adapter])
+    assert len(lacking.requests) == 3
+
+
 def test_a_resumable_stream_goes_on_at_another_server() -> None:
     async def play(world: RelayWorld, caller: Caller) -> None:
         for number in range(4):
