Ignore an entry that is older than the engine's report

Cause, seen as repeated lines 'engine has started again': an owner that had read the report of a restarted engine compared it twice a second with the store's entry from before the restart, took the difference for a further restart and read the report anew, six times in three seconds in the test.

Test, which failed before: an engine restarts while its entry stays as it was.

--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/base_models.py
@@ -0,0 +1,59 @@
+"""Keep a base model loaded on one engine."""
+
+import logging
+from collections.abc import Callable
+
+from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.adapter_order import (
+    OrderAction,
+    OrderOutcome,
+)
+from gooseberrydeal._internal.models.routing.engine_report import EngineReport
+from gooseberrydeal._internal.operations.router.order_sequence import OrderSequence
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+
+logger = logging.getLogger(__name__)
+
+
+class BaseModels:
+    """Know what base models an engine holds, and load one at an empty engine."""
+
+    def __init__(
+        self,
+        record: ServerRecord,
+        sequence: OrderSequence,
+        clock: Callable[[], float],
+    ) -> None:
+        self._record = record
+        self._sequence = sequence
+        self._clock = clock
+        self._held: set[str] = set()
+        self._loading_until = 0.0
+
+    @property
+    def held(self) -> set[str]:
+        """Return the names of the models in the last report."""
+        return self._held
+
+    def take_report(self, report: EngineReport) -> None:
+        """Take an engine's report over."""
+        self._held = {name for name, _ in report.held.base_models}
+
+    async def load_if_none(self) -> bool:
+        """Order a model for an engine without one; return whether to wait for it."""
+        engine = self._record.service.engine
+        if self._held or engine is None or not engine.models:
+            return False
+        now = self._clock()
+        if now < self._loading_until:
+            return True
+        model = min(engine.models.values(), key=lambda item: item.megabytes)
+        key = AdapterCopyKey(model.name, "", 0)
+        outcome = await self._sequence.send(OrderAction.LOAD, key)
+        logger.info(
+            "base model ordered: %s", outcome.value, extra={"server": self._record.id}
+        )
+        if outcome in (OrderOutcome.DONE, OrderOutcome.ACCEPTED):
+            self._loading_until = now + model.load_seconds
+            self._sequence.doubt()
+        return True
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydeal._internal.models.routing.usage_report import EngineUsage
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
+from gooseberrydeal._internal.operations.router.base_models import BaseModels
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.order_sequence import OrderSequence
@@ -79,6 +80,7 @@
         self._view = view
         self._may_order = may_order
         self._sequence = OrderSequence(record, orders, host, fencing, may_order, clock)
+        self._base_models = BaseModels(record, self._sequence, clock)
         self._fetching = fetching
         self._load_time = load_time
         self._clock = clock
@@ -86,8 +88,6 @@
         self._demand = EngineDemand()
         self._wake = asyncio.Event()
         self._started_at = record.entry.started_at
-        self._base_models: set[str] = set()
-        self._model_loading_until = 0.0
         self._read_at = 0.0
         self._recheck_at = math.inf
         self._unproved: set[AdapterCopyKey] = set()
@@ -98,7 +98,7 @@
             self._demand,
             self._slots,
             lambda: may_order() and self._sequence.is_known,
-            lambda: self._base_models,
+            lambda: self._base_models.held,
             publish,
             clock,
         )
@@ -120,6 +120,10 @@
 
     def entry_changed(self, entry: ServerEntry) -> None:
         """Compare the engine's own entry with what is believed."""
+        is_older = entry.started_at < self._started_at
+        if is_older and self._clock() - self._read_at < _QUIET_SECONDS:
+            # Written before the restart that a report has told of.
+            return
         if entry.started_at != self._started_at:
             logger.info("engine has started again", extra={"server": entry.id})
             self._started_at = entry.started_at
@@ -170,7 +174,7 @@
             return
         if self._sequence.is_paused():
             return
-        if await self._load_base_model():
+        if await self._base_models.load_if_none():
             return
         wants = self._demand.wants(now)
         ordered = by_slack({key: want.slack for key, want in wants.items()})
@@ -193,7 +197,7 @@
             if is_missing and copy.state is CopyState.READY:
                 self._note_missing(key, copy)
             return False
-        if key.model not in self._base_models:
+        if key.model not in self._base_models.held:
             return False
         if is_loading_full:
             return False
@@ -236,25 +240,6 @@
         self._load_time.note_held(key)
         return True
 
-    async def _load_base_model(self) -> bool:
-        """Load a model at an engine that holds none; return whether to wait for it."""
-        engine = self._record.service.engine
-        if self._base_models or engine is None or not engine.models:
-            return False
-        now = self._clock()
-        if now < self._model_loading_until:
-            return True
-        model = min(engine.models.values(), key=lambda item: item.megabytes)
-        key = AdapterCopyKey(model.name, "", 0)
-        outcome = await self._sequence.send(OrderAction.LOAD, key)
-        logger.info(
-            "base model ordered: %s", outcome.value, extra={"server": self._record.id}
-        )
-        if outcome in (OrderOutcome.DONE, OrderOutcome.ACCEPTED):
-            self._model_loading_until = now + model.load_seconds
-            self._sequence.doubt()
-        return True
-
     def _note_missing(self, key: AdapterCopyKey, copy: HeldCopy) -> None:
         """Expect a load to take longer, or read what the engine holds."""
         now = self._clock()
@@ -290,7 +275,7 @@
         if report.started_at != self._started_at:
             self._load_time.note_restart()
         self._started_at = report.started_at
-        self._base_models = {name for name, _ in report.held.base_models}
+        self._base_models.take_report(report)
         self._slots.reset(
             list(report.held.adapters), list(report.loading), self._clock()
         )
--- a/tests/functional/test_engine_owners.py
+++ b/tests/functional/test_engine_owners.py
@@ -219,6 +219,24 @@
     run_virtual(play())
 
 
+def test_an_entry_from_before_a_restart_does_not_undo_the_report() -> None:
+    async def play() -> None:
+        data, engine = new_data(), new_engine()
+        host = OwnerHost("h1", data, engine).start()
+        await _ask([host], 3.0)
+        engine.restart()
+        host.want([copy_key("b1")])
+        await asyncio.sleep(1.0)
+        read = host.orders.reports
+        # The store's entry is still the one of the first start.
+        await _ask([host], 3.0)
+        assert engine.base_models == {MODEL}
+        assert engine.copies
+        assert host.orders.reports - read <= 2
+
+    run_virtual(play())
+
+
 def test_a_newer_version_replaces_an_idle_copy() -> None:
     async def play() -> None:
         engine = new_engine(slots=1)
