Log why a reply was late, and never wait for the log's reader

Cause: a served request left no line, so that 'late behind a load' could not be explained from logs; lines were written to standard error by the loop itself, which a reader that stops would have blocked.

Change: a reply that misses its route's target gets one line with the time in each stage (wait for a load, for room, refused or failed sends, the server, the longest pause) and the main cause, and a counter by cause. Lines go to standard output through a bounded queue and a thread; lines that a slow reader does not take are left out and counted.

--- a/src/gooseberrydeal/_internal/lab/cli.py
+++ b/src/gooseberrydeal/_internal/lab/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -22,7 +23,7 @@
 @app.callback()
 def lab(log_level: str = typer.Option("error", help="Least level to log.")) -> None:
     """Run stand-ins, demonstrations and experiments."""
-    configure_logging(log_level)
+    configure_logging(log_level, sys.stderr)
 
 
 @app.command()
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -25,6 +25,11 @@
             "Requests ended by the router itself, by reason.",
             registry=self._registry,
         )
+        self._late = Counter(
+            "gooseberry_router_late_total",
+            "Requests served later than their route's target, by the main cause.",
+            registry=self._registry,
+        )
         self._retries = Counter(
             "gooseberry_router_retries_total",
             "Further sends, by whether the budget allowed them.",
@@ -56,6 +61,10 @@
         """Count a request that the router ended itself."""
         self._refusals.inc({"reason": reason.value})
 
+    def late(self, cause: str) -> None:
+        """Count a request that was served late."""
+        self._late.inc({"cause": cause})
+
     def retry_decided(self, *, is_allowed: bool) -> None:
         """Count a retry that the budget allowed or denied."""
         self._retries.inc({"allowed": str(is_allowed).lower()})
--- a/src/gooseberrydeal/_internal/operations/router/assignment.py
+++ b/src/gooseberrydeal/_internal/operations/router/assignment.py
@@ -9,10 +9,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Assignment:
-    """Name a server and the adapter copy that the request uses there."""
+    """Name a server and the adapter copy that the request uses there.
+
+    ``load_wait`` is for how many seconds it was waited for a load.
+    """
 
     record: ServerRecord
     copy: AdapterCopyKey | None = None
+    load_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -58,6 +58,8 @@
         self._verdict: AttemptOutcome | None = None
         self._status = 0
         self._received = 0
+        self._last_at = 0.0
+        self._longest_pause = 0.0
         self._on_head = on_head
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[AttemptOutcome] = self._loop.create_future()
@@ -68,26 +70,25 @@
         return self._status
 
     @property
-    def received(self) -> int:
-        """Return how many pieces of the response came."""
-        return self._received
-
-    @property
-    def finished(self) -> asyncio.Future[AttemptOutcome]:
-        """Return what will hold the outcome."""
-        return self._done
+    def longest_pause(self) -> float:
+        """Return the longest time between two pieces, in seconds."""
+        return self._longest_pause
 
     async def outcome(self) -> AttemptOutcome:
         """Return how the attempt ended."""
         return await self._done
 
-    def give_up(self) -> None:
-        """Close the connection to a server that has fallen silent."""
-        self._connection.abort()
-        self._events.rest()
-        self._exchange.watch_pressure(None)
-        if not self._done.done():
-            self._done.cancel()
+    async def outcome_unless_silent(self, seconds: float) -> AttemptOutcome:
+        """Return how the attempt ended; give up a server that is silent for so long."""
+        while True:
+            seen = self._received
+            try:
+                async with asyncio.timeout(seconds):
+                    return await asyncio.shield(self._done)
+            except TimeoutError:
+                if self._received == seen:
+                    self._give_up()
+                    return AttemptOutcome.CUT if seen else AttemptOutcome.LOST
 
     def head_received(self, head: ResponseHead) -> None:
         """Decide whether the response is passed on."""
@@ -114,6 +115,10 @@
     def body_received(self, data: bytes) -> None:
         """Pass bytes on, whole events only in a stream."""
         self._received += 1
+        now = self._loop.time()
+        if self._last_at:
+            self._longest_pause = max(self._longest_pause, now - self._last_at)
+        self._last_at = now
         if not self._is_passing:
             return
         if self._is_events:
@@ -141,6 +146,13 @@
         else:
             self._connection.resume()
 
+    def _give_up(self) -> None:
+        self._connection.abort()
+        self._events.rest()
+        self._exchange.watch_pressure(None)
+        if not self._done.done():
+            self._done.cancel()
+
     def _judge(self, head: ResponseHead, facts: ReplyFacts) -> AttemptOutcome | None:
         """Return why a response is not passed on, or ``None``."""
         if facts.is_not_run:
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -119,7 +119,8 @@
                 decision = self._decide(request, copy, now)
                 record = self._servers.get(decision.server or ServerId(""))
                 if decision.verdict is EngineVerdict.SEND and record is not None:
-                    return Assignment(record, copy)
+                    asked_at = now if wanted is None else wanted.asked_at
+                    return Assignment(record, copy, now - asked_at)
                 if decision.verdict is EngineVerdict.NO_ENGINE:
                     return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
                 if now >= latest:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -23,6 +23,7 @@
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
 from gooseberrydeal._internal.operations.router.refusals import refuse
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.unread_prompt import UnreadPrompt
 
@@ -74,6 +75,7 @@
         self._clock = clock
         self._events = EventSplitter()
         self._last_status = 0
+        self._times = ServeTimes(request.arrived_at)
 
     async def serve(self) -> None:
         """Answer the request by its deadline."""
@@ -120,13 +122,16 @@
                 )
                 return None
             request.sends += 1
-            sent_at = self._clock()
+            times = self._times
+            times.note_sent(self._clock())
+            times.load_wait += found.load_wait
             if request.sends == 1:
-                self._metrics.waited(sent_at - request.arrived_at)
+                self._metrics.waited(times.sent_at - request.arrived_at)
 
             def head_seen() -> None:
                 reading.end()
-                self._metrics.first_byte(self._clock() - sent_at)
+                times.head_at = self._clock()
+                self._metrics.first_byte(times.head_at - times.sent_at)
 
             attempt = Attempt(
                 self._exchange,
@@ -150,6 +155,7 @@
                 raise
             pool.release(connection)
             self._last_status = attempt.status
+            times.longest_pause = max(times.longest_pause, attempt.longest_pause)
             self._metrics.attempt_ended(outcome.value)
             return outcome
         finally:
@@ -163,15 +169,7 @@
             return await attempt.outcome()
         route = self._request.route
         silence = max(_LEAST_SILENCE_SECONDS, _SILENT_TARGETS * route.target_latency)
-        while True:
-            seen = attempt.received
-            try:
-                async with asyncio.timeout(silence):
-                    return await asyncio.shield(attempt.finished)
-            except TimeoutError:
-                if attempt.received == seen:
-                    attempt.give_up()
-                    return AttemptOutcome.CUT if seen else AttemptOutcome.LOST
+        return await attempt.outcome_unless_silent(silence)
 
     async def _wait_for_retry(self) -> bool:
         """Wait until the budget allows a further send; return whether it does."""
@@ -208,6 +206,7 @@
                 health.note_failure(now)
             elif self._last_status:
                 health.note_answer(now)
+                self._report_late(found.record)
             return False
         logger.info(
             "attempt %s with status %d",
@@ -224,12 +223,16 @@
             self._on_lost(found.record)
         if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
             return True
-        if self._exchange.is_started:
-            self._exchange.cut()
-            return False
-        refuse(self._exchange, RefusalReason.SERVER_FAILED, None)
+        self._end(RefusalReason.SERVER_FAILED, None)
         return False
 
+    def _report_late(self, record: ServerRecord) -> None:
+        cause = self._times.late_cause(self._request.route)
+        if cause is not None:
+            self._metrics.late(cause.value)
+            context = {**self._context(record.id), "reason": cause.value}
+            logger.info("served late: %s", self._times, extra=context)
+
     def _after_not_run(self, found: Assignment, now: float) -> bool:
         """Look for another server; wait for a copy that isn't ready yet."""
         copy = found.copy
@@ -257,25 +260,28 @@
 
     def _give_up(self, reason: RefusalReason, retry_after: float) -> None:
         self._metrics.refused(reason)
-        if self._exchange.is_started:
-            self._exchange.cut()
-        elif self._request.ran_on:
-            refuse(self._exchange, RefusalReason.SERVER_FAILED, None)
+        if self._request.ran_on:
+            self._end(RefusalReason.SERVER_FAILED, None)
         else:
-            refuse(self._exchange, reason, retry_after)
+            self._end(reason, retry_after)
         logger.info(
             "request given up: %s", reason.value, extra=self._context(None, reason)
         )
 
+    def _end(self, reason: RefusalReason, retry_after: float | None) -> None:
+        """Refuse the caller, or cut a reply that has begun."""
+        if self._exchange.is_started:
+            self._exchange.cut()
+        else:
+            refuse(self._exchange, reason, retry_after)
+
     def _end_at_deadline(self) -> None:
         request = self._request
         self._metrics.refused(RefusalReason.DEADLINE)
-        if self._exchange.is_started:
-            self._exchange.cut()
-        elif request.sends:
-            refuse(self._exchange, RefusalReason.DEADLINE, None)
+        if request.sends:
+            self._end(RefusalReason.DEADLINE, None)
         else:
-            refuse(self._exchange, RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
+            self._end(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
         logger.info(
             "request ended at its deadline after %d sends",
             request.sends,
--- a/src/gooseberrydeal/_internal/utils/json_log.py
+++ b/src/gooseberrydeal/_internal/utils/json_log.py
@@ -3,7 +3,9 @@
 import json
 import logging
 import sys
-from typing import Final
+from typing import Final, TextIO
+
+from gooseberrydeal._internal.utils.log_queue import QueueingHandler
 
 _CONTEXT_FIELDS: Final = (
     "request_id",
@@ -38,9 +40,9 @@
         return json.dumps(line, ensure_ascii=False)
 
 
-def configure_logging(level: str) -> None:
-    """Send all log records to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(level: str, stream: TextIO = sys.stdout) -> None:
+    """Send all log records to a stream as JSON lines."""
+    handler = QueueingHandler(stream)
     handler.setFormatter(JsonLinesFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/src/gooseberrydeal/_internal/utils/log_queue.py
@@ -0,0 +1,79 @@
+"""Write log lines without waiting for who reads them."""
+
+import atexit
+import logging
+import queue
+import threading
+from typing import Final, TextIO
+
+# Some seconds of a router's lines on its heaviest days.
+MOST_WAITING_LINES: Final = 2000
+# At the end of the program a reader that has stopped is given up after this long.
+_END_SECONDS: Final = 0.5
+
+
+class QueueingHandler(logging.Handler):
+    """Hand each line to a thread that writes it to a stream.
+
+    When the reader is too slow and the queue is full, lines are left out; the next line
+    that is written says how many.
+    """
+
+    def __init__(self, stream: TextIO, most_waiting: int = MOST_WAITING_LINES) -> None:
+        super().__init__()
+        self._stream = stream
+        self._waiting: queue.Queue[str | None] = queue.Queue(most_waiting)
+        self._left_out = 0
+        self._writer = threading.Thread(
+            target=self._write_lines, name="log writer", daemon=True
+        )
+        self._writer.start()
+        atexit.register(self.close)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no line waits to be written."""
+        return self._waiting.empty()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line, or count it as left out."""
+        try:
+            line = self.format(record)
+            if self._left_out:
+                self._waiting.put_nowait(self.format(_left_out(self._left_out)))
+                self._left_out = 0
+            self._waiting.put_nowait(line)
+        except queue.Full:
+            self._left_out += 1
+
+    def close(self) -> None:
+        """Write what is queued, unless the reader has stopped."""
+        atexit.unregister(self.close)
+        try:
+            self._waiting.put(None, timeout=_END_SECONDS)
+        except queue.Full:
+            pass  # The reader has stopped; there is nowhere to report it.
+        else:
+            self._writer.join(_END_SECONDS)
+        super().close()
+
+    def _write_lines(self) -> None:
+        while (line := self._waiting.get()) is not None:
+            try:
+                self._stream.write(line + "\n")
+                if self._waiting.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):
+                return  # The stream is closed; there is nowhere to report it.
+
+
+def _left_out(count: int) -> logging.LogRecord:
+    return logging.LogRecord(
+        __name__,
+        logging.WARNING,
+        __file__,
+        0,
+        "%d log lines were left out because their reader was too slow",
+        (count,),
+        None,
+    )
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -86,6 +86,26 @@
     assert len(lacking.requests) == 3
 
 
+async def _slow_stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.2)
+    await _stream(request, writer)
+
+
+def test_a_reply_that_was_late_leaves_a_line(caplog: pytest.LogCaptureFixture) -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        caller.send("/resumable/a", "q-late")
+        assert (await caller.reply())[0] == 200
+        late = b'gooseberry_router_late_total{cause="server"} 1'
+        assert late in world.metrics.render()
+
+    caplog.set_level("INFO")
+    run_relay(play, engines=[_slow_stream])
+    lines = [r for r in caplog.records if r.message.startswith("served late")]
+    assert [(r.__dict__["request_id"], r.__dict__["reason"]) for r in lines] == [
+        ("q-late", "server")
+    ]
+
+
 def test_a_resumable_stream_goes_on_at_another_server() -> None:
     async def play(world: RelayWorld, caller: Caller) -> None:
         for number in range(4):
