Refuse a waiting request while its caller can come back

Change: the route tells how long callers wait for the next event; a request waits for half of that at most and is then refused with a time to come back, at which the caller asks another host with its patience renewed. A cancelled request leaves a line. Lines of one request moved into a class of their own.

--- a/src/gooseberrydeal/_internal/models/routing/route.py
+++ b/src/gooseberrydeal/_internal/models/routing/route.py
@@ -1,5 +1,6 @@
 """Describe a route and what may be done with its requests."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -31,7 +32,8 @@
 
     Times are in seconds. ``max_servers`` bounds the servers that may run one request.
     ``rank`` is 0 for the most urgent kind of request. A stream is late if two of its
-    events are further apart than ``longest_pause``.
+    events are further apart than ``longest_pause``. Callers give a request up when
+    nothing comes for ``caller_patience``.
     """
 
     name: str
@@ -45,6 +47,7 @@
     rank: int = 0
     is_resumable: bool = False
     longest_pause: float = 1.0
+    caller_patience: float = math.inf
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -44,7 +44,8 @@
 _LOOK_AGAIN_SECONDS: Final = 0.06
 # A load that takes longer than this went wrong; another engine is asked.
 _LOAD_PATIENCE_SECONDS: Final = 1.2
-# Requests wait for room or a load no longer than this part of the caller's patience.
+# Requests wait for room or a load no longer than this part of the caller's patience;
+# then the caller learns that they did not run, while it can still come back.
 _MOST_WAIT_PART: Final = 0.5
 # A new adapter version replaces the old one this long after it was declared, well
 # before the bound; until then the old one may serve while the new one loads.
@@ -109,7 +110,9 @@
         begun = self._clock()
         assert request.facts.adapter is not None
         self._demand.note_request(request.facts.adapter, begun)
-        patience = request.deadline - request.arrived_at
+        patience = min(
+            request.deadline - request.arrived_at, request.route.caller_patience
+        )
         latest = begun + patience * _MOST_WAIT_PART
         wanted: PendingWant | None = None
         try:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/request_log.py
@@ -0,0 +1,79 @@
+"""Log and count what becomes of one request."""
+
+import logging
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.attempt_outcome import AttemptOutcome
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
+
+logger = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Write one line for each decision on a request; only a reply in time has none."""
+
+    def __init__(self, request: RoutedRequest, metrics: RouterMetrics) -> None:
+        self._request = request
+        self._metrics = metrics
+
+    def not_sent(self, server: ServerId, error: Exception) -> None:
+        """Note that nothing reached a server."""
+        logger.info("not sent: %s", error, extra=self._context(server))
+
+    def attempt_failed(
+        self, server: ServerId, outcome: AttemptOutcome, status: int
+    ) -> None:
+        """Note a send that did not serve the request."""
+        logger.info(
+            "attempt %s with status %d",
+            outcome.value,
+            status,
+            extra=self._context(server),
+        )
+
+    def served(self, server: ServerId, times: ServeTimes) -> None:
+        """Note why a reply was late, if it was."""
+        cause = times.late_cause(self._request.route)
+        if cause is not None:
+            self._metrics.late(cause.value)
+            context = {**self._context(server), "reason": cause.value}
+            logger.info("served late: %s", times, extra=context)
+
+    def given_up(self, reason: RefusalReason) -> None:
+        """Note a refusal."""
+        self._metrics.refused(reason)
+        logger.info(
+            "request given up: %s", reason.value, extra=self._context(None, reason)
+        )
+
+    def ended_at_deadline(self) -> None:
+        """Note that the time was over before an end was known."""
+        self._metrics.refused(RefusalReason.DEADLINE)
+        logger.info(
+            "request ended at its deadline after %d sends",
+            self._request.sends,
+            extra=self._context(None, RefusalReason.DEADLINE),
+        )
+
+    def cancelled(self, seconds: float) -> None:
+        """Note that nobody waits for the reply any more."""
+        logger.info(
+            "the caller left, or the host stops, after %.3f s and %d sends",
+            seconds,
+            self._request.sends,
+            extra=self._context(None, RefusalReason.CANCELLED),
+        )
+
+    def _context(
+        self, server: ServerId | None, reason: RefusalReason | None = None
+    ) -> dict[str, str | None]:
+        adapter = self._request.facts.adapter
+        return {
+            "request_id": self._request.facts.request_id,
+            "server": server,
+            "adapter": None if adapter is None else str(adapter),
+            "reason": None if reason is None else reason.value,
+        }
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -1,7 +1,6 @@
 """Serve one request: assign, send, pass on, and repeat where that is allowed."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
@@ -22,13 +21,12 @@
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
 from gooseberrydeal._internal.operations.router.refusals import refuse
+from gooseberrydeal._internal.operations.router.request_log import RequestLog
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.unread_prompt import UnreadPrompt
 
-logger = logging.getLogger(__name__)
-
 # A copy that was not ready when expected is asked for again after this long, after a
 # second denial after twice as long; then another engine is asked, since each refused
 # send takes from the retry budget of all hosts.
@@ -75,6 +73,7 @@
         self._clock = clock
         self._events = EventSplitter()
         self._last_status = 0
+        self._log = RequestLog(request, metrics)
         self._times = ServeTimes(request.arrived_at)
 
     async def serve(self) -> None:
@@ -85,6 +84,9 @@
                 await self._serve()
         except TimeoutError:
             self._end_at_deadline()
+        except asyncio.CancelledError:
+            self._log.cancelled(self._clock() - self._request.arrived_at)
+            raise
 
     async def _serve(self) -> None:
         while True:
@@ -115,11 +117,7 @@
             except ServerUnreachableError as error:
                 self._on_lost(record)
                 request.excluded.add(record.id)
-                logger.info(
-                    "not sent: %s",
-                    error,
-                    extra=self._context(record.id),
-                )
+                self._log.not_sent(record.id, error)
                 return None
             request.sends += 1
             times = self._times
@@ -206,14 +204,9 @@
                 health.note_failure(now)
             elif self._last_status:
                 health.note_answer(now)
-                self._report_late(found.record)
+                self._log.served(found.record.id, self._times)
             return False
-        logger.info(
-            "attempt %s with status %d",
-            outcome.value,
-            self._last_status,
-            extra=self._context(found.record.id),
-        )
+        self._log.attempt_failed(found.record.id, outcome, self._last_status)
         if outcome is AttemptOutcome.NOT_RUN:
             return self._after_not_run(found, now)
         self._request.ran_on.add(found.record.id)
@@ -226,13 +219,6 @@
         self._end(RefusalReason.SERVER_FAILED, None)
         return False
 
-    def _report_late(self, record: ServerRecord) -> None:
-        cause = self._times.late_cause(self._request.route)
-        if cause is not None:
-            self._metrics.late(cause.value)
-            context = {**self._context(record.id), "reason": cause.value}
-            logger.info("served late: %s", self._times, extra=context)
-
     def _after_not_run(self, found: Assignment, now: float) -> bool:
         """Look for another server; wait for a copy that isn't ready yet."""
         copy = found.copy
@@ -259,14 +245,11 @@
         return len(request.ran_on) + pending < request.route.max_servers
 
     def _give_up(self, reason: RefusalReason, retry_after: float) -> None:
-        self._metrics.refused(reason)
+        self._log.given_up(reason)
         if self._request.ran_on:
             self._end(RefusalReason.SERVER_FAILED, None)
         else:
             self._end(reason, retry_after)
-        logger.info(
-            "request given up: %s", reason.value, extra=self._context(None, reason)
-        )
 
     def _end(self, reason: RefusalReason, retry_after: float | None) -> None:
         """Refuse the caller, or cut a reply that has begun."""
@@ -277,24 +260,8 @@
 
     def _end_at_deadline(self) -> None:
         request = self._request
-        self._metrics.refused(RefusalReason.DEADLINE)
+        self._log.ended_at_deadline()
         if request.sends:
             self._end(RefusalReason.DEADLINE, None)
         else:
             self._end(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
-        logger.info(
-            "request ended at its deadline after %d sends",
-            request.sends,
-            extra=self._context(None, RefusalReason.DEADLINE),
-        )
-
-    def _context(
-        self, server: str | None, reason: RefusalReason | None = None
-    ) -> dict[str, str | None]:
-        adapter = self._request.facts.adapter
-        return {
-            "request_id": self._request.facts.request_id,
-            "server": server,
-            "adapter": None if adapter is None else str(adapter),
-            "reason": None if reason is None else reason.value,
-        }
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 from collections.abc import Callable
 from typing import Final, TypeVar
 
@@ -26,6 +27,12 @@
 
 _Item = TypeVar("_Item")
 
+# The platform's callers give up a stream after the longest of: so many seconds without
+# an event, so many times the target latency, and so many times the longest pause.
+_PATIENCE_SECONDS: Final = 2.0
+_PATIENCE_TARGETS: Final = 4.0
+_PATIENCE_PAUSES: Final = 8.0
+
 _KINDS: Final = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE,
@@ -80,19 +87,29 @@
     ]
     if not weighted:
         weighted = [WeightedService(ServiceName(data["service"]), 1.0)]
+    kind = _KINDS[data["kind"]]
+    target_latency = float(data["targetLatencyMs"]) / 1000
+    longest_pause = float(data.get("gapAimMs") or 1000) / 1000
     return Route(
         name=str(data["name"]),
         host=str(data["host"]).lower(),
         path_prefix=str(data["pathPrefix"]),
-        kind=_KINDS[data["kind"]],
+        kind=kind,
         timeout=float(data["timeoutMs"]) / 1000,
-        target_latency=float(data["targetLatencyMs"]) / 1000,
+        target_latency=target_latency,
         services=tuple(weighted),
         # Counts the servers that may run one request, not the sends.
         max_servers=int(data.get("maxAttempts") or 1),
         rank=int(data.get("priority") or 0),
         is_resumable=bool(data.get("resumable")),
-        longest_pause=float(data.get("gapAimMs") or 1000) / 1000,
+        longest_pause=longest_pause,
+        caller_patience=max(
+            _PATIENCE_SECONDS,
+            _PATIENCE_TARGETS * target_latency,
+            _PATIENCE_PAUSES * longest_pause,
+        )
+        if kind is RequestKind.STREAMING
+        else math.inf,
     )
 
 
