--- a/src/gooseberrydeal/_internal/cli/ctl.py
+++ b/src/gooseberrydeal/_internal/cli/ctl.py
@@ -11,6 +11,7 @@
     status,
     submit,
     top,
+    trace,
 )
 
 app = typer.Typer(help=__doc__, no_args_is_help=True)
@@ -23,6 +24,7 @@
 app.command("drain", help=drain.__doc__)(drain.drain)
 app.command("restore", help=restore.__doc__)(restore.restore)
 app.command("top", help=top.__doc__)(top.top)
+app.command("trace", help=trace.__doc__)(trace.trace)
 
 
 def main() -> None:
