Reload the bounds of the settings file

Cause: SIGHUP was ignored and a changed file went unnoticed until the next start.

Change: the file is read anew on SIGHUP and when its time of change differs (looked at once a second); bounds are taken over, a line names what changed, what waits for the next start, or why a file was not taken. SIGHUP before that is ignored instead of fatal.

--- a/src/gooseberrydeal/_internal/cli/router.py
+++ b/src/gooseberrydeal/_internal/cli/router.py
@@ -11,6 +11,9 @@
 
 from gooseberrydeal._internal.exceptions import SettingsError
 from gooseberrydeal._internal.operations.router.router_node import RouterNode
+from gooseberrydeal._internal.operations.router.settings_follower import (
+    SettingsFollower,
+)
 from gooseberrydeal._internal.platform.boot_file import (
     SETTINGS_PATH_VARIABLE,
     read_boot_file,
@@ -22,6 +25,7 @@
 from gooseberrydeal._internal.status_codes import ExitCode
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.json_log import configure_logging
+from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 logger = logging.getLogger(__name__)
 
@@ -32,7 +36,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     node = RouterNode(
         settings,
         PlatformStore(settings.store.address),
@@ -42,6 +45,9 @@
         SystemClock(),
         random.Random(),
     )
+    follower = SettingsFollower(path, read_boot_file, settings, node.apply)
+    loop.add_signal_handler(signal.SIGHUP, follower.reload)
+    tasks = TaskOwner()
     try:
         await node.start()
     except OSError:
@@ -49,13 +55,17 @@
         return ExitCode.FAILED
     # What lives this long is not garbage; later collections need not look at it.
     gc.freeze()
+    tasks.start(follower.run(), "settings")
     await stopping.wait()
+    await tasks.stop()
     cut = await node.stop()
     return ExitCode.STREAMS_CUT if cut else ExitCode.OK
 
 
 def main() -> None:
     """Run the program with the settings file that the platform names."""
+    # Until the program can reload its settings, the signal must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     configure_logging("info")
     path = os.environ.get(SETTINGS_PATH_VARIABLE)
     if path is None:
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -73,13 +73,17 @@
         self._servers = servers
         self._view = view
         self._domain = domain
-        self._version_seconds = version_bound * _OLD_VERSION_PART
+        self.set_version_bound(version_bound)
         self._signal = signal
         self._on_want = on_want
         self._clock = clock
         self._rng = rng
         self._demand = AdapterDemand()
 
+    def set_version_bound(self, seconds: float) -> None:
+        """Replace old adapter versions well before this time after a new one."""
+        self._version_seconds = seconds * _OLD_VERSION_PART
+
     async def assign(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Return a server at once, or after its adapter is loaded."""
         if request.facts.adapter is None:
--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -76,6 +76,10 @@
         """Return the owners of the engines held by this host."""
         return self._owners
 
+    def set_turn_seconds(self, seconds: float) -> None:
+        """Take over how long another host's orders must be past before the first."""
+        self._turn_seconds = seconds
+
     def changed(self) -> None:
         """Look at the records soon."""
         self._wake.set()
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -82,6 +82,12 @@
         """Return how many requests are being served."""
         return self._in_progress
 
+    def set_bounds(self, bounds: RoutingBounds) -> None:
+        """Take changed bounds over; retries of the running window count anew."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._retries.clear()
+
     def drain(self) -> None:
         """End each connection after its reply."""
         self._is_draining = True
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -94,7 +94,7 @@
             self._metadata_changed,
             is_first_start=settings.is_first_start,
         )
-        dispatcher = Dispatcher(
+        self._dispatcher = Dispatcher(
             self._servers,
             self._view,
             settings.domain,
@@ -108,7 +108,7 @@
         self._handler = RequestHandler(
             self._view,
             codec,
-            dispatcher,
+            self._dispatcher,
             self._metrics,
             settings.bounds,
             self._exchange.used,
@@ -134,6 +134,13 @@
         self._tasks.start(self._exchange.run(), "report exchange")
         logger.info("started", extra={"host": self._settings.host})
 
+    def apply(self, settings: HostSettings) -> None:
+        """Take changed bounds over."""
+        self._settings = settings
+        self._handler.set_bounds(settings.bounds)
+        self._dispatcher.set_version_bound(settings.bounds.adapter_version)
+        self._ownership.set_turn_seconds(settings.bounds.lease)
+
     async def stop(self) -> int:
         """Leave the balancer's rotation, finish the requests, then end."""
         loop = asyncio.get_running_loop()
