--- a/src/gooseberrydeal/_internal/operations/router/order_sequence.py
+++ b/src/gooseberrydeal/_internal/operations/router/order_sequence.py
@@ -1,5 +1,6 @@
 """Send the orders of one engine one after the other."""
 
+import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -16,6 +17,8 @@
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 
+logger = logging.getLogger(__name__)
+
 # An order without an answer is sent again with the same count of orders before it, so
 # that no more than one of them is carried out.
 _MOST_SENDS: Final = 3
@@ -92,6 +95,17 @@
                 break
             outcome = await self._orders.order(self._record.entry, order)
         self._last_at = self._clock()
+        logger.info(
+            "order %d to %s: %s",
+            order.after_orders,
+            action.value,
+            outcome.value,
+            extra={
+                "server": self._record.id,
+                "adapter": f"{key.model}/{key.adapter}",
+                "adapter_version": key.version,
+            },
+        )
         if outcome in (OrderOutcome.DONE, OrderOutcome.ACCEPTED):
             self._count += 1
             return outcome
