Let hosts speak less often where there are many

Change: the periods of heartbeats, of collected changes, of reports and of looks at the store come from the number of hosts: unchanged up to 16, then longer up to fixed bounds; what counts as silence follows from them.

--- a/src/gooseberrydeal/_internal/operations/router/engine_demand.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_demand.py
@@ -1,15 +1,11 @@
 """Add up what all hosts report of one engine."""
 
 from collections.abc import Iterable
-from typing import Final
 
 from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.usage_report import CopyWant, EngineUsage
 
-# Several report periods; a host that is silent for longer has stopped.
-_SILENT_SECONDS: Final = 1.5
-
 
 class EngineDemand:
     """Keep the newest report of each host."""
@@ -32,11 +28,9 @@
                 fresh.append((use.key, started))
         return fresh
 
-    def drop_silent(self, now: float) -> None:
+    def drop_silent(self, now: float, silent_seconds: float) -> None:
         """Forget hosts that have stopped."""
-        silent = [
-            h for h, (at, _) in self._usages.items() if now - at > _SILENT_SECONDS
-        ]
+        silent = [h for h, (at, _) in self._usages.items() if now - at > silent_seconds]
         for host in silent:
             del self._usages[host]
             for key in [key for key in self._started if key[0] == host]:
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -42,7 +42,6 @@
 _REPORT_LAG_SECONDS: Final = 0.3
 # Reports are priced: one is read no more often than this.
 _REPORT_PACE_SECONDS: Final = 0.5
-_HEARTBEAT_SECONDS: Final = 0.4
 # A copy that the engine denies having is loading for longer than expected, up to this
 # age; then the engine's report is read.
 _LATE_SECONDS: Final = 0.5
@@ -99,6 +98,7 @@
             self._slots,
             lambda: may_order() and self._sequence.is_known,
             lambda: self._base_models.held,
+            lambda: view.pace.collect,
             publish,
             clock,
         )
@@ -154,14 +154,15 @@
             self._wake.clear()
             await self._step()
             now = self._clock()
-            if now - published >= _HEARTBEAT_SECONDS:
+            if now - published >= self._view.pace.heartbeat:
                 self._status.publish()
                 published = now
             try:
-                async with asyncio.timeout(_HEARTBEAT_SECONDS):
+                async with asyncio.timeout(self._view.pace.heartbeat):
                     await self._wake.wait()
             except TimeoutError:
-                self._demand.drop_silent(self._clock())
+                silent = self._view.pace.host_silent
+                self._demand.drop_silent(self._clock(), silent)
 
     async def _step(self) -> None:
         entry = self._record.entry
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -31,9 +31,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Calls are priced: changes are collected this long, well within the two seconds in
-# which a leaving server or a new configuration must be known.
-_PACE_SECONDS: Final = 0.8
+# Servers write more often than this; a watch is rarely kept waiting.
 _WAIT_SECONDS: Final = 0.3
 # A connection or a store may fall silent for good. A watch that is given up after this
 # long beyond its wait, and the pause before the next, stay within the two seconds that
@@ -140,7 +138,7 @@
         self._revision = max(self._revision, page.revision)
         self._expire_absent()
         self._on_change()
-        pause = _PACE_SECONDS - (self._clock() - begun)
+        pause = self._view.pace.follow - (self._clock() - begun)
         if pause > 0:
             await asyncio.sleep(pause)
 
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -10,6 +10,7 @@
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
+from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
 
 HOST_PREFIX: Final = "gooseberrydeal/hosts/"
 OWNER_PREFIX: Final = "gooseberrydeal/owners/"
@@ -39,6 +40,11 @@
     is_complete: bool = False
     heard_at: float = 0.0
 
+    @property
+    def pace(self) -> ExchangePace:
+        """Return how often hosts tell each other, and ask the store."""
+        return ExchangePace.for_hosts(len(self.hosts))
+
     def newest(self, key: AdapterKey) -> int:
         """Return the newest declared version of an adapter, 0 if none is."""
         found = self.versions.get(key)
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -19,8 +19,6 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 
-# Owners evict by what hosts use; a shorter period costs bytes between domains.
-_REPORT_SECONDS: Final = 0.25
 # New wants are collected this long before they are sent.
 _COLLECT_SECONDS: Final = 0.002
 # Owners learn of a change of this host's unread prompt tokens by more than this.
@@ -75,7 +73,7 @@
                 for record in self._servers.records
                 if record.service.engine is not None
             )
-            await asyncio.sleep(_REPORT_SECONDS)
+            await asyncio.sleep(self._view.pace.report)
 
     def want(self, record: ServerRecord) -> None:
         """Tell an engine's owner of a new want soon."""
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -21,13 +21,10 @@
     EngineUsage,
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
+from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
 from gooseberrydeal._internal.policy.server_health import ServerHealth
 
-# Several of the owner's heartbeats; its word on an engine counts no longer than this.
-STATUS_SECONDS: Final = 1.5
-# Two heartbeats and a half.
-_SILENT_SECONDS: Final = 1.0
 # Copies that an engine may still have in its own memory, by the least recent use.
 _SEEN_COPIES: Final = 96
 
@@ -53,6 +50,7 @@
         self._health = ServerHealth()
         self._status: EngineStatus | None = None
         self._status_at = 0.0
+        self._pace = ExchangePace()
         self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
         self._uses: dict[AdapterCopyKey, _Use] = {}
         self._wants: dict[AdapterCopyKey, int] = {}
@@ -126,17 +124,15 @@
         if not self.has_fresh_status(now):
             self._take_held(now)
 
-    def take_status(self, status: EngineStatus, now: float) -> bool:
+    def take_status(self, status: EngineStatus, now: float, pace: ExchangePace) -> bool:
         """Take the owner's word; return whether it is newer than what is known."""
         known = self._status
-        if known is not None:
-            if status.fencing_number < known.fencing_number:
-                return False
-            same = status.fencing_number == known.fencing_number
-            if same and status.sequence <= known.sequence:
-                return False
+        newest = (status.fencing_number, status.sequence)
+        if known is not None and newest <= (known.fencing_number, known.sequence):
+            return False
         self._status = status
         self._status_at = now
+        self._pace = pace
         self._copies = {
             copy.key: (copy.state, now + copy.ready_in) for copy in status.copies
         }
@@ -156,7 +152,9 @@
 
     def has_fresh_status(self, now: float) -> bool:
         """Return whether the owner was heard of lately."""
-        return self._status is not None and now - self._status_at < STATUS_SECONDS
+        return (
+            self._status is not None and now - self._status_at < self._pace.status_fresh
+        )
 
     @property
     def spare_slots(self) -> int:
@@ -165,7 +163,9 @@
 
     def is_unheard(self, now: float) -> bool:
         """Return whether the owner was heard before and has fallen silent."""
-        return self._status is not None and now - self._status_at > _SILENT_SECONDS
+        return (
+            self._status is not None and now - self._status_at > self._pace.owner_silent
+        )
 
     def takes_orders(self, now: float) -> bool:
         """Return whether the owner is heard and may give orders."""
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -10,6 +10,7 @@
 )
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
 
 
 class ServerTable:
@@ -21,6 +22,7 @@
         self._entries: dict[ServerId, ServerEntry] = {}
         self._configuration: RoutingConfiguration | None = None
         self._hosts = 1
+        self._pace = ExchangePace()
         self._fetching: dict[ServerId, int] = {}
 
     @property
@@ -47,6 +49,7 @@
         """Divide the servers' connections among so many hosts."""
         if hosts != self._hosts:
             self._hosts = max(1, hosts)
+            self._pace = ExchangePace.for_hosts(hosts)
             for record in self._records.values():
                 record.pool.set_limit(self._most_connections(record.entry))
 
@@ -80,7 +83,8 @@
     def take_status(self, status: EngineStatus) -> bool:
         """Take an owner's word on its engine; return whether it is news."""
         record = self._records.get(status.server)
-        if record is None or not record.take_status(status, self._clock()):
+        now = self._clock()
+        if record is None or not record.take_status(status, now, self._pace):
             return False
         self._fetching[status.server] = sum(
             copy.state is CopyState.LOADING for copy in status.copies
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -15,7 +15,6 @@
 # Hosts learn of a queue of prompts that changed by more than this, about 40 ms of
 # reading, after a pause in which further changes are collected.
 _DRIFT_TOKENS: Final = 800
-_COLLECT_SECONDS: Final = 0.03
 
 
 class StatusPublisher:
@@ -30,6 +29,7 @@
         slots: AdapterSlots,
         can_load: Callable[[], bool],
         base_models: Callable[[], Collection[str]],
+        collect_seconds: Callable[[], float],
         publish: Callable[[EngineStatus], None],
         clock: Callable[[], float],
     ) -> None:
@@ -40,6 +40,7 @@
         self._slots = slots
         self._can_load = can_load
         self._base_models = base_models
+        self._collect_seconds = collect_seconds
         self._publish = publish
         self._clock = clock
         self._number = 0
@@ -54,7 +55,7 @@
         drift = abs(self._demand.unread_tokens() - self._unread_tokens)
         if drift > _DRIFT_TOKENS or self._demand.pace(self._clock()) != self._pace:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(_COLLECT_SECONDS, self.publish)
+            self._timer = loop.call_later(self._collect_seconds(), self.publish)
 
     def publish(self) -> None:
         """Publish now."""
