--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -51,8 +51,8 @@
 # before the bound; until then the old one may serve while the new one loads.
 _OLD_VERSION_PART: Final = 0.4
 _RETRY_AFTER_SECONDS: Final = 0.4
-# Bursts that fill all slots last for some seconds; a caller that comes back at once meets
-# the same queue, and most callers come back only once.
+# Bursts that fill all slots last for some seconds; a caller that comes back at once
+# meets the same queue, and most callers come back only once.
 _CALMER_SECONDS: Final = 2.0
 # For this part of the target latency a request rather waits than makes the pauses in
 # other streams too long.
--- /dev/null
+++ b/tests/functional/test_explained_failures.py
@@ -0,0 +1,70 @@
+"""Check that logs alone lead from a failed request's id to its cause."""
+
+import asyncio
+import logging
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from gooseberrydeal._internal.cli.ctl import app
+from gooseberrydeal._internal.utils.json_log import JsonLinesFormatter
+from tests.lib.relay_scripts import id_of, run_relay
+from tests.lib.relay_world import Caller, RelayWorld
+from tests.lib.scripted_server import ReceivedRequest, response
+
+
+async def _deny(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    head = "421 Misdirected Request"
+    writer.write(response(b"", head, id_of(request), "X-Not-Executed: no model"))
+
+
+async def _break_off(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+        b"10\r\nid: 1\ndata: e1\n\n\r\n"
+    )
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+async def _answer_late(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.2)
+    writer.write(response(b"ok", "200 OK", id_of(request)))
+
+
+@pytest.mark.parametrize(
+    ("script", "path", "expected"),
+    [
+        (_deny, "/stream/a", ["attempt not_run with status 421", "given up"]),
+        (_break_off, "/stream/a", ["attempt cut with status 200"]),
+        (_answer_late, "/resumable/a", ["served late", "(server)"]),
+    ],
+)
+def test_a_failed_request_is_explained(
+    script: Any,
+    path: str,
+    expected: list[str],
+    tmp_path: Path,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def play(world: RelayWorld, caller: Caller) -> None:
+        for number in range(3):
+            other = await Caller.connect(world)
+            other.send(path, f"q-{number}")
+            await other.reader.read()
+            other.close()
+
+    caplog.set_level(logging.INFO)
+    run_relay(play, engines=[script])
+    lines = [JsonLinesFormatter().format(record) for record in caplog.records]
+    (tmp_path / "h1.log").write_text("\n".join(lines))
+    result = CliRunner().invoke(app, ["trace", "q-1", "--logs", str(tmp_path)])
+    assert result.exit_code == 0, result.output
+    for text in expected:
+        assert text in result.stdout
+    assert "q-0" not in result.stdout
+    assert "e-0" in result.stdout
