--- a/src/gooseberrydeal/_internal/operations/router/request_log.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_log.py
@@ -58,13 +58,13 @@
             extra=self._context(None, RefusalReason.DEADLINE),
         )
 
-    def cancelled(self, seconds: float) -> None:
+    def cancelled(self, seconds: float, server: ServerId | None) -> None:
         """Note that nobody waits for the reply any more."""
         logger.info(
             "the caller left, or the host stops, after %.3f s and %d sends",
             seconds,
             self._request.sends,
-            extra=self._context(None, RefusalReason.CANCELLED),
+            extra=self._context(server, RefusalReason.CANCELLED),
         )
 
     def _context(
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardFacts
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
@@ -73,6 +74,7 @@
         self._clock = clock
         self._events = EventSplitter()
         self._last_status = 0
+        self._server: ServerId | None = None
         self._log = RequestLog(request, metrics)
         self._times = ServeTimes(request.arrived_at)
 
@@ -85,7 +87,8 @@
         except TimeoutError:
             self._end_at_deadline()
         except asyncio.CancelledError:
-            self._log.cancelled(self._clock() - self._request.arrived_at)
+            waited = self._clock() - self._request.arrived_at
+            self._log.cancelled(waited, self._server)
             raise
 
     async def _serve(self) -> None:
@@ -103,6 +106,7 @@
     async def _attempt(self, found: Assignment) -> AttemptOutcome | None:
         """Send once; return ``None`` if nothing reached the server."""
         request, record = self._request, found.record
+        self._server = record.id
         if request.sends and not await self._wait_for_retry():
             self._give_up(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
             return AttemptOutcome.SERVED
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -26,6 +26,7 @@
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.stall_monitor import StallMonitor
 from gooseberrydeal._internal.operations.router.status_endpoint import (
     StatusEndpoint,
 )
@@ -120,6 +121,7 @@
         self._listener = CallerListener(settings.callers, self._handler)
         self._readiness = StatusEndpoint(settings.readiness, self._readiness_answer)
         self._metrics_listener = StatusEndpoint(settings.metrics, self._metrics_answer)
+        self._stalls = StallMonitor(clock.elapsed)
         self._tasks = TaskOwner()
 
     async def start(self) -> None:
@@ -130,6 +132,7 @@
         await self._listener.start()
         self._tasks.start(self._follower.run(), "metadata follower")
         self._tasks.start(self._lease.run(), "lease")
+        self._tasks.start(self._stalls.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
         self._tasks.start(self._exchange.run(), "report exchange")
         logger.info("started", extra={"host": self._settings.host})
