Name parts of the first program by the field's terms

AdmissionDesk, Gatekeeper, ClaimDesk, LoadGate, LoadWant, JobRefuser and Outside were metaphors. They are RequestResolver, CallerAccess, ClaimWriter, LoadPermitQueue, LoadRequest, JobRejector and ExternalClients now; names only, no other change.

--- a/src/gooseberrydeal/_internal/lab/capacity/fleet.py
+++ b/src/gooseberrydeal/_internal/lab/capacity/fleet.py
@@ -24,8 +24,8 @@
 from gooseberrydeal._internal.network.http_server import HttpServer
 from gooseberrydeal._internal.network.http_weight_store import HttpWeightStore
 from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
+from gooseberrydeal._internal.operations.keeper.external_clients import ExternalClients
 from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
-from gooseberrydeal._internal.operations.keeper.outside import Outside
 from gooseberrydeal._internal.operations.publisher import Publisher
 from gooseberrydeal._internal.policy.fleet_view import FleetView
 from gooseberrydeal._internal.utils.clock import SystemClock
@@ -182,7 +182,7 @@
                 platform=platform,
                 peers=tuple(addresses[:3]),
             )
-            outside = Outside(
+            clients = ExternalClients(
                 EtcdStore.from_url(url),
                 HttpHostList.from_url(url),
                 HttpWeightStore.from_url(url),
@@ -190,7 +190,7 @@
                 HttpPlainServer.from_address,
             )
             transport = WebsocketTransport()
-            keeper = KeeperNode(settings, outside, transport, self._clock)
+            keeper = KeeperNode(settings, clients, transport, self._clock)
             await keeper.start()
             self._platform.hosts[address] = "live"
             self._keepers.append(keeper)
--- a/src/gooseberrydeal/_internal/lab/lab_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -199,7 +199,7 @@
         usable = entry.context.view.usable_servers(now)
         owned = {owner for keeper in self._keepers.values() for owner in keeper.owners}
         budget = all(
-            keeper.gate.pool.is_usable(now) for keeper in self._keepers.values()
+            keeper.permit_queue.pool.is_usable(now) for keeper in self._keepers.values()
         )
         return len(usable) >= wanted and len(owned) >= wanted and budget
 
--- a/src/gooseberrydeal/_internal/operations/entry/caller_api.py
+++ b/src/gooseberrydeal/_internal/operations/entry/caller_api.py
@@ -23,14 +23,17 @@
 from gooseberrydeal._internal.models.refusal import Refusal
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.work_order import WorkOrder
-from gooseberrydeal._internal.operations.entry.admission_desk import AdmissionDesk
+from gooseberrydeal._internal.operations.entry.caller_access import (
+    CallerAccess,
+    is_named,
+)
 from gooseberrydeal._internal.operations.entry.disconnect import disconnected
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
-from gooseberrydeal._internal.operations.entry.gatekeeper import Gatekeeper, is_named
 from gooseberrydeal._internal.operations.entry.in_progress import InProgress
 from gooseberrydeal._internal.operations.entry.model_request import ModelRequest
 from gooseberrydeal._internal.operations.entry.plain_calls import PlainCalls
 from gooseberrydeal._internal.operations.entry.refused_error import RefusedError
+from gooseberrydeal._internal.operations.entry.request_resolver import RequestResolver
 from gooseberrydeal._internal.operations.entry.responses import (
     REQUEST_ID_HEADER,
     AnswerWriter,
@@ -52,15 +55,15 @@
     def __init__(
         self,
         context: EntryContext,
-        gatekeeper: Gatekeeper,
-        desk: AdmissionDesk,
+        access: CallerAccess,
+        resolver: RequestResolver,
         runner: WorkRunner,
         plain_calls: PlainCalls,
         refusal_now: Callable[[], Refusal | None],
     ) -> None:
         self._context = context
-        self._gatekeeper = gatekeeper
-        self._desk = desk
+        self._access = access
+        self._resolver = resolver
         self._runner = runner
         self._plain_calls = plain_calls
         self._refusal_now = refusal_now
@@ -116,7 +119,7 @@
 
     async def _models(self, request: Request) -> Response:
         configuration = self._configuration()
-        caller = self._gatekeeper.caller(request, configuration)
+        caller = self._access.caller(request, configuration)
         names = [
             name
             for name in configuration.model_names()
@@ -143,15 +146,17 @@
 
     async def _generate(self, request: Request, *, is_chat: bool) -> Response:
         configuration = self._configuration()
-        caller = self._gatekeeper.caller(request, configuration)
-        self._gatekeeper.limit(caller)
-        body = await self._gatekeeper.body(request)
+        caller = self._access.caller(request, configuration)
+        self._access.limit(caller)
+        body = await self._access.body(request)
         checked = ModelRequest.from_body(body, is_chat=is_chat)
-        adapter = self._desk.resolve(checked.model, configuration)
+        adapter = self._resolver.resolve(checked.model, configuration)
         declared = configuration.adapter(adapter.name)
         service = declared.service if declared is not None else ""
-        self._gatekeeper.authorise(caller, service, adapter)
-        order = self._desk.model_order(request, caller, checked, adapter, configuration)
+        self._access.authorise(caller, service, adapter)
+        order = self._resolver.model_order(
+            request, caller, checked, adapter, configuration
+        )
         writer = AnswerWriter(
             order.request_id,
             checked.model,
@@ -251,19 +256,21 @@
         if isinstance(event, AnswerEnd):
             self._context.metrics.answered(order.service)
             if order.adapter is not None:
-                self._desk.note_length(order.adapter, order.work_class, event.tokens)
+                self._resolver.note_length(
+                    order.adapter, order.work_class, event.tokens
+                )
         elif isinstance(event, AnswerRefused):
             self._context.metrics.refused(event.refusal.reason)
 
     async def _plain(self, request: Request) -> Response:
         configuration = self._configuration()
-        caller = self._gatekeeper.caller(request, configuration)
-        self._gatekeeper.limit(caller)
+        caller = self._access.caller(request, configuration)
+        self._access.limit(caller)
         service = request.path_params["service"]
         operation = request.path_params["operation"]
-        self._gatekeeper.authorise(caller, service, None)
-        body = await self._gatekeeper.body(request)
-        order = self._desk.plain_order(
+        self._access.authorise(caller, service, None)
+        body = await self._access.body(request)
+        order = self._resolver.plain_order(
             request, caller, service, operation, body, configuration
         )
         event = await self._plain_calls.run(
--- a/src/gooseberrydeal/_internal/operations/entry/admission_desk.py
+++ b/src/gooseberrydeal/_internal/operations/entry/request_resolver.py
@@ -34,7 +34,7 @@
 _DIGEST_BYTES: Final = 16
 
 
-class AdmissionDesk:
+class RequestResolver:
     """Resolve names, versions, classes and deadlines once, before anything is sent."""
 
     def __init__(self, context: EntryContext) -> None:
--- a/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/adapter_loader.py
@@ -20,8 +20,8 @@
 from gooseberrydeal._internal.network.interfaces.weight_store import WeightStore
 from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
-from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
-from gooseberrydeal._internal.operations.keeper.load_want import LoadWant
+from gooseberrydeal._internal.operations.keeper.load_permit_queue import LoadPermitQueue
+from gooseberrydeal._internal.operations.keeper.load_request import LoadRequest
 from gooseberrydeal._internal.policy.load_failures import LoadFailures
 from gooseberrydeal._internal.policy.slot_table import SlotCopy
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -47,7 +47,7 @@
         epoch: FencingNumber,
         engine: Engine,
         slots: EngineSlots,
-        gate: LoadGate,
+        permit_queue: LoadPermitQueue,
         weights: WeightStore,
         context: KeeperContext,
     ) -> None:
@@ -55,7 +55,7 @@
         self._epoch = epoch
         self._engine = engine
         self._slots = slots
-        self._gate = gate
+        self._permit_queue = permit_queue
         self._weights = weights
         self._context = context
         self._failures = LoadFailures()
@@ -89,17 +89,17 @@
         urgency -= _WAITING_SECONDS * math.log2(max(1, waiting))
         if not self._context.is_plain and self._replicas_elsewhere(adapter) > 0:
             urgency += _REPLICA_SECONDS
-        self._gate.want(
-            LoadWant(self._server, adapter, urgency, self.has_slot, self._start)
+        self._permit_queue.want(
+            LoadRequest(self._server, adapter, urgency, self.has_slot, self._start)
         )
 
     def wanted(self) -> list[AdapterRef]:
         """Return the adapters whose loads wait for a permit or a slot."""
-        return self._gate.wanted(self._server)
+        return self._permit_queue.wanted(self._server)
 
     def withdraw(self, adapter: AdapterRef) -> None:
         """Ask no longer for a load."""
-        self._gate.withdraw(self._server, adapter)
+        self._permit_queue.withdraw(self._server, adapter)
 
     def has_slot(self) -> bool:
         """Return whether a load could be given a slot."""
@@ -107,8 +107,8 @@
 
     def slot_changed(self) -> None:
         """Note that a slot may have become free."""
-        if self._gate.waiting:
-            self._gate.pump()
+        if self._permit_queue.waiting:
+            self._permit_queue.pump()
 
     def refusal(self, adapter: AdapterRef) -> Refusal | None:
         """Return why an adapter is not loaded now, if it has failed lately."""
@@ -124,7 +124,7 @@
         seconds = self._context.configuration().limits.load_seconds
         if self._slots.is_loading(adapter):
             return seconds / 2
-        return self._gate.expected_wait() + seconds
+        return self._permit_queue.expected_wait() + seconds
 
     def victim_demand(self) -> float | None:
         """Return the demand that the next load would evict."""
@@ -174,9 +174,9 @@
                 adapter.name,
             )
         finally:
-            self._gate.pool.finish(permit)
+            self._permit_queue.pool.finish(permit)
             self._context.report_changed()
-            self._gate.pump()
+            self._permit_queue.pump()
             self._on_ready()
 
     async def _evict(self, victim: SlotCopy) -> None:
--- a/src/gooseberrydeal/_internal/operations/keeper/claim_desk.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/claim_writer.py
@@ -41,7 +41,7 @@
     connection: PeerConnection
 
 
-class ClaimDesk:
+class ClaimWriter:
     """Create claims in batches and record their outcomes.
 
     Each claim is its own compare-and-swap within the batch, so the platform alone
@@ -63,7 +63,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self._tasks.start(self._run(), "claim desk")
+        self._tasks.start(self._run(), "claims")
 
     async def stop(self) -> None:
         """End."""
--- a/src/gooseberrydeal/_internal/operations/keeper/outside.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/external_clients.py
@@ -1,4 +1,4 @@
-"""Join the clients of the systems outside."""
+"""Join the clients of the systems clients."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True)
-class Outside:
+class ExternalClients:
     """Hold one client for each outside system, and make those of servers."""
 
     store: KeyValueStore
@@ -32,7 +32,7 @@
     close: Callable[[], Awaitable[None]] = _nothing
 
     @classmethod
-    def from_settings(cls, settings: KeeperSettings) -> "Outside":
+    def from_settings(cls, settings: KeeperSettings) -> "ExternalClients":
         """Build the clients that speak the published protocols."""
         store = EtcdStore.from_url(settings.platform.store)
         host_list = HttpHostList.from_url(settings.platform.hosts)
--- a/src/gooseberrydeal/_internal/operations/keeper/job_refuser.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/job_rejector.py
@@ -17,7 +17,7 @@
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 
-class JobRefuser:
+class JobRejector:
     """Take jobs out of the queue and answer them."""
 
     def __init__(
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_node.py
@@ -19,17 +19,17 @@
 from gooseberrydeal._internal.operations.alarms import Alarms
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
 from gooseberrydeal._internal.operations.keeper.budget_division import BudgetDivision
-from gooseberrydeal._internal.operations.keeper.claim_desk import ClaimDesk
 from gooseberrydeal._internal.operations.keeper.claim_lease import ClaimLease
+from gooseberrydeal._internal.operations.keeper.claim_writer import ClaimWriter
 from gooseberrydeal._internal.operations.keeper.current_configuration import (
     CurrentConfiguration,
 )
+from gooseberrydeal._internal.operations.keeper.external_clients import ExternalClients
 from gooseberrydeal._internal.operations.keeper.host_lease import HostLease
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.keeper_reports import KeeperReports
-from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.load_permit_queue import LoadPermitQueue
 from gooseberrydeal._internal.operations.keeper.message_router import MessageRouter
-from gooseberrydeal._internal.operations.keeper.outside import Outside
 from gooseberrydeal._internal.operations.keeper.owned_server_set import OwnedServerSet
 from gooseberrydeal._internal.operations.keeper.ownership import Ownership
 from gooseberrydeal._internal.operations.keeper.server_factory import ServerFactory
@@ -57,12 +57,12 @@
     def __init__(
         self,
         settings: KeeperSettings,
-        outside: Outside,
+        clients: ExternalClients,
         transport: PeerTransport,
         clock: Clock,
     ) -> None:
         self._settings = settings
-        self._outside = outside
+        self._clients = clients
         self._clock = clock
         self._incarnation = clock.wall()
         self._lifecycle = Lifecycle()
@@ -100,7 +100,7 @@
     def from_settings(cls, settings: KeeperSettings, clock: Clock) -> "KeeperNode":
         """Build a keeper that talks over real sockets."""
         transport = WebsocketTransport(TlsContexts.from_files(settings.tls))
-        return cls(settings, Outside.from_settings(settings), transport, clock)
+        return cls(settings, ExternalClients.from_settings(settings), transport, clock)
 
     @property
     def context(self) -> KeeperContext:
@@ -128,9 +128,9 @@
         return self._configuration
 
     @property
-    def gate(self) -> LoadGate:
+    def permit_queue(self) -> LoadPermitQueue:
         """Return the task that lets loads start."""
-        return self._gate
+        return self._permit_queue
 
     @property
     def incarnation(self) -> float:
@@ -160,7 +160,7 @@
         self._lease.start()
         self._ownership.start()
         self._budget.start()
-        self._gate.start()
+        self._permit_queue.start()
         self._claims.start()
         self._tasks.start(self._follow_view(), "follow view")
         self._tasks.start(self._follow_list(), "follow host list")
@@ -201,7 +201,7 @@
             self._reports.server_reports,
         )
         self._configuration = ConfigurationTask(
-            self._outside.store,
+            self._clients.store,
             self._reports.is_reader,
             self._peers.connections,
             self._alarms,
@@ -213,16 +213,16 @@
             settings.listen,
             f"{settings.listen}/{self._incarnation:.6f}",
         )
-        self._lease = HostLease(self._outside.store, record, self._lease_changed)
+        self._lease = HostLease(self._clients.store, record, self._lease_changed)
         pool = PermitPool()
-        self._gate = LoadGate(self._context, pool, self._ask_permits)
+        self._permit_queue = LoadPermitQueue(self._context, pool, self._ask_permits)
         self._factory = ServerFactory(
-            self._context, self._outside, self._gate, self._declared.work_class
+            self._context, self._clients, self._permit_queue, self._declared.work_class
         )
         self._owned = OwnedServerSet(self._owners, self._factory, self._view.flush_soon)
         self._ownership = Ownership(
-            self._outside.store,
-            self._outside.host_list,
+            self._clients.store,
+            self._clients.host_list,
             record,
             self._owned,
             self._declared.servers,
@@ -230,15 +230,15 @@
             self._view.learn_hosts,
         )
         self._budget = BudgetDivision(
-            self._outside.store,
-            self._outside.host_list,
+            self._clients.store,
+            self._clients.host_list,
             self._context,
             pool,
             self._declared.limits,
         )
-        self._claims = ClaimDesk(
-            self._outside.store,
-            ClaimLease(self._outside.store, self._clock, self._declared.claim_window),
+        self._claims = ClaimWriter(
+            self._clients.store,
+            ClaimLease(self._clients.store, self._clock, self._declared.claim_window),
         )
         self._suspects = SuspectSharing(self._context, self._peers)
 
@@ -247,7 +247,11 @@
         self._context.share_suspect = self._suspects.share
         self._context.configuration = self._declared.current
         self._router.connect(
-            self._configuration, self._claims, self._gate, self._suspects, self._view
+            self._configuration,
+            self._claims,
+            self._permit_queue,
+            self._suspects,
+            self._view,
         )
 
     def _configured(self, configuration: Configuration, number: int) -> None:
@@ -285,11 +289,11 @@
     async def _stop_tasks(self) -> None:
         await self._tasks.stop()
         await self._claims.stop()
-        await self._gate.stop()
+        await self._permit_queue.stop()
         await self._configuration.stop()
         await self._view.stop()
         await self._dialer.stop()
         await self._listener.stop()
         await self._router.stop()
         await self._suspects.stop()
-        await self._outside.close()
+        await self._clients.close()
--- a/src/gooseberrydeal/_internal/operations/keeper/keeper_reports.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/keeper_reports.py
@@ -9,7 +9,7 @@
 from gooseberrydeal._internal.operations.alarms import Alarms
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
-from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.load_permit_queue import LoadPermitQueue
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
 from gooseberrydeal._internal.utils import rendezvous
 
@@ -30,7 +30,7 @@
         ...
 
     @property
-    def gate(self) -> LoadGate:
+    def permit_queue(self) -> LoadPermitQueue:
         """Return the task that lets loads start."""
         ...
 
@@ -90,9 +90,9 @@
             sequence=sequence,
             revision=node.configuration.number,
             is_leaving=not node.lifecycle.is_serving,
-            waiting_loads=node.gate.waiting,
-            spare_permits=node.gate.spare,
-            budget_epoch=node.gate.pool.epoch,
+            waiting_loads=node.permit_queue.waiting,
+            spare_permits=node.permit_queue.spare,
+            budget_epoch=node.permit_queue.pool.epoch,
             platform_reachable=node.is_platform_reachable,
             alarms=node.alarms.names,
         )
--- a/src/gooseberrydeal/_internal/operations/keeper/load_gate.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/load_permit_queue.py
@@ -8,7 +8,7 @@
 from gooseberrydeal._internal.models.messages.permit_grant import PermitGrant
 from gooseberrydeal._internal.models.messages.permit_request import PermitRequest
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
-from gooseberrydeal._internal.operations.keeper.load_want import LoadWant
+from gooseberrydeal._internal.operations.keeper.load_request import LoadRequest
 from gooseberrydeal._internal.policy.permit_pool import WINDOW_SECONDS, PermitPool
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -18,14 +18,14 @@
 AskPeer = Callable[[str, PermitRequest], Coroutine[Any, Any, None]]
 
 
-class LoadGate:
+class LoadPermitQueue:
     """Give the permits of this keeper to its most urgent loads, and borrow more."""
 
     def __init__(self, context: KeeperContext, pool: PermitPool, ask: AskPeer) -> None:
         self._context = context
         self._pool = pool
         self._ask = ask
-        self._wants: dict[tuple[str, AdapterRef], LoadWant] = {}
+        self._wants: dict[tuple[str, AdapterRef], LoadRequest] = {}
         self._asked_at = 0.0
         self._tasks = TaskOwner()
 
@@ -47,13 +47,13 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self._tasks.start(self._tick(), "load gate")
+        self._tasks.start(self._tick(), "load permits")
 
     async def stop(self) -> None:
         """End."""
         await self._tasks.stop()
 
-    def want(self, want: LoadWant) -> None:
+    def want(self, want: LoadRequest) -> None:
         """Ask for a load; a second ask for it makes it more urgent at most."""
         key = (want.server, want.adapter)
         known = self._wants.get(key)
--- a/src/gooseberrydeal/_internal/operations/keeper/load_want.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/load_request.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True)
-class LoadWant:
+class LoadRequest:
     """Ask for a permit; the smallest ``urgency`` is served first.
 
     ``start`` is called with a permit, and only while ``has_slot`` holds.
--- a/src/gooseberrydeal/_internal/operations/keeper/message_router.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/message_router.py
@@ -27,9 +27,9 @@
 from gooseberrydeal._internal.network.peer_connection import PeerConnection
 from gooseberrydeal._internal.network.served_stream import ServedStream
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
-from gooseberrydeal._internal.operations.keeper.claim_desk import ClaimDesk
+from gooseberrydeal._internal.operations.keeper.claim_writer import ClaimWriter
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
-from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
+from gooseberrydeal._internal.operations.keeper.load_permit_queue import LoadPermitQueue
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
 from gooseberrydeal._internal.operations.keeper.suspect_sharing import SuspectSharing
 from gooseberrydeal._internal.operations.keeper.view_exchange import ViewExchange
@@ -58,13 +58,13 @@
     def connect(
         self,
         configuration: ConfigurationTask,
-        claims: ClaimDesk,
-        gate: LoadGate,
+        claims: ClaimWriter,
+        permit_queue: LoadPermitQueue,
         suspects: SuspectSharing,
         view: ViewExchange,
     ) -> None:
         """Set the tasks that answer."""
-        self._gate = gate
+        self._permit_queue = permit_queue
         self._view = view
         self._handlers = {
             Submit: self._submit,
@@ -76,7 +76,7 @@
             RevisionOffer: lambda peer, offer: configuration.offered(offer, peer),
             ChunkRequest: lambda peer, ask: configuration.requested(ask, peer),
             ChunkReply: lambda peer, reply: configuration.received(reply),
-            PermitGrant: lambda peer, grant: gate.granted(grant),
+            PermitGrant: lambda peer, grant: permit_queue.granted(grant),
             ClaimRequest: lambda peer, request: claims.claim(request, peer),
             ClaimResult: lambda peer, result: claims.record(result),
             SuspectNotice: lambda peer, notice: suspects.received(notice),
@@ -141,7 +141,7 @@
             owner.connection_lost(stream)
 
     def _lend(self, connection: PeerConnection, request: PermitRequest) -> None:
-        grant = self._gate.lend(request)
+        grant = self._permit_queue.lend(request)
         if grant is not None:
             self._start(connection.send(grant), "lend permits")
 
--- a/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_factory.py
@@ -12,9 +12,9 @@
 from gooseberrydeal._internal.operations.keeper.adapter_loader import AdapterLoader
 from gooseberrydeal._internal.operations.keeper.engine_backend import EngineBackend
 from gooseberrydeal._internal.operations.keeper.engine_slots import EngineSlots
+from gooseberrydeal._internal.operations.keeper.external_clients import ExternalClients
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
-from gooseberrydeal._internal.operations.keeper.load_gate import LoadGate
-from gooseberrydeal._internal.operations.keeper.outside import Outside
+from gooseberrydeal._internal.operations.keeper.load_permit_queue import LoadPermitQueue
 from gooseberrydeal._internal.operations.keeper.plain_backend import PlainBackend
 from gooseberrydeal._internal.operations.keeper.server_owner import ServerOwner
 from gooseberrydeal._internal.policy.pace_tracker import PaceTracker
@@ -32,13 +32,13 @@
     def __init__(
         self,
         context: KeeperContext,
-        outside: Outside,
-        gate: LoadGate,
+        clients: ExternalClients,
+        permit_queue: LoadPermitQueue,
         class_of: Callable[[str], WorkClass],
     ) -> None:
         self._context = context
-        self._outside = outside
-        self._gate = gate
+        self._clients = clients
+        self._permit_queue = permit_queue
         self._class_of = class_of
         self._slots: dict[str, EngineSlots] = {}
 
@@ -50,7 +50,7 @@
         owner = ServerOwner(server, epoch, self._context, pace, self._class_of)
         service = self._context.configuration().service(server.service)
         if service is not None and service.type == "plain":
-            plain = self._outside.plain_server(server.address)
+            plain = self._clients.plain_server(server.address)
             owner.attach(PlainBackend(owner, plain, self._context))
             return owner
         owner.attach(self._engine_backend(owner, server, epoch, may_adopt=may_adopt))
@@ -75,7 +75,7 @@
             if not owners:
                 continue
             try:
-                listed = await self._outside.host_list.read()
+                listed = await self._clients.host_list.read()
             except HostListError:
                 continue
             leaving = {item.address for item in listed if item.is_leaving}
@@ -90,7 +90,7 @@
         *,
         may_adopt: bool,
     ) -> EngineBackend:
-        engine = self._outside.engine(server.address)
+        engine = self._clients.engine(server.address)
         slots = EngineSlots(server.adapter_slots, epoch, self._context.clock)
         if may_adopt:
             slots.allow_adoption()
@@ -100,10 +100,10 @@
             epoch,
             engine,
             slots,
-            self._gate,
-            self._outside.weights,
+            self._permit_queue,
+            self._clients.weights,
             self._context,
         )
         backend = EngineBackend(owner, engine, slots, loader, self._context)
-        loader.listen(owner.pump, owner.refuser.refuse_adapter, owner.fenced)
+        loader.listen(owner.pump, owner.rejector.refuse_adapter, owner.fenced)
         return backend
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -26,7 +26,7 @@
     JobAdmission,
     not_serving,
 )
-from gooseberrydeal._internal.operations.keeper.job_refuser import JobRefuser
+from gooseberrydeal._internal.operations.keeper.job_rejector import JobRejector
 from gooseberrydeal._internal.operations.keeper.job_table import JobTable
 from gooseberrydeal._internal.operations.keeper.keeper_context import KeeperContext
 from gooseberrydeal._internal.operations.keeper.pace_watch import PaceWatch
@@ -72,7 +72,9 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._tasks = TaskOwner()
-        self._refuser = JobRefuser(context, self._jobs, self._drop_waiting, self._tasks)
+        self._rejector = JobRejector(
+            context, self._jobs, self._drop_waiting, self._tasks
+        )
 
     @property
     def declared(self) -> BackendServer:
@@ -106,9 +108,9 @@
         return self._declared.state == "leaving" or self._is_listed_leaving
 
     @property
-    def refuser(self) -> JobRefuser:
+    def rejector(self) -> JobRejector:
         """Return what refuses waiting jobs."""
-        return self._refuser
+        return self._rejector
 
     @property
     def running(self) -> list[Job]:
@@ -149,7 +151,7 @@
     def fenced(self) -> None:
         """Note that the server has a newer owner, so that orders are of no use."""
         self._lifecycle.drain()
-        self._refuser.refuse_waiting(RefusalReason.NOT_OWNER)
+        self._rejector.refuse_waiting(RefusalReason.NOT_OWNER)
         self._context.report_changed()
 
     async def submit(self, submit: Submit, stream: ServedStream) -> None:
@@ -163,7 +165,7 @@
         if refusal is None and backend is not None:
             refusal = self._admission.refusal(submit, item, backend)
         if refusal is not None or backend is None:
-            await self._refuser.refuse(
+            await self._rejector.refuse(
                 stream, refusal or Refusal(RefusalReason.NOT_OWNER, Ran.NO)
             )
             return
@@ -219,14 +221,14 @@
     async def drain(self) -> None:
         """Refuse waiting work and let running work end."""
         self._lifecycle.drain()
-        self._refuser.refuse_waiting(RefusalReason.SHUTTING_DOWN)
+        self._rejector.refuse_waiting(RefusalReason.SHUTTING_DOWN)
         self._context.report_changed()
         await self._idle.wait()
 
     async def stop(self) -> None:
         """End at once."""
         self._lifecycle.stop()
-        self._refuser.refuse_waiting(RefusalReason.NOT_OWNER)
+        self._rejector.refuse_waiting(RefusalReason.NOT_OWNER)
         await self._tasks.stop()
         if self._backend is not None:
             await self._backend.close()
@@ -241,7 +243,7 @@
 
     def _leaving_changed(self) -> None:
         if self.is_leaving:
-            self._refuser.refuse_waiting(RefusalReason.SERVER_LEAVING)
+            self._rejector.refuse_waiting(RefusalReason.SERVER_LEAVING)
         self._context.report_changed()
 
     def _share_of(self, name: ClassName) -> ClassShare:
@@ -291,8 +293,8 @@
             now = self._context.clock.monotonic()
             self._watch.learn(now)
             if not self._context.is_plain and self._watch.has_fallen_behind(now):
-                self._refuser.refuse_waiting(RefusalReason.SERVER_SLOW)
-            self._refuser.refuse_overdue(now, self._can_ever_start)
+                self._rejector.refuse_waiting(RefusalReason.SERVER_SLOW)
+            self._rejector.refuse_overdue(now, self._can_ever_start)
             self.pump()
 
     def _can_ever_start(self, item: WorkItem) -> bool:
--- a/tests/lib/fake_engine.py
+++ b/tests/lib/fake_engine.py
@@ -52,8 +52,8 @@
 
     def __init__(self, state: FakeEngineState) -> None:
         self.shared = state
-        self.gate = asyncio.Event()
-        self.gate.set()
+        self.permit_queue = asyncio.Event()
+        self.permit_queue.set()
         self.is_cut = False
 
     async def state(self) -> EngineState:
@@ -149,7 +149,7 @@
 
     async def _reach(self) -> None:
         await asyncio.sleep(0.0005)
-        await self.gate.wait()
+        await self.permit_queue.wait()
         if self.shared.is_down or self.is_cut:
             raise ServerUnreachableError("down")
 
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -31,8 +31,8 @@
         self.calls = 0
         self.writes = 0
         self.is_down = False
-        self.gate = asyncio.Event()
-        self.gate.set()
+        self.permit_queue = asyncio.Event()
+        self.permit_queue.set()
         self.faults: dict[int, StoreFault] = {}
         self.write_faults: dict[int, StoreFault] = {}
 
@@ -40,7 +40,7 @@
         self, method: str, path: str, body: dict[str, Any] | None = None
     ) -> Any:
         await asyncio.sleep(0.002)
-        await self.gate.wait()
+        await self.permit_queue.wait()
         assert body is not None
         fault = self._next_fault(path)
         if self.is_down or fault is StoreFault.UNREACHABLE:
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -38,8 +38,8 @@
 from gooseberrydeal._internal.network.interfaces.engine import Engine
 from gooseberrydeal._internal.network.interfaces.plain_server import PlainServer
 from gooseberrydeal._internal.operations.entry.entry_node import EntryNode
+from gooseberrydeal._internal.operations.keeper.external_clients import ExternalClients
 from gooseberrydeal._internal.operations.keeper.keeper_node import KeeperNode
-from gooseberrydeal._internal.operations.keeper.outside import Outside
 from gooseberrydeal._internal.operations.publisher import Publisher
 from tests.lib.fake_engine import FakeEngine, FakeEngineState
 from tests.lib.fake_network import FakeNetwork
@@ -153,7 +153,7 @@
         )
         keeper = KeeperNode(
             settings,
-            self._outside(store, ways),
+            self._clients(store, ways),
             self.network.transport(address),
             self.clock,
         )
@@ -162,7 +162,9 @@
         self.hosts[host] = FakeHost(address, session, keeper, ways)
         return self.hosts[host]
 
-    def _outside(self, store: EtcdStore, ways: dict[str, list[FakeEngine]]) -> Outside:
+    def _clients(
+        self, store: EtcdStore, ways: dict[str, list[FakeEngine]]
+    ) -> ExternalClients:
         by_address = {address: name for name, address in self.names.items()}
 
         def engine(address: str) -> Engine:
@@ -174,7 +176,7 @@
         def plain(address: str) -> PlainServer:
             return self.plain[by_address[address]]
 
-        return Outside(store, self.host_list, self.weights, engine, plain)
+        return ExternalClients(store, self.host_list, self.weights, engine, plain)
 
     async def start_entry(self, name: str = "e1") -> EntryNode:
         settings = EntrySettings(
@@ -201,7 +203,9 @@
             return False
         now = self.clock.monotonic()
         usable = entry.context.view.usable_servers(now)
-        budget = all(h.keeper.gate.pool.is_usable(now) for h in self.hosts.values())
+        budget = all(
+            h.keeper.permit_queue.pool.is_usable(now) for h in self.hosts.values()
+        )
         return len(usable) >= len(self.names) and budget
 
     def owner_of(self, server: str) -> FakeHost:
@@ -216,17 +220,17 @@
     def pause(self, host: str) -> None:
         """Freeze a keeper's ways out."""
         found = self.hosts[host]
-        found.session.gate.clear()
+        found.session.permit_queue.clear()
         self.network.paused.add(found.address)
         for way in self._ways(found):
-            way.gate.clear()
+            way.permit_queue.clear()
 
     def unpause(self, host: str) -> None:
         found = self.hosts[host]
-        found.session.gate.set()
+        found.session.permit_queue.set()
         self.network.paused.discard(found.address)
         for way in self._ways(found):
-            way.gate.set()
+            way.permit_queue.set()
 
     def _ways(self, host: FakeHost) -> Iterable[FakeEngine]:
         return [way for ways in host.engines.values() for way in ways]
--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -15,7 +15,7 @@
 from gooseberrydeal._internal.models.refusal import Refusal
 from gooseberrydeal._internal.operations.entry import work_runner
 from gooseberrydeal._internal.operations.keeper import (
-    claim_desk,
+    claim_writer,
     engine_backend,
     ownership,
 )
@@ -164,7 +164,7 @@
     ),
     (
         "a refused claim is given back",
-        claim_desk.ClaimDesk,
+        claim_writer.ClaimWriter,
         "_void",
         lambda self, batch: _nothing(),
         _lost_claim,
@@ -178,7 +178,7 @@
     ),
     (
         "keys are bound to their bodies",
-        claim_desk,
+        claim_writer,
         "_reply",
         _repeat,
         test_claim_faults.test_a_key_with_another_body_is_refused,
