--- a/src/gooseberrydeal/_internal/lab/lab_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/lab_cluster.py
@@ -162,15 +162,6 @@
         self._entries[host] = entry
         return entry
 
-    async def stop_keeper(self, host: str) -> int:
-        """Stop a keeper in an orderly way; return how many streams were cut."""
-        return await self._keepers.pop(host).stop()
-
-    async def crash_keeper(self, host: str) -> None:
-        """Stop a keeper without a word, and take it off the platform's list."""
-        await self._keepers.pop(host).abort()
-        self._platform.hosts.pop(self._keeper_settings[host].listen, None)
-
     async def wait_ready(self) -> None:
         """Wait until every server is owned and known to every entry."""
         wanted = len(self._engines) + len(self._services)
--- a/src/gooseberrydeal/_internal/lab/store_state.py
+++ b/src/gooseberrydeal/_internal/lab/store_state.py
@@ -1,7 +1,7 @@
 """Keep the records, leases and watches of the key-value stand-in."""
 
 import asyncio
-from base64 import b64decode, b64encode
+from base64 import b64decode
 from dataclasses import dataclass
 from typing import Any
 
@@ -166,13 +166,3 @@
 
     def _header(self) -> dict[str, Any]:
         return {"revision": str(self._revision)}
-
-
-def decoded_key(key: str) -> str:
-    """Return the text of an encoded key."""
-    return b64decode(key).decode()
-
-
-def encoded_key(key: str) -> str:
-    """Return the encoded text of a key."""
-    return b64encode(key.encode()).decode()
--- a/src/gooseberrydeal/_internal/network/metrics.py
+++ b/src/gooseberrydeal/_internal/network/metrics.py
@@ -100,10 +100,6 @@
         """Return how often a reason was counted."""
         return int(self._refusals.values.get({"reason": reason.value}) or 0)
 
-    def retry_count(self, reason: RetryReason) -> int:
-        """Return how often a reason was counted."""
-        return int(self._retries.values.get({"reason": reason.value}) or 0)
-
     def described(self) -> list[tuple[str, str, str]]:
         """Return name, kind and meaning of each metric."""
         return [
--- a/src/gooseberrydeal/_internal/operations/peers.py
+++ b/src/gooseberrydeal/_internal/operations/peers.py
@@ -39,10 +39,6 @@
         """Return an open connection to the keeper that listens at an address."""
         return self._first(lambda c: c.peer is not None and c.peer.address == address)
 
-    def to_host(self, host: str) -> PeerConnection | None:
-        """Return an open connection to a keeper."""
-        return self._first(lambda c: c.peer is not None and c.peer.host == host)
-
     def _first(self, wanted: Callable[[PeerConnection], bool]) -> PeerConnection | None:
         for connection in self.with_role("keeper"):
             if wanted(connection):
--- a/src/gooseberrydeal/_internal/policy/permit_pool.py
+++ b/src/gooseberrydeal/_internal/policy/permit_pool.py
@@ -87,11 +87,6 @@
         own = sum(1 for p in self._own if not p.in_use and p.ready_at <= now)
         return own + len(self._borrowed)
 
-    def next_ready(self, now: float) -> float | None:
-        """Return in how many seconds an owned permit is ready."""
-        waits = [max(0.0, p.ready_at - now) for p in self._own if not p.in_use]
-        return min(waits, default=None)
-
     def lend(self, wanted: int, waiting: int, now: float) -> int:
         """Give away what own waiting loads don't need; return how many."""
         spare = max(0, self.ready(now) - len(self._borrowed) - waiting)
--- a/src/gooseberrydeal/_internal/policy/work_queue.py
+++ b/src/gooseberrydeal/_internal/policy/work_queue.py
@@ -104,10 +104,6 @@
         """Note that a started item no longer runs."""
         self._running[item.work_class] -= 1
 
-    def least_important(self) -> WorkItem | None:
-        """Return the item to shed first: least important, then the youngest."""
-        return min(self.items(), key=lambda i: (i.importance, -i.arrived), default=None)
-
     def _aged(self, now: float, eligible: Eligible) -> WorkItem | None:
         oldest: WorkItem | None = None
         for name, queue in self._classes.items():
