--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -53,7 +53,7 @@
 _RETRY_AFTER_SECONDS: Final = 0.4
 # Bursts that fill all slots last for some seconds; a caller that comes back at once
 # meets the same queue, and most callers come back only once.
-_CALMER_SECONDS: Final = 2.0
+_AFTER_BURST_SECONDS: Final = 2.0
 # For this part of the target latency a request rather waits than makes the pauses in
 # other streams too long.
 _PAUSE_FIRST_PART: Final = 0.4
@@ -137,7 +137,7 @@
                     reason = RefusalReason.OVERLOADED
                     if wanted is not None:
                         reason = RefusalReason.LOAD_FAILED
-                    return NoAssignment(reason, _CALMER_SECONDS)
+                    return NoAssignment(reason, _AFTER_BURST_SECONDS)
                 asks = decision.verdict in (EngineVerdict.LOAD, EngineVerdict.QUEUE)
                 if asks and record is not None:
                     on_time_until = request.arrived_at + request.route.target_latency
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -98,7 +98,7 @@
             self._slots,
             lambda: may_order() and self._sequence.is_known,
             lambda: self._base_models.held,
-            lambda: view.pace.collect,
+            lambda: view.periods.collect,
             publish,
             clock,
         )
@@ -154,14 +154,14 @@
             self._wake.clear()
             await self._step()
             now = self._clock()
-            if now - published >= self._view.pace.heartbeat:
+            if now - published >= self._view.periods.heartbeat:
                 self._status.publish()
                 published = now
             try:
-                async with asyncio.timeout(self._view.pace.heartbeat):
+                async with asyncio.timeout(self._view.periods.heartbeat):
                     await self._wake.wait()
             except TimeoutError:
-                silent = self._view.pace.host_silent
+                silent = self._view.periods.host_silent
                 self._demand.drop_silent(self._clock(), silent)
 
     async def _step(self) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -10,7 +10,7 @@
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
-from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
+from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 
 HOST_PREFIX: Final = "gooseberrydeal/hosts/"
 OWNER_PREFIX: Final = "gooseberrydeal/owners/"
@@ -41,9 +41,9 @@
     heard_at: float = 0.0
 
     @property
-    def pace(self) -> ExchangePace:
+    def periods(self) -> ExchangePeriods:
         """Return how often hosts tell each other, and ask the store."""
-        return ExchangePace.for_hosts(len(self.hosts))
+        return ExchangePeriods.for_hosts(len(self.hosts))
 
     def newest(self, key: AdapterKey) -> int:
         """Return the newest declared version of an adapter, 0 if none is."""
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -73,7 +73,7 @@
                 for record in self._servers.records
                 if record.service.engine is not None
             )
-            await asyncio.sleep(self._view.pace.report)
+            await asyncio.sleep(self._view.periods.report)
 
     def want(self, record: ServerRecord) -> None:
         """Tell an engine's owner of a new want soon."""
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -21,7 +21,7 @@
     EngineUsage,
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
-from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
+from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
 from gooseberrydeal._internal.policy.server_health import ServerHealth
 
@@ -50,7 +50,7 @@
         self._health = ServerHealth()
         self._status: EngineStatus | None = None
         self._status_at = 0.0
-        self._pace = ExchangePace()
+        self._periods = ExchangePeriods()
         self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
         self._uses: dict[AdapterCopyKey, _Use] = {}
         self._wants: dict[AdapterCopyKey, int] = {}
@@ -124,7 +124,9 @@
         if not self.has_fresh_status(now):
             self._take_held(now)
 
-    def take_status(self, status: EngineStatus, now: float, pace: ExchangePace) -> bool:
+    def take_status(
+        self, status: EngineStatus, now: float, periods: ExchangePeriods
+    ) -> bool:
         """Take the owner's word; return whether it is newer than what is known."""
         known = self._status
         newest = (status.fencing_number, status.sequence)
@@ -132,7 +134,7 @@
             return False
         self._status = status
         self._status_at = now
-        self._pace = pace
+        self._periods = periods
         self._copies = {
             copy.key: (copy.state, now + copy.ready_in) for copy in status.copies
         }
@@ -152,9 +154,8 @@
 
     def has_fresh_status(self, now: float) -> bool:
         """Return whether the owner was heard of lately."""
-        return (
-            self._status is not None and now - self._status_at < self._pace.status_fresh
-        )
+        limit = self._periods.status_fresh
+        return self._status is not None and now - self._status_at < limit
 
     @property
     def spare_slots(self) -> int:
@@ -163,9 +164,8 @@
 
     def is_unheard(self, now: float) -> bool:
         """Return whether the owner was heard before and has fallen silent."""
-        return (
-            self._status is not None and now - self._status_at > self._pace.owner_silent
-        )
+        limit = self._periods.owner_silent
+        return self._status is not None and now - self._status_at > limit
 
     def takes_orders(self, now: float) -> bool:
         """Return whether the owner is heard and may give orders."""
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -10,7 +10,7 @@
 )
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
-from gooseberrydeal._internal.policy.exchange_pace import ExchangePace
+from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 
 
 class ServerTable:
@@ -22,7 +22,7 @@
         self._entries: dict[ServerId, ServerEntry] = {}
         self._configuration: RoutingConfiguration | None = None
         self._hosts = 1
-        self._pace = ExchangePace()
+        self._periods = ExchangePeriods()
         self._fetching: dict[ServerId, int] = {}
 
     @property
@@ -49,7 +49,7 @@
         """Divide the servers' connections among so many hosts."""
         if hosts != self._hosts:
             self._hosts = max(1, hosts)
-            self._pace = ExchangePace.for_hosts(hosts)
+            self._periods = ExchangePeriods.for_hosts(hosts)
             for record in self._records.values():
                 record.pool.set_limit(self._most_connections(record.entry))
 
@@ -84,7 +84,7 @@
         """Take an owner's word on its engine; return whether it is news."""
         record = self._records.get(status.server)
         now = self._clock()
-        if record is None or not record.take_status(status, now, self._pace):
+        if record is None or not record.take_status(status, now, self._periods):
             return False
         self._fetching[status.server] = sum(
             copy.state is CopyState.LOADING for copy in status.copies
--- a/src/gooseberrydeal/_internal/policy/exchange_pace.py
+++ b/src/gooseberrydeal/_internal/policy/exchange_periods.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ExchangePace:
+class ExchangePeriods:
     """Hold periods in seconds.
 
     Owners tell of their engine every ``heartbeat`` and collect changes of its load for
@@ -26,7 +26,7 @@
     follow: float = 0.8
 
     @classmethod
-    def for_hosts(cls, hosts: int) -> "ExchangePace":
+    def for_hosts(cls, hosts: int) -> "ExchangePeriods":
         """Return the periods for a number of hosts.
 
         Answers to deployments of some 80 hosts and engines, where the shortest periods
