--- a/src/gooseberrydeal/_internal/operations/entry/caller_api.py
+++ b/src/gooseberrydeal/_internal/operations/entry/caller_api.py
@@ -23,17 +23,14 @@
 from gooseberrydeal._internal.models.refusal import Refusal
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.work_order import WorkOrder
-from gooseberrydeal._internal.operations.entry.caller_access import (
-    CallerAccess,
-    is_named,
-)
+from gooseberrydeal._internal.operations.entry.caller_auth import CallerAuth, is_named
 from gooseberrydeal._internal.operations.entry.disconnect import disconnected
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
 from gooseberrydeal._internal.operations.entry.in_progress import InProgress
 from gooseberrydeal._internal.operations.entry.model_request import ModelRequest
+from gooseberrydeal._internal.operations.entry.order_builder import OrderBuilder
 from gooseberrydeal._internal.operations.entry.plain_calls import PlainCalls
 from gooseberrydeal._internal.operations.entry.refused_error import RefusedError
-from gooseberrydeal._internal.operations.entry.request_resolver import RequestResolver
 from gooseberrydeal._internal.operations.entry.responses import (
     REQUEST_ID_HEADER,
     AnswerWriter,
@@ -55,15 +52,15 @@
     def __init__(
         self,
         context: EntryContext,
-        access: CallerAccess,
-        resolver: RequestResolver,
+        access: CallerAuth,
+        orders: OrderBuilder,
         runner: WorkRunner,
         plain_calls: PlainCalls,
         refusal_now: Callable[[], Refusal | None],
     ) -> None:
         self._context = context
         self._access = access
-        self._resolver = resolver
+        self._orders = orders
         self._runner = runner
         self._plain_calls = plain_calls
         self._refusal_now = refusal_now
@@ -150,13 +147,11 @@
         self._access.limit(caller)
         body = await self._access.body(request)
         checked = ModelRequest.from_body(body, is_chat=is_chat)
-        adapter = self._resolver.resolve(checked.model, configuration)
+        adapter = self._orders.resolve(checked.model, configuration)
         declared = configuration.adapter(adapter.name)
         service = declared.service if declared is not None else ""
         self._access.authorise(caller, service, adapter)
-        order = self._resolver.model_order(
-            request, caller, checked, adapter, configuration
-        )
+        order = self._orders.for_model(request, caller, checked, adapter, configuration)
         writer = AnswerWriter(
             order.request_id,
             checked.model,
@@ -256,9 +251,7 @@
         if isinstance(event, AnswerEnd):
             self._context.metrics.answered(order.service)
             if order.adapter is not None:
-                self._resolver.note_length(
-                    order.adapter, order.work_class, event.tokens
-                )
+                self._orders.note_length(order.adapter, order.work_class, event.tokens)
         elif isinstance(event, AnswerRefused):
             self._context.metrics.refused(event.refusal.reason)
 
@@ -270,7 +263,7 @@
         operation = request.path_params["operation"]
         self._access.authorise(caller, service, None)
         body = await self._access.body(request)
-        order = self._resolver.plain_order(
+        order = self._orders.for_call(
             request, caller, service, operation, body, configuration
         )
         event = await self._plain_calls.run(
--- a/src/gooseberrydeal/_internal/operations/entry/caller_access.py
+++ b/src/gooseberrydeal/_internal/operations/entry/caller_auth.py
@@ -18,7 +18,7 @@
 _BODY_SECONDS: Final = 30.0
 
 
-class CallerAccess:
+class CallerAuth:
     """Decide who may ask, how often and for what."""
 
     def __init__(self, clock: Clock, body_bytes: int) -> None:
--- a/src/gooseberrydeal/_internal/operations/entry/entry_node.py
+++ b/src/gooseberrydeal/_internal/operations/entry/entry_node.py
@@ -37,13 +37,13 @@
 from gooseberrydeal._internal.network.websocket_transport import WebsocketTransport
 from gooseberrydeal._internal.operations.alarms import Alarms
 from gooseberrydeal._internal.operations.configuration_task import ConfigurationTask
-from gooseberrydeal._internal.operations.entry.caller_access import CallerAccess
 from gooseberrydeal._internal.operations.entry.caller_api import CallerApi
+from gooseberrydeal._internal.operations.entry.caller_auth import CallerAuth
 from gooseberrydeal._internal.operations.entry.claims_client import ClaimsClient
 from gooseberrydeal._internal.operations.entry.entry_context import EntryContext
+from gooseberrydeal._internal.operations.entry.order_builder import OrderBuilder
 from gooseberrydeal._internal.operations.entry.plain_calls import PlainCalls
 from gooseberrydeal._internal.operations.entry.remote_streams import RemoteStreams
-from gooseberrydeal._internal.operations.entry.request_resolver import RequestResolver
 from gooseberrydeal._internal.operations.entry.work_runner import WorkRunner
 from gooseberrydeal._internal.policy.baseline_placement import (
     HashPlacement,
@@ -114,8 +114,8 @@
         self._plain_calls = PlainCalls(self._context, self._runner, self._claims)
         self._api = CallerApi(
             self._context,
-            CallerAccess(clock, settings.body_bytes),
-            RequestResolver(self._context),
+            CallerAuth(clock, settings.body_bytes),
+            OrderBuilder(self._context),
             self._runner,
             self._plain_calls,
             self.refusal_now,
--- a/src/gooseberrydeal/_internal/operations/entry/request_resolver.py
+++ b/src/gooseberrydeal/_internal/operations/entry/order_builder.py
@@ -34,7 +34,7 @@
 _DIGEST_BYTES: Final = 16
 
 
-class RequestResolver:
+class OrderBuilder:
     """Resolve names, versions, classes and deadlines once, before anything is sent."""
 
     def __init__(self, context: EntryContext) -> None:
@@ -61,7 +61,7 @@
             )
         return AdapterRef(AdapterName(plain), VersionName(version))
 
-    def model_order(
+    def for_model(
         self,
         request: Request,
         caller: Caller,
@@ -95,7 +95,7 @@
             affinity=_fingerprint(caller.name, checked.prefix.encode()),
         )
 
-    def plain_order(
+    def for_call(
         self,
         request: Request,
         caller: Caller,
--- a/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
+++ b/src/gooseberrydeal/_internal/operations/keeper/server_owner.py
@@ -72,9 +72,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._tasks = TaskOwner()
-        self._rejector = JobRejector(
-            context, self._jobs, self._drop_waiting, self._tasks
-        )
+        self._rejector = JobRejector(context, self._jobs, self._dequeue, self._tasks)
 
     @property
     def declared(self) -> BackendServer:
@@ -278,10 +276,10 @@
         self.pump()
 
     def _cancel_job(self, job: Job) -> None:
-        if not self._drop_waiting(job) and job.task is not None:
+        if not self._dequeue(job) and job.task is not None:
             job.task.cancel()
 
-    def _drop_waiting(self, job: Job) -> bool:
+    def _dequeue(self, job: Job) -> bool:
         is_dropped = self._jobs.drop(job)
         if is_dropped and self._backend is not None:
             self._backend.unqueued(job)
