Take a server as gone on time after the store's return

The store turned two hosts away from 2.8 s to 11.7 s. At 11.506 s, as it took them back, a server's entry was removed. A host that has just regained the store keeps such a server for 2.4 s, since entries that lapsed in an outage come back; but it looked whether that time was over only with its next look at the changes, every 0.8 s. It sent a request there at 14.711 s and dropped the server at 14.972 s; from 14.7 s on it was bound by the store's word. Ruled out: a stale watch (the host had the removal by 11.78 s).

Change: a timer for each such server; during a further outage nothing expires, and after it the time counts anew.

Test, which failed before: the time a server is kept, for five lengths of an outage.

--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -40,6 +40,8 @@
 _RETRY_SECONDS: Final = 0.3
 # Servers whose entries lapsed during an outage are back this long after its end.
 _RETURN_SECONDS: Final = 2.4
+# Timers may fire this much early.
+_TIMER_SECONDS: Final = 0.005
 # Servers write more often than this; a longer silence means that the store was away.
 _SILENT_SECONDS: Final = 2.5
 
@@ -149,6 +151,9 @@
             logger.info("the metadata store is back")
             self._had_outage = False
             self._returned_until = now + _RETURN_SECONDS
+            for server in list(self._absent):
+                del self._absent[server]
+                self._await_return(server, self._returned_until)
         self._view.heard_at = now
 
     def _drop_absent(self, present: set[str]) -> None:
@@ -164,14 +169,28 @@
         listed = {self._names.server_id(key) for key in present}
         for record in list(self._servers.records):
             if record.id not in listed:
-                self._absent.setdefault(record.id, now + _RETURN_SECONDS)
+                self._await_return(record.id, now + _RETURN_SECONDS)
+
+    def _await_return(self, server: ServerId, until: float) -> None:
+        """Keep a server whose entry may have lapsed in an outage until then."""
+        if server not in self._absent:
+            self._absent[server] = until
+            # The next look at the changes may be too late: the store's word binds.
+            loop = asyncio.get_running_loop()
+            loop.call_later(until - self._clock(), self._expire_absent)
 
     def _expire_absent(self) -> None:
-        now = self._clock()
-        for server in [s for s, until in self._absent.items() if until <= now]:
+        if self._had_outage:
+            # Nobody can tell whether they are back; the next answer will.
+            return
+        now = self._clock() + _TIMER_SECONDS
+        gone = [s for s, until in self._absent.items() if until <= now]
+        for server in gone:
             del self._absent[server]
             logger.info("a server did not come back", extra={"server": server})
             self._servers.remove(server)
+        if gone:
+            self._on_change()
 
     def _take(self, item: StoreItem) -> None:
         try:
@@ -222,7 +241,7 @@
 
     def _remove_server(self, server: ServerId) -> None:
         if self._clock() < self._returned_until:
-            self._absent.setdefault(server, self._returned_until)
+            self._await_return(server, self._returned_until)
             return
         self._absent.pop(server, None)
         logger.info("a server has left", extra={"server": server})
--- a/tests/functional/test_metadata_follower.py
+++ b/tests/functional/test_metadata_follower.py
@@ -112,6 +112,33 @@
     run_virtual(play())
 
 
+def test_a_server_that_left_as_the_store_returned_is_kept_no_longer() -> None:
+    async def left_after(outage: float) -> float:
+        """Return how long after the store's return the server is still known."""
+        host = await _started("i-1", "i-2")
+        loop = asyncio.get_running_loop()
+        host.store.is_cut = True
+        await asyncio.sleep(outage)
+        host.store.is_cut = False
+        heard_before = host.view.heard_at
+        while host.view.heard_at == heard_before:
+            await asyncio.sleep(0.01)
+        returned = loop.time()
+        host.data.write("servers/i-2", None, None)
+        while "i-2" in host.known():
+            host.data.write("servers/i-1", b"1", None)
+            await asyncio.sleep(0.02)
+        await host.tasks.stop()
+        return loop.time() - returned
+
+    async def play() -> None:
+        for outage in (4.0, 4.2, 4.4, 4.6, 4.8):
+            # Within three seconds the host is bound by what the store says.
+            assert await left_after(outage) < 2.5
+
+    run_virtual(play())
+
+
 def test_a_lost_history_is_read_anew() -> None:
     async def play() -> None:
         host = await _started("i-1", "i-2")
