--- a/src/gooseberrydeal/_internal/operations/log_trace.py
+++ b/src/gooseberrydeal/_internal/operations/log_trace.py
@@ -63,7 +63,8 @@
                 except (ValueError, KeyError, TypeError):
                     skipped += 1
                     continue
-                if line.request_id in (None, request):
+                is_about_server = line.request_id is None and line.server is not None
+                if is_about_server or line.request_id == request:
                     yield line
         if skipped:
             logger.info("%s: %d lines are not log lines", path, skipped)
--- a/src/gooseberrydeal/_internal/utils/log_queue.py
+++ b/src/gooseberrydeal/_internal/utils/log_queue.py
@@ -1,6 +1,5 @@
 """Write log lines without waiting for who reads them."""
 
-import atexit
 import logging
 import queue
 import threading
@@ -8,8 +7,9 @@
 
 # Some seconds of a router's lines on its heaviest days.
 MOST_WAITING_LINES: Final = 2000
-# At the end of the program a reader that has stopped is given up after this long.
-_END_SECONDS: Final = 0.5
+# At the end of the program a reader that has stopped is given up after twice as long,
+# within what a router keeps free of its grace period.
+_END_SECONDS: Final = 0.25
 
 
 class QueueingHandler(logging.Handler):
@@ -28,7 +28,6 @@
             target=self._write_lines, name="log writer", daemon=True
         )
         self._writer.start()
-        atexit.register(self.close)
 
     @property
     def is_idle(self) -> bool:
@@ -47,8 +46,10 @@
             self._left_out += 1
 
     def close(self) -> None:
-        """Write what is queued, unless the reader has stopped."""
-        atexit.unregister(self.close)
+        """Write what is queued, unless the reader has stopped.
+
+        ``logging`` calls this at the program's end.
+        """
         try:
             self._waiting.put(None, timeout=_END_SECONDS)
         except queue.Full:
