--- a/tests/functional/test_explained_failures.py
+++ b/tests/functional/test_explained_failures.py
@@ -10,27 +10,11 @@
 
 from gooseberrydeal._internal.cli.ctl import app
 from gooseberrydeal._internal.utils.json_log import JsonLinesFormatter
-from tests.lib.relay_scripts import id_of, run_relay
+from tests.lib.relay_scripts import broken_stream, deny_copy, id_of, run_relay
 from tests.lib.relay_world import Caller, RelayWorld
 from tests.lib.scripted_server import ReceivedRequest, response
 
 
-async def _deny(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-    head = "421 Misdirected Request"
-    writer.write(response(b"", head, id_of(request), "X-Not-Executed: no model"))
-
-
-async def _break_off(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-    writer.write(
-        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n"
-        b"10\r\nid: 1\ndata: e1\n\n\r\n"
-    )
-    await writer.drain()
-    await asyncio.sleep(0.02)
-    writer.transport.abort()
-
-
 async def _answer_late(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     await asyncio.sleep(0.2)
     writer.write(response(b"ok", "200 OK", id_of(request)))
@@ -39,8 +23,8 @@
 @pytest.mark.parametrize(
     ("script", "path", "expected"),
     [
-        (_deny, "/stream/a", ["attempt not_run with status 421", "given up"]),
-        (_break_off, "/stream/a", ["attempt cut with status 200"]),
+        (deny_copy, "/stream/a", ["attempt not_run with status 421", "given up"]),
+        (broken_stream, "/stream/a", ["attempt cut with status 200"]),
         (_answer_late, "/resumable/a", ["served late", "(server)"]),
     ],
 )
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from tests.lib.relay_scripts import id_of, run_relay
+from tests.lib.relay_scripts import broken_stream, deny_copy, id_of, run_relay
 from tests.lib.relay_world import Caller, RelayWorld
-from tests.lib.scripted_server import ReceivedRequest, response
+from tests.lib.scripted_server import ReceivedRequest
 
 
 async def _stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -21,18 +21,6 @@
     writer.write(b"0\r\n\r\n")
 
 
-async def _broken_stream(
-    request: ReceivedRequest, writer: asyncio.StreamWriter
-) -> None:
-    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{id_of(request)}"
-    part = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda"
-    writer.write(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
-    writer.write(b"%x\r\n%b\r\n" % (len(part), part))
-    await writer.drain()
-    await asyncio.sleep(0.02)
-    writer.transport.abort()
-
-
 _WHOLE = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 6))
 
 
@@ -46,24 +34,14 @@
     assert request.header("x-request-priority") == "0"
 
 
-def test_a_broken_stream_ends_between_events() -> None:
+def test_abroken_stream_ends_between_events() -> None:
     async def play(world: RelayWorld, caller: Caller) -> None:
         caller.send("/stream/a")
         await caller.head()
         with pytest.raises(asyncio.IncompleteReadError):
             await caller.chunks()
 
-    assert len(run_relay(play, engines=[_broken_stream])[0].requests) == 1
-
-
-async def _without_adapter(
-    request: ReceivedRequest, writer: asyncio.StreamWriter
-) -> None:
-    writer.write(
-        response(
-            b"", "421 Misdirected Request", id_of(request), "X-Not-Executed: no model"
-        )
-    )
+    assert len(run_relay(play, engines=[broken_stream])[0].requests) == 1
 
 
 def test_an_engine_that_keeps_denying_a_copy_is_left_for_another() -> None:
@@ -71,7 +49,7 @@
         caller.send("/stream/a")
         assert (await caller.reply())[2] == _WHOLE
 
-    lacking, other = run_relay(play, engines=[_without_adapter, _stream])
+    lacking, other = run_relay(play, engines=[deny_copy, _stream])
     assert len(lacking.requests) <= 3
     assert len(other.requests) == 1
 
@@ -82,7 +60,7 @@
         status, fields, _ = await caller.reply()
         assert (status, "retry-after" in fields) == (503, True)
 
-    (lacking,) = run_relay(play, engines=[_without_adapter])
+    (lacking,) = run_relay(play, engines=[deny_copy])
     assert len(lacking.requests) == 3
 
 
@@ -113,7 +91,7 @@
             status, _, body = await caller.reply()
             assert (status, body) == (200, _WHOLE)
 
-    broken, sound = run_relay(play, engines=[_broken_stream, _stream])
+    broken, sound = run_relay(play, engines=[broken_stream, _stream])
     assert broken.requests
     resumed = [r for r in sound.requests if r.header("last-event-id")]
     assert {r.header("last-event-id") for r in resumed} == {"2"}
--- a/tests/lib/relay_scripts.py
+++ b/tests/lib/relay_scripts.py
@@ -18,6 +18,26 @@
     writer.write(response(request.body, "200 OK", id_of(request), "X-Seal: s1"))
 
 
+async def broken_stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Break off within the third event."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{id_of(request)}"
+    part = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda"
+    writer.write(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+async def deny_copy(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Say that the adapter isn't there and the request did not run."""
+    writer.write(
+        response(
+            b"", "421 Misdirected Request", id_of(request), "X-Not-Executed: no model"
+        )
+    )
+
+
 def run_relay(
     play: Play,
     plain: list[Any] | None = None,
