Name what a newcomer would stumble over

The longest periods of exchange are named with their reasons; the patience of callers is a function of its own, with a test of its four cases; the log's writer says on standard error why it ends; a check of denials wants at least one. No decision changes.

--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -103,13 +103,19 @@
         rank=int(data.get("priority") or 0),
         is_resumable=bool(data.get("resumable")),
         longest_pause=longest_pause,
-        caller_patience=max(
-            _PATIENCE_SECONDS,
-            _PATIENCE_TARGETS * target_latency,
-            _PATIENCE_PAUSES * longest_pause,
-        )
-        if kind is RequestKind.STREAMING
-        else math.inf,
+        caller_patience=_caller_patience(kind, target_latency, longest_pause),
+    )
+
+
+def _caller_patience(
+    kind: RequestKind, target_latency: float, longest_pause: float
+) -> float:
+    if kind is not RequestKind.STREAMING:
+        return math.inf
+    return max(
+        _PATIENCE_SECONDS,
+        _PATIENCE_TARGETS * target_latency,
+        _PATIENCE_PAUSES * longest_pause,
     )
 
 
--- a/src/gooseberrydeal/_internal/policy/exchange_periods.py
+++ b/src/gooseberrydeal/_internal/policy/exchange_periods.py
@@ -9,6 +9,12 @@
 # The longest time between two looks at the store's changes: with an answer that takes
 # 0.2 s, a leaving server is known within the two seconds allowed.
 _MOST_FOLLOW_SECONDS: Final = 1.4
+# An owner that falls silent is noticed within some three of these.
+_MOST_HEARTBEAT_SECONDS: Final = 1.0
+# Later news of an engine's queue of prompts is no use: it is read in less time.
+_MOST_COLLECT_SECONDS: Final = 0.25
+# Owners evict by what hosts report.
+_MOST_REPORT_SECONDS: Final = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,9 +40,9 @@
         """
         scale = max(1.0, hosts / _FEW_HOSTS)
         return cls(
-            heartbeat=min(1.0, 0.4 * scale),
-            collect=min(0.25, 0.03 * scale),
-            report=min(0.8, 0.25 * scale),
+            heartbeat=min(_MOST_HEARTBEAT_SECONDS, 0.4 * scale),
+            collect=min(_MOST_COLLECT_SECONDS, 0.03 * scale),
+            report=min(_MOST_REPORT_SECONDS, 0.25 * scale),
             follow=min(_MOST_FOLLOW_SECONDS, 0.8 * scale),
         )
 
--- a/src/gooseberrydeal/_internal/utils/log_queue.py
+++ b/src/gooseberrydeal/_internal/utils/log_queue.py
@@ -1,7 +1,9 @@
 """Write log lines without waiting for who reads them."""
 
+import contextlib
 import logging
 import queue
+import sys
 import threading
 from typing import Final, TextIO
 
@@ -53,7 +55,7 @@
         try:
             self._waiting.put(None, timeout=_END_SECONDS)
         except queue.Full:
-            pass  # The reader has stopped; there is nowhere to report it.
+            _complain("the last log lines were not written: their reader has stopped")
         else:
             self._writer.join(_END_SECONDS)
         super().close()
@@ -64,8 +66,15 @@
                 self._stream.write(line + "\n")
                 if self._waiting.empty():
                     self._stream.flush()
-            except (OSError, ValueError):
-                return  # The stream is closed; there is nowhere to report it.
+            except (OSError, ValueError) as error:
+                _complain(f"no more log lines are written: {error}")
+                return
+
+
+def _complain(text: str) -> None:
+    """Say on standard error why the log ends, since it can't say so itself."""
+    with contextlib.suppress(OSError, ValueError):
+        print(text, file=sys.stderr)
 
 
 def _left_out(count: int) -> logging.LogRecord:
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -50,7 +50,7 @@
         assert (await caller.reply())[2] == _WHOLE
 
     lacking, other = run_relay(play, engines=[deny_copy, _stream])
-    assert len(lacking.requests) <= 3
+    assert 1 <= len(lacking.requests) <= 3
     assert len(other.requests) == 1
 
 
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -6,6 +6,8 @@
 import threading
 import time
 
+import pytest
+
 from gooseberrydeal._internal.utils.json_log import JsonLinesFormatter
 from gooseberrydeal._internal.utils.log_queue import QueueingHandler
 
@@ -68,10 +70,13 @@
     assert messages[-1] == "last"
 
 
-def test_a_closed_stream_stops_the_writer_only() -> None:
+def test_a_closed_stream_stops_the_writer_only(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     stream = io.StringIO()
     stream.close()
     handler = QueueingHandler(stream)
     logger = _logger(handler)
     logger.info("lost")
     handler.close()
+    assert "no more log lines are written" in capsys.readouterr().err
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -1,6 +1,7 @@
 """Check the translation of the platform's names and formats."""
 
 import json
+import math
 from pathlib import Path
 
 import pytest
@@ -87,6 +88,25 @@
     assert found.limits.idle_timeout == 9.0
 
 
+@pytest.mark.parametrize(
+    ("kind", "target_ms", "pause_ms", "patience"),
+    [
+        ("streaming", 800, 400, 3.2),
+        ("streaming", 1000, 400, 4.0),
+        ("streaming", 200, 400, 3.2),
+        ("streaming", 200, 100, 2.0),
+        ("safe", 800, 400, math.inf),
+    ],
+)
+def test_the_patience_of_callers_follows_from_the_route(
+    kind: str, target_ms: int, pause_ms: int, patience: float
+) -> None:
+    routes = json.loads(platform_configuration())["routes"]
+    routes[0].update(kind=kind, targetLatencyMs=target_ms, gapAimMs=pause_ms)
+    found = decode_configuration(platform_configuration(routes=routes))
+    assert found.routes[0].caller_patience == pytest.approx(patience)
+
+
 def test_an_unreadable_route_costs_only_itself() -> None:
     routes = json.loads(platform_configuration())["routes"]
     broken = [{"name": "x"}, {**routes[0], "kind": "new"}, 7, routes[0]]
