--- /dev/null
+++ b/tests/lib/crash_cluster.py
@@ -0,0 +1,203 @@
+"""Run routers before plain servers that a request can crash, over real sockets."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+
+from gooseberrydeal._internal.lab.free_port import free_address
+from gooseberrydeal._internal.lab.router.metadata_app import (
+    WATCH_POLL_SECONDS,
+    MetadataApp,
+)
+from gooseberrydeal._internal.models.ids import DomainName, HostId
+from gooseberrydeal._internal.models.routing.host_settings import (
+    HostSettings,
+    StoreSettings,
+)
+from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.operations.router.router_node import RouterNode
+from gooseberrydeal._internal.platform.engine_client import PlatformEngineClient
+from gooseberrydeal._internal.platform.metadata_names import PlatformMetadataCodec
+from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
+from gooseberrydeal._internal.platform.store_client import PlatformStore
+from gooseberrydeal._internal.utils.clock import SystemClock
+from tests.lib.crashing_server import CrashingServer
+
+_CALLER_HOST = "desk.example"
+_SERVICE = "desk"
+_DOMAIN = "d1"
+_CALL_TIMEOUT_SECONDS = 5.0
+# Entries of servers that send no heartbeats any more expire after this time.
+_ENTRY_EXPIRY_SECONDS = 1.0
+
+
+class CrashCluster:
+    """Run hosts, plain servers and a metadata store in one process.
+
+    Requests under ``/safe/`` may be repeated, those under ``/once/`` may not.
+    """
+
+    def __init__(
+        self,
+        hosts: int = 2,
+        servers: int = 6,
+        down_seconds: float = 2.0,
+        service_seconds: float = 0.02,
+    ) -> None:
+        self.store = MetadataApp()
+        self._store_address = free_address()
+        self._store_server: HttpServer | None = None
+        self.servers = [
+            CrashingServer(
+                f"p{number}",
+                down_seconds,
+                service_seconds,
+                self._register,
+                self._expire_later,
+            )
+            for number in range(servers)
+        ]
+        self._host_names = [f"host-{number}" for number in range(hosts)]
+        self.nodes: dict[str, RouterNode] = {}
+        self._addresses: dict[str, str] = {}
+        self._peers: dict[str, str] = {}
+
+    @property
+    def crash_times(self) -> list[float]:
+        return sorted(t for server in self.servers for t in server.crash_times)
+
+    async def __aenter__(self) -> "CrashCluster":
+        host, port = self._store_address.rsplit(":", 1)
+        self._store_server = HttpServer(self.store.app(), host, int(port))
+        await self._store_server.start()
+        self.store.put("op/config", _configuration())
+        for server in self.servers:
+            await server.start()
+        for name in self._host_names:
+            await self.start_host(name)
+        for name in self._host_names:
+            while (await self.call(name, b"ready?"))[0] != 200:
+                await asyncio.sleep(0.05)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for name in list(self.nodes):
+            await self.kill_host(name)
+        for server in self.servers:
+            await server.stop()
+        # During an outage, open watches end at their next poll. Aborting the server
+        # while they are open would log errors.
+        self.store.set_unavailable(is_unavailable=True)
+        await asyncio.sleep(2 * WATCH_POLL_SECONDS)
+        assert self._store_server is not None
+        await self._store_server.abort()
+
+    async def start_host(self, name: str) -> None:
+        """Start a host; one that was killed starts again at the same addresses."""
+        callers = self._addresses.setdefault(name, free_address())
+        settings = HostSettings(
+            host=HostId(name),
+            domain=DomainName(_DOMAIN),
+            callers=callers,
+            readiness=free_address(),
+            peers=self._peers.setdefault(name, free_address()),
+            metrics=free_address(),
+            store=StoreSettings(self._store_address),
+        )
+        node = RouterNode(
+            settings,
+            PlatformStore(self._store_address),
+            PlatformEngineClient(),
+            PlatformRelayCodec(),
+            PlatformMetadataCodec(),
+            SystemClock(),
+            random.Random(),
+        )
+        await node.start()
+        self.nodes[name] = node
+
+    async def kill_host(self, name: str) -> None:
+        """End a host without draining its connections."""
+        await self.nodes.pop(name).abort()
+
+    async def call(
+        self, host: str, body: bytes, path: str = "/safe/a", **fields: str
+    ) -> tuple[int, dict[str, str]]:
+        """Send one request on a new connection; return the status and the fields.
+
+        The status is 0 if the connection ends without a response.
+        """
+        lines = [
+            f"POST {path} HTTP/1.1",
+            f"Host: {_CALLER_HOST}",
+            f"X-Request-Id: {random.getrandbits(64):016x}",
+            "X-Deadline-Ms: 3000",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+            *(f"{key.replace('_', '-')}: {value}" for key, value in fields.items()),
+        ]
+        address, port = self._addresses[host].rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(address, int(port))
+        try:
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            async with asyncio.timeout(_CALL_TIMEOUT_SECONDS):
+                data = await reader.read()
+        except ConnectionError:
+            data = b""
+        finally:
+            writer.close()
+        if not data:
+            return 0, {}
+        status_line, *rest = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+        split = (line.split(":", 1) for line in rest)
+        headers = {key.lower(): value.strip() for key, value in split}
+        return int(status_line.split()[1]), headers
+
+    async def call_steadily(
+        self, calls: int, interval: float, prefix: bytes
+    ) -> Counter[int]:
+        """Send distinct requests to the hosts in turn; return how often each status."""
+        running: list[asyncio.Task[tuple[int, dict[str, str]]]] = []
+        for number in range(calls):
+            host = self._host_names[number % len(self._host_names)]
+            body = prefix + b" %d" % number
+            path = "/once/a" if number % 2 else "/safe/a"
+            running.append(asyncio.create_task(self.call(host, body, path)))
+            await asyncio.sleep(interval)
+        return Counter([(await task)[0] for task in running])
+
+    def _register(self, server: CrashingServer) -> None:
+        entry = {
+            "service": _SERVICE,
+            "address": server.address,
+            "zone": _DOMAIN,
+            "slots": 6,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1_000 + server.start_number,
+        }
+        self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
+
+    def _expire_later(self, server: CrashingServer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_ENTRY_EXPIRY_SECONDS, self.store.remove, f"servers/{server.id}")
+
+
+def _configuration() -> bytes:
+    routes = [
+        {
+            "name": kind,
+            "host": _CALLER_HOST,
+            "pathPrefix": f"/{prefix}/",
+            "kind": kind,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 400,
+            "service": _SERVICE,
+            "maxAttempts": 3,
+        }
+        for kind, prefix in (("safe", "safe"), ("unsafe", "once"))
+    ]
+    service = {"name": _SERVICE, "maxConnections": 100}
+    data = {"version": 1, "routes": routes, "services": [service], "limits": {}}
+    return json.dumps(data).encode()
