Count, for each request, the server crashes during which it was there

The log had one line for a crash, a reset, a cut connection and an invalid response, and nothing that two attempts of a caller with the same request share. After a connection is lost the server is probed; a crash is one after which nothing listens there, or another start registers. Hosts count crashes by a digest of path, caller and body, tell each other by datagrams and keep the counts in the metadata store.

--- a/src/gooseberrydeal/_internal/exceptions.py
+++ b/src/gooseberrydeal/_internal/exceptions.py
@@ -68,6 +68,10 @@
     """Raised when no connection to a server could be opened; nothing was sent."""
 
 
+class ServerNotListeningError(ServerUnreachableError):
+    """Raised when the server's machine answers that no process listens there."""
+
+
 class ServerBrokenError(ServerError):
     """Raised when a server failed after it may have received the request."""
 
--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -10,7 +10,9 @@
 class RequestAttributes:
     """Hold the properties that determine how a request is served.
 
-    ``time_limit`` is how many seconds the caller waits, ``None`` if not stated.
+    ``caller`` is the credential that identifies the caller's account, empty if there
+    is none. ``time_limit`` is how many seconds the caller waits, ``None`` if not
+    stated.
     ``prompt_tokens`` and ``output_tokens`` are the counts that the caller states, 0 if
     it does not.
     """
@@ -22,3 +24,4 @@
     adapter: AdapterKey | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    caller: str = ""
--- a/src/gooseberrydeal/_internal/network/datagram_socket.py
+++ b/src/gooseberrydeal/_internal/network/datagram_socket.py
@@ -6,14 +6,12 @@
 from typing import Any, cast
 
 from gooseberrydeal._internal.exceptions import PeerProtocolError
-from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
-from gooseberrydeal._internal.models.routing.usage_report import UsageReport
-from gooseberrydeal._internal.network.report_codec import decode_report
+from gooseberrydeal._internal.network.report_codec import Report, decode_report
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 
 logger = logging.getLogger(__name__)
 
-ReportHandler = Callable[[UsageReport | EngineStatus], None]
+ReportHandler = Callable[[Report], None]
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -4,7 +4,10 @@
 import logging
 from typing import Final
 
-from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.exceptions import (
+    ServerNotListeningError,
+    ServerUnreachableError,
+)
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 
@@ -91,6 +94,10 @@
                 _, connection = await loop.create_connection(
                     ServerConnection, host, port
                 )
+        except ConnectionRefusedError as error:
+            raise ServerNotListeningError(
+                f"cannot connect to {self._address}: {error}"
+            ) from error
         except (OSError, TimeoutError) as error:
             raise ServerUnreachableError(
                 f"cannot connect to {self._address}: {error or 'timeout'}"
--- a/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
@@ -15,6 +15,11 @@
 class RelayCodec(Protocol):
     """Parse the headers of requests and responses, and build those to send on."""
 
+    @property
+    def final_refusal_status(self) -> int:
+        """Return a status that tells callers not to send the request again."""
+        ...
+
     def read_request(self, head: RequestHead) -> RequestAttributes:
         """Parse the head of a caller's request."""
         ...
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -13,6 +13,7 @@
 from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import (
     CopyStatus,
     EngineStatus,
@@ -23,6 +24,13 @@
     EngineUsage,
     UsageReport,
 )
+from gooseberrydeal._internal.network.crash_codec import (
+    DECODE_ERRORS,
+    crash_report_fields,
+    parse_crash_report,
+)
+
+Report = UsageReport | EngineStatus | CrashReport
 
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
@@ -32,6 +40,7 @@
 class _ReportKind(IntEnum):
     USAGE = 1
     STATUS = 2
+    CRASHES = 3
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -84,7 +93,13 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
-def decode_report(data: bytes) -> UsageReport | EngineStatus | None:
+def encode_crash_report(report: CrashReport) -> bytes:
+    """Encode evidence about requests that may crash servers."""
+    fields = crash_report_fields(report)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.CRASHES), *fields])
+
+
+def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
     Raises :class:`PeerProtocolError` if the data is not a valid report.
@@ -97,7 +112,9 @@
             return _parse_usage(fields)
         if kind == _ReportKind.STATUS:
             return _parse_status(fields)
-    except (cbor2.CBORError, ValueError, TypeError, IndexError) as error:
+        if kind == _ReportKind.CRASHES:
+            return parse_crash_report(fields)
+    except DECODE_ERRORS as error:
         raise PeerProtocolError(
             f"report has invalid encoding or fields: {error!r}"
         ) from error
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -35,6 +35,11 @@
             "Further sends, by whether the budget allowed them.",
             registry=self._registry,
         )
+        self._crashes = Counter(
+            "gooseberry_router_server_crashes_total",
+            "Crashes of backend servers that had requests of this host.",
+            registry=self._registry,
+        )
         self._wait_time = Histogram(
             "gooseberry_router_wait_seconds",
             "Time from a request's arrival to its first send.",
@@ -69,6 +74,10 @@
         """Count a retry by whether the retry budget allowed it."""
         self._retries.inc({"allowed": str(is_allowed).lower()})
 
+    def count_crash(self) -> None:
+        """Count a crash of a backend server that had requests of this host."""
+        self._crashes.inc({})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -63,6 +63,7 @@
         self._rejection: AttemptOutcome | None = None
         self._status = 0
         self._receive_count = 0
+        self._lost_connection = False
         self._last_body_at = 0.0
         self._longest_pause = 0.0
         self._on_head = on_head
@@ -74,6 +75,11 @@
         """Return the status of the response, 0 if none was received."""
         return self._status
 
+    @property
+    def lost_connection(self) -> bool:
+        """Return whether the server's side ended the connection before the response."""
+        return self._lost_connection
+
     @property
     def longest_pause(self) -> float:
         """Return the longest time between two chunks of the body, in seconds."""
@@ -132,6 +138,7 @@
 
     def response_ended(self, end: ResponseEnd) -> None:
         """Finish the caller's reply, or set the outcome of the failed attempt."""
+        self._lost_connection = end is ResponseEnd.LOST
         if self._rejection is not None:
             self._finish(self._rejection)
         elif not self._is_relaying:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -0,0 +1,77 @@
+"""Protect the backend servers from requests that crash them."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
+from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.request_fingerprint import (
+    RequestFingerprint,
+)
+from gooseberrydeal._internal.models.routing.store_item import StoreItem
+from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.crash_detector import CrashDetector
+from gooseberrydeal._internal.operations.router.crash_gossip import CrashGossip
+from gooseberrydeal._internal.operations.router.crash_guard import CrashGuard
+from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.crash_history import CrashHistory
+from gooseberrydeal._internal.utils.tasks import TaskOwner
+
+
+class CrashProtection:
+    """Connect the parts that detect crashes, share them and refuse their cause."""
+
+    def __init__(
+        self,
+        membership: HostMembership,
+        store: MetadataStore,
+        view: MetadataView,
+        servers: ServerTable,
+        metrics: RouterMetrics,
+        send: Callable[[bytes, str], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        history = CrashHistory()
+        self._guard = CrashGuard(history, metrics, self._share, clock)
+        self._detector = CrashDetector(servers, self._guard.note_crash, clock)
+        self._gossip = CrashGossip(membership, view, history, send, clock, rng)
+        self._records = CrashRecords(
+            store, membership, view, history, self._guard.merge, clock
+        )
+        self._tasks = TaskOwner()
+        servers.set_start_listener(self._detector.server_started)
+
+    @property
+    def guard(self) -> CrashGuard:
+        """Return the part that decides which requests are refused."""
+        return self._guard
+
+    @property
+    def detector(self) -> CrashDetector:
+        """Return the part that detects crashes."""
+        return self._detector
+
+    def start(self) -> None:
+        """Start sharing evidence with the other hosts."""
+        self._tasks.start(self._gossip.run(), "crash gossip")
+        self._tasks.start(self._records.run(), "crash records")
+
+    async def stop(self) -> None:
+        """Stop sharing evidence."""
+        await self._tasks.stop()
+
+    def report_received(self, report: CrashReport) -> None:
+        """Take in the evidence that another host sent."""
+        self._guard.merge(report.evidence)
+
+    def record_read(self, item: StoreItem) -> None:
+        """Take in a record of the metadata store."""
+        self._records.apply(item)
+
+    def _share(self, fingerprints: Sequence[RequestFingerprint]) -> None:
+        self._gossip.announce(fingerprints)
+        self._records.note_evidence(fingerprints)
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -22,6 +22,7 @@
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
 from gooseberrydeal._internal.operations.router.metadata_view import (
+    CRASH_PREFIX,
     HOST_PREFIX,
     OWNER_PREFIX,
     DeclaredVersion,
@@ -73,7 +74,8 @@
     """Watch the metadata store and apply its changes to the view and server table.
 
     While the store is unavailable, the last known state stays in use. ``on_change`` is
-    called after changes were read. On the first start of the whole deployment
+    called after changes were read, ``on_crash_record`` with each record about requests
+    that may crash servers. On the first start of the whole deployment
     (``is_first_start``), no host can have owned the servers listed without an owner.
     """
 
@@ -85,6 +87,7 @@
         servers: ServerTable,
         clock: Callable[[], float],
         on_change: Callable[[], None],
+        on_crash_record: Callable[[StoreItem], None],
         *,
         is_first_start: bool,
     ) -> None:
@@ -94,6 +97,7 @@
         self._servers = servers
         self._clock = clock
         self._on_change = on_change
+        self._on_crash_record = on_crash_record
         self._revision = 0
         self._removal_times: dict[ServerId, float] = {}
         self._is_store_down = False
@@ -225,6 +229,8 @@
             self._apply_host(HostId(item.key.removeprefix(HOST_PREFIX)), item)
         elif item.key.startswith(OWNER_PREFIX):
             self._apply_owner(ServerId(item.key.removeprefix(OWNER_PREFIX)), item)
+        elif item.key.startswith(CRASH_PREFIX):
+            self._on_crash_record(item)
         elif (server := self._decoder.server_id(item.key)) is not None:
             self._apply_server(server, item)
         elif (configuration := self._decoder.configuration(item)) is not None:
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -14,6 +14,7 @@
 
 HOST_PREFIX: Final = "gooseberrydeal/hosts/"
 OWNER_PREFIX: Final = "gooseberrydeal/owners/"
+CRASH_PREFIX: Final = "gooseberrydeal/crashes/"
 
 
 @dataclass(slots=True)
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Final
 
-from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.exceptions import (
+    ServerNotListeningError,
+    ServerUnreachableError,
+)
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
+from gooseberrydeal._internal.operations.router.probe_result import ProbeResult
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -22,11 +27,18 @@
 
     A network partition usually affects a whole failure domain: when a server of
     another domain becomes unreachable, all servers of that domain are probed at once.
+    ``on_probed`` is called with the result of each attempt.
     """
 
-    def __init__(self, servers: ServerTable, own_domain: DomainName) -> None:
+    def __init__(
+        self,
+        servers: ServerTable,
+        own_domain: DomainName,
+        on_probed: Callable[[ServerRecord, ProbeResult], None],
+    ) -> None:
         self._servers = servers
         self._own_domain = own_domain
+        self._on_probed = on_probed
         self._probing: set[ServerId] = set()
         self._tasks = TaskOwner()
 
@@ -67,8 +79,14 @@
                             extra={"server": record.id},
                         )
                     record.health.note_unreachable()
+                    is_closed = isinstance(error, ServerNotListeningError)
+                    self._on_probed(
+                        record,
+                        ProbeResult.NOT_LISTENING if is_closed else ProbeResult.SILENT,
+                    )
                 else:
                     record.health.note_reachable()
+                    self._on_probed(record, ProbeResult.CONNECTED)
                     return
                 await asyncio.sleep(delay)
                 delay = min(_MAX_PROBE_DELAY_SECONDS, delay * 2)
--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -7,13 +7,18 @@
 
 
 def refuse(
-    exchange: CallerExchange, reason: RefusalReason, retry_after: float | None
+    exchange: CallerExchange,
+    reason: RefusalReason,
+    retry_after: float | None,
+    status: int | None = None,
 ) -> None:
-    """Answer with the status code of ``reason`` and the reason as plain text.
+    """Answer with a status code and the reason as plain text.
 
     ``retry_after`` is in seconds; without it, no ``Retry-After`` header is sent.
+    ``status`` replaces the status code of the reason.
     """
     headers: list[Header] = [(b"Content-Type", b"text/plain")]
     if retry_after is not None:
         headers.append((b"Retry-After", b"%.2f" % retry_after))
-    exchange.respond(HTTP_STATUS[reason], headers, reason.value.encode() + b"\n")
+    body = reason.value.encode() + b"\n"
+    exchange.respond(status or HTTP_STATUS[reason], headers, body)
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.usage_report import (
@@ -12,7 +13,11 @@
     UsageReport,
 )
 from gooseberrydeal._internal.network.datagram_socket import DatagramSocket
-from gooseberrydeal._internal.network.report_codec import encode_status, encode_usage
+from gooseberrydeal._internal.network.report_codec import (
+    Report,
+    encode_status,
+    encode_usage,
+)
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
@@ -52,6 +57,7 @@
         self._signal = signal
         self._clock = clock
         self._ownership: EngineOwnership | None = None
+        self._on_crash_report: Callable[[CrashReport], None] | None = None
         self._socket = DatagramSocket(self._on_report)
         self._sequence = 0
         self._pending: set[ServerRecord] = set()
@@ -63,6 +69,10 @@
         """Set the object that receives usage reports on engines owned by this host."""
         self._ownership = ownership
 
+    def set_crash_handler(self, on_crash_report: Callable[[CrashReport], None]) -> None:
+        """Set the function that receives evidence about requests that crash servers."""
+        self._on_crash_report = on_crash_report
+
     async def open(self) -> None:
         """Bind the socket; raise ``OSError`` if that fails."""
         await self._socket.open(self._membership.address)
@@ -81,6 +91,10 @@
             )
             await asyncio.sleep(self._view.periods.report)
 
+    def send(self, data: bytes, address: str) -> None:
+        """Send an encoded report to ``IP:port``."""
+        self._socket.send(data, address)
+
     def report_soon(self, record: ServerRecord) -> None:
         """Report the usage of an engine to its owner after a short batching delay."""
         if not self._pending:
@@ -149,10 +163,14 @@
             )
             self._socket.send(encode_usage(report), host.address)
 
-    def _on_report(self, report: UsageReport | EngineStatus) -> None:
+    def _on_report(self, report: Report) -> None:
         if isinstance(report, EngineStatus):
             self._apply_status(report)
             return
+        if isinstance(report, CrashReport):
+            if self._on_crash_report is not None:
+                self._on_crash_report(report)
+            return
         known = self._last_sequences.get(report.host)
         current = (report.incarnation, report.sequence)
         if known is not None and known[0] == current[0] and known[1] >= current[1]:
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -16,12 +16,16 @@
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.crash_protection import (
+    CrashProtection,
+)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.refusals import refuse
 from gooseberrydeal._internal.operations.router.request_run import RequestRun
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 from gooseberrydeal._internal.policy.retry_window import RetryWindow
 from gooseberrydeal._internal.policy.route_table import RouteTable
 
@@ -45,6 +49,7 @@
         view: MetadataView,
         codec: RelayCodec,
         dispatcher: Dispatcher,
+        crash_protection: CrashProtection,
         metrics: RouterMetrics,
         bounds: RoutingBounds,
         on_usage_changed: Callable[[ServerRecord], None],
@@ -56,6 +61,7 @@
         self._view = view
         self._codec = codec
         self._dispatcher = dispatcher
+        self._crash_protection = crash_protection
         self._metrics = metrics
         self._bounds = bounds
         self._on_usage_changed = on_usage_changed
@@ -120,6 +126,12 @@
         if route is None:
             refuse(exchange, RefusalReason.UNKNOWN_OPERATION, None)
             return
+        identity = RequestIdentity(
+            attributes.request_id, attributes.path, attributes.caller, exchange.body
+        )
+        if self._crash_protection.guard.is_refused(identity):
+            self._refuse_crashing(exchange, identity)
+            return
         time_limit = route.timeout
         if attributes.time_limit is not None:
             time_limit = min(time_limit, attributes.time_limit)
@@ -135,9 +147,11 @@
         try:
             await RequestRun(
                 request,
+                identity,
                 exchange,
                 self._codec,
                 self._dispatcher,
+                self._crash_protection,
                 self._metrics,
                 self._consume_retry,
                 self._on_usage_changed,
@@ -148,6 +162,18 @@
         finally:
             self._in_progress -= 1
 
+    def _refuse_crashing(
+        self, exchange: CallerExchange, identity: RequestIdentity
+    ) -> None:
+        reason = RefusalReason.CRASH_SUSPECT
+        self._metrics.count_refusal(reason)
+        logger.info(
+            "request %s refused: servers crashed while it was there",
+            identity.fingerprint,
+            extra={"request_id": identity.request_id, "reason": reason.value},
+        )
+        refuse(exchange, reason, None, self._codec.final_refusal_status)
+
     def _refresh_routes(self) -> None:
         configuration = self._view.configuration
         if configuration is not self._configuration and configuration is not None:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -8,9 +8,7 @@
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
-from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
-from gooseberrydeal._internal.network.http1.framing import encode_request
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
@@ -19,25 +17,28 @@
 )
 from gooseberrydeal._internal.operations.router.attempt import Attempt
 from gooseberrydeal._internal.operations.router.attempt_outcome import AttemptOutcome
+from gooseberrydeal._internal.operations.router.crash_protection import (
+    CrashProtection,
+)
+from gooseberrydeal._internal.operations.router.denial import note_denial
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
-from gooseberrydeal._internal.operations.router.refusals import refuse
+from gooseberrydeal._internal.operations.router.failed_reply import (
+    RETRY_AFTER_SECONDS,
+    FailedReply,
+)
+from gooseberrydeal._internal.operations.router.forwarding import (
+    encode_forwarded_request,
+)
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.unread_prompt import PendingPrefill
+from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 
-# Delay before the next send to an engine that denied having an adapter copy expected to
-# be ready; doubled after its second denial. At the maximum number of denials the engine
-# is excluded, since each denied send counts against the retry budget of all hosts.
-_COPY_RETRY_SECONDS: Final = 0.05
-_MAX_COPY_DENIALS: Final = 3
 # An exhausted retry budget allows retries again as its window slides.
 _BUDGET_RECHECK_SECONDS: Final = 0.1
-# A request that a server denies on this send or a later one is refused.
-_MAX_SENDS: Final = 6
-_RETRY_AFTER_SECONDS: Final = 0.4
 # An attempt is aborted if the server sends nothing for this multiple of the route's
 # target latency, though no sooner than the minimum, and another server may run the
 # request.
@@ -58,9 +59,11 @@
     def __init__(
         self,
         request: RoutedRequest,
+        identity: RequestIdentity,
         exchange: CallerExchange,
         codec: RelayCodec,
         dispatcher: Dispatcher,
+        crash_protection: CrashProtection,
         metrics: RouterMetrics,
         consume_retry: RetryBudget,
         on_usage_changed: Callable[[ServerRecord], None],
@@ -69,9 +72,11 @@
         clock: Callable[[], float],
     ) -> None:
         self._request = request
+        self._identity = identity
         self._exchange = exchange
         self._codec = codec
         self._dispatcher = dispatcher
+        self._crash_protection = crash_protection
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._on_usage_changed = on_usage_changed
@@ -80,32 +85,63 @@
         self._clock = clock
         self._events = EventSplitter()
         self._last_status = 0
+        self._lost_connection = False
+        self._has_response_begun = False
+        self._task: asyncio.Task[None] | None = None
+        self._is_withdrawn = False
         self._server: ServerId | None = None
         self._log = RequestLog(request, metrics)
+        self._failure = FailedReply(request, exchange, codec, self._log)
         self._times = ServeTimes(request.arrived_at)
 
+    @property
+    def identity(self) -> RequestIdentity:
+        """Return what identifies the request if the caller sends it again."""
+        return self._identity
+
+    def refuse_as_crashing(self) -> None:
+        """Withdraw the request from its server, unless its response has begun."""
+        if self._has_response_begun or self._task is asyncio.current_task():
+            return
+        self._is_withdrawn = True
+        if self._task is not None:
+            self._task.cancel()
+
     async def serve(self) -> None:
         """Serve the request, or fail it at its deadline."""
+        guard = self._crash_protection.guard
+        self._task = asyncio.current_task()
+        guard.enter(self)
         seconds_remaining = self._request.deadline - self._clock()
         try:
             async with asyncio.timeout(max(0.0, seconds_remaining)):
                 await self._serve()
         except TimeoutError:
-            self._handle_deadline()
+            self._failure.deadline_exceeded()
         except asyncio.CancelledError:
+            if self._is_withdrawn and self._task and not self._task.uncancel():
+                self._failure.refuse_as_crashing()
+                return
             waited = self._clock() - self._request.arrived_at
             self._log.cancelled(waited, self._server)
             raise
+        finally:
+            guard.leave(self)
 
     async def _serve(self) -> None:
         while True:
             assignment = await self._dispatcher.assign(self._request)
             if isinstance(assignment, NoAssignment):
-                self._reject(assignment.reason, assignment.retry_after)
+                self._failure.reject(assignment.reason, assignment.retry_after)
+                return
+            if self._crash_protection.guard.is_refused(self._identity):
+                self._failure.refuse_as_crashing()
                 return
             outcome = await self._attempt(assignment)
             if outcome is None:
                 continue
+            if self._lost_connection:
+                await self._check_for_crash(assignment.record)
             if not self._handle_outcome(assignment, outcome):
                 return
 
@@ -116,8 +152,9 @@
         """
         request, record = self._request, assignment.record
         self._server = record.id
+        self._lost_connection = False
         if request.send_count and not await self._wait_for_retry_budget():
-            self._reject(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
+            self._failure.reject(RefusalReason.OVERLOADED, RETRY_AFTER_SECONDS)
             return AttemptOutcome.SERVED
         prompt_tokens = request.attributes.prompt_tokens
         record.begin(assignment.copy, request.tokens, prompt_tokens)
@@ -141,6 +178,7 @@
                 self._metrics.observe_wait(times.sent_at - request.arrived_at)
 
             def on_head_received() -> None:
+                self._has_response_begun = True
                 pending_prefill.end()
                 times.head_at = self._clock()
                 self._metrics.observe_first_byte(times.head_at - times.sent_at)
@@ -157,7 +195,14 @@
             )
             try:
                 connection.send(
-                    self._encode_request(assignment),
+                    encode_forwarded_request(
+                        request,
+                        self._exchange,
+                        self._codec,
+                        assignment,
+                        self._events.last_event_id,
+                        self._clock(),
+                    ),
                     attempt,
                     is_head_request=self._exchange.head.method == b"HEAD",
                 )
@@ -167,6 +212,8 @@
                 raise
             pool.release(connection)
             self._last_status = attempt.status
+            self._lost_connection = attempt.lost_connection
+            self._has_response_begun = False
             times.longest_pause = max(times.longest_pause, attempt.longest_pause)
             self._metrics.count_attempt(outcome.value)
             return outcome
@@ -175,6 +222,19 @@
             if record.end(assignment.copy, request.tokens):
                 self._on_copy_released(record)
 
+    async def _check_for_crash(self, record: ServerRecord) -> None:
+        """Report a lost connection.
+
+        Wait until it is known whether the server crashed, if another server would run
+        the request next or the request was at a server that crashed before.
+        """
+        detector = self._crash_protection.detector
+        detector.connection_lost(record, self._identity)
+        self._on_unreachable(record)
+        is_suspect = self._crash_protection.guard.is_suspect(self._identity)
+        if is_suspect or self._can_run_again(pending=1):
+            await detector.wait_for_verdict(record)
+
     async def _wait_for_outcome(self, attempt: Attempt) -> AttemptOutcome:
         """Wait for the outcome, with an idle timeout if another server may run it."""
         if not self._can_run_again(pending=1):
@@ -196,22 +256,6 @@
             await asyncio.sleep(_BUDGET_RECHECK_SECONDS)
         return True
 
-    def _encode_request(self, assignment: Assignment) -> bytes:
-        request, head = self._request, self._exchange.head
-        is_resuming = self._exchange.is_started
-        attributes = ForwardAttributes(
-            server=assignment.record.id,
-            seconds_left=request.deadline - self._clock(),
-            rank=request.route.rank,
-            adapter_version=assignment.copy.version
-            if assignment.copy is not None and assignment.copy.adapter
-            else 0,
-            resume_after_event_id=self._events.last_event_id if is_resuming else None,
-            forwards_last_event_id=request.route.is_resumable,
-        )
-        headers = self._codec.forward_headers(head, attributes)
-        return encode_request(head.method, head.target, headers, self._exchange.body)
-
     def _handle_outcome(self, assignment: Assignment, outcome: AttemptOutcome) -> bool:
         """Record the outcome of an attempt; return whether to try again."""
         now = self._clock()
@@ -221,40 +265,30 @@
                 health.note_failure(now)
             elif self._last_status:
                 health.note_success(now)
+                if self._last_status < HTTPStatus.BAD_REQUEST:
+                    self._crash_protection.guard.note_served(self._identity)
                 self._log.served(assignment.record.id, self._times)
             return False
         self._log.attempt_failed(assignment.record.id, outcome, self._last_status)
         if outcome is AttemptOutcome.NOT_RUN:
-            return self._handle_not_run(assignment, now)
+            if note_denial(self._request, assignment, now):
+                return True
+            self._failure.reject(RefusalReason.OVERLOADED, RETRY_AFTER_SECONDS)
+            return False
         self._request.started_on.add(assignment.record.id)
         self._request.excluded.add(assignment.record.id)
         health.note_failure(now)
-        if outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT):
+        is_lost = outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT)
+        if is_lost and not self._lost_connection:
             self._on_unreachable(assignment.record)
+        if self._crash_protection.guard.is_refused(self._identity):
+            self._failure.refuse_as_crashing()
+            return False
         if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
             return True
-        self._fail(RefusalReason.SERVER_FAILED, None)
+        self._failure.server_failed()
         return False
 
-    def _handle_not_run(self, assignment: Assignment, now: float) -> bool:
-        """Handle a denied request; return whether to try again.
-
-        The same engine may be tried again once its copy of the adapter is ready.
-        """
-        copy = assignment.copy
-        server = assignment.record.id
-        self._request.denials[server] += 1
-        denials = self._request.denials[server]
-        if copy is not None and copy.adapter and denials < _MAX_COPY_DENIALS:
-            pause = _COPY_RETRY_SECONDS * denials
-            assignment.record.note_missing(copy, now + pause)
-        else:
-            self._request.excluded.add(server)
-        if self._request.send_count >= _MAX_SENDS:
-            self._reject(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
-            return False
-        return True
-
     def _can_run_again(self, *, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
         request = self._request
@@ -263,29 +297,3 @@
         if self._exchange.is_started and self._events.last_event_id is None:
             return False
         return len(request.started_on) + pending < request.route.max_servers
-
-    def _reject(self, reason: RefusalReason, retry_after: float) -> None:
-        """Refuse the request for a reason that tells the caller that it did not run.
-
-        If a server may have run it, report a failed server instead.
-        """
-        self._log.refused_or_cut(reason)
-        if self._request.started_on:
-            self._fail(RefusalReason.SERVER_FAILED, None)
-        else:
-            self._fail(reason, retry_after)
-
-    def _fail(self, reason: RefusalReason, retry_after: float | None) -> None:
-        """Refuse the request, or abort a reply that has already begun."""
-        if self._exchange.is_started:
-            self._exchange.abort_connection()
-        else:
-            refuse(self._exchange, reason, retry_after)
-
-    def _handle_deadline(self) -> None:
-        request = self._request
-        self._log.ended_at_deadline()
-        if request.send_count:
-            self._fail(RefusalReason.DEADLINE, None)
-        else:
-            self._fail(RefusalReason.OVERLOADED, _RETRY_AFTER_SECONDS)
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -14,6 +14,9 @@
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.crash_protection import (
+    CrashProtection,
+)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
@@ -72,6 +75,17 @@
         self._report_exchange = ReportExchange(
             membership, self._view, self._servers, signal, now
         )
+        self._crash_protection = CrashProtection(
+            membership,
+            store,
+            self._view,
+            self._servers,
+            self._metrics,
+            self._report_exchange.send,
+            now,
+            rng,
+        )
+        self._report_exchange.set_crash_handler(self._crash_protection.report_received)
         self._lease_keeper = LeaseKeeper(
             store, membership, clock.seconds_since_boot, self._on_metadata_change
         )
@@ -94,6 +108,7 @@
             self._servers,
             now,
             self._on_metadata_change,
+            self._crash_protection.record_read,
             is_first_start=settings.is_first_start,
         )
         self._dispatcher = Dispatcher(
@@ -106,11 +121,14 @@
             now,
             rng,
         )
-        self._reachability = ReachabilityProber(self._servers, settings.domain)
+        self._reachability = ReachabilityProber(
+            self._servers, settings.domain, self._crash_protection.detector.probed
+        )
         self._handler = RequestHandler(
             self._view,
             codec,
             self._dispatcher,
+            self._crash_protection,
             self._metrics,
             settings.bounds,
             self._report_exchange.usage_changed,
@@ -140,6 +158,7 @@
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
         self._tasks.start(self._report_exchange.run(), "report exchange")
+        self._crash_protection.start()
         logger.info("started", extra={"host": self._settings.host})
 
     def apply(self, settings: HostSettings) -> None:
@@ -181,6 +200,7 @@
         self._metrics_endpoint.stop()
         await self._reachability.stop()
         await self._ownership.stop()
+        await self._crash_protection.stop()
         await self._tasks.stop()
         self._report_exchange.close()
         for record in self._servers.records:
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -18,6 +18,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self._on_start: Callable[[ServerEntry], None] | None = None
         self._records: dict[ServerId, ServerRecord] = {}
         self._entries: dict[ServerId, ServerEntry] = {}
         self._configuration: RoutingConfiguration | None = None
@@ -45,6 +46,13 @@
             if record.entry.service == service and record.accepts_requests:
                 yield record
 
+    def set_start_listener(self, on_start: Callable[[ServerEntry], None]) -> None:
+        """Call a function with the entry of each server that registers after a start.
+
+        The function is called after the entry was applied.
+        """
+        self._on_start = on_start
+
     def set_host_count(self, hosts: int) -> None:
         """Set the number of hosts.
 
@@ -61,23 +69,16 @@
         """Apply a configuration, which may add or remove records."""
         self._configuration = configuration
         for entry in list(self._entries.values()):
-            self.put(entry)
+            self._apply_entry(entry)
 
     def put(self, entry: ServerEntry) -> None:
         """Add or update a server by its entry."""
+        known = self._entries.get(entry.id)
         self._entries[entry.id] = entry
-        if self._configuration is None:
-            return
-        service = self._configuration.services.get(entry.service)
-        if service is None:
-            self._drop(entry.id)
-            return
-        record = self._records.get(entry.id)
-        limit = self._connection_limit(entry)
-        if record is None:
-            self._records[entry.id] = ServerRecord(entry, service, limit)
-        else:
-            record.update(entry, service, limit, self._clock())
+        self._apply_entry(entry)
+        is_start = known is None or known.started_at != entry.started_at
+        if is_start and self._on_start is not None:
+            self._on_start(entry)
 
     def remove(self, server: ServerId) -> None:
         """Remove a server; requests in flight there are not interrupted."""
@@ -95,6 +96,20 @@
         )
         return True
 
+    def _apply_entry(self, entry: ServerEntry) -> None:
+        if self._configuration is None:
+            return
+        service = self._configuration.services.get(entry.service)
+        if service is None:
+            self._drop(entry.id)
+            return
+        record = self._records.get(entry.id)
+        limit = self._connection_limit(entry)
+        if record is None:
+            self._records[entry.id] = ServerRecord(entry, service, limit)
+        else:
+            record.update(entry, service, limit, self._clock())
+
     def _drop(self, server: ServerId) -> None:
         self._loads_in_progress.pop(server, None)
         record = self._records.pop(server, None)
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 REQUEST_ID: Final = b"x-request-id"
+CREDENTIAL: Final = b"authorization"
 DEADLINE: Final = b"x-deadline-ms"
 MODEL: Final = b"x-model"
 # The number of prompt tokens and the maximum number of output tokens, comma-separated.
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -32,6 +32,11 @@
 class PlatformRelayCodec:
     """Translate between the platform's header fields and the router's own types."""
 
+    @property
+    def final_refusal_status(self) -> int:
+        """Return a status after which the platform's callers do not try again."""
+        return HTTPStatus.BAD_REQUEST
+
     def read_request(self, head: RequestHead) -> RequestAttributes:
         """Return the routing data of a request; invalid fields count as absent."""
         fields = {name.lower(): value for name, value in head.headers}
@@ -48,6 +53,7 @@
             adapter=_parse_adapter(fields.get(header_names.MODEL)),
             prompt_tokens=prompt,
             output_tokens=output,
+            caller=_decode_text(fields.get(header_names.CREDENTIAL, b"")),
         )
 
     def forward_headers(
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/request_identity.py
@@ -0,0 +1,47 @@
+"""Compute the fingerprint by which a repeated request is recognised."""
+
+from functools import cached_property
+from hashlib import blake2b
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.routing.request_fingerprint import (
+    RequestFingerprint,
+)
+
+_OUTLINE_DIGEST_BYTES: Final = 8
+_BODY_DIGEST_BYTES: Final = 16
+
+
+class RequestIdentity:
+    """Identify a request by its path without the query, its caller and its body.
+
+    All else may differ when a caller sends a request again. Both digests are computed
+    when first used, since most requests never need them.
+    """
+
+    def __init__(
+        self, request_id: RequestId, path: str, caller: str, body: bytes
+    ) -> None:
+        self._request_id = request_id
+        self._path = path
+        self._caller = caller
+        self._body = body
+
+    @property
+    def request_id(self) -> RequestId:
+        """Return the id of this attempt of the caller."""
+        return self._request_id
+
+    @cached_property
+    def outline(self) -> bytes:
+        """Return the digest of all but the body's content."""
+        fields = (self._path, self._caller, str(len(self._body)))
+        text = "\0".join(fields).encode("utf-8", "surrogateescape")
+        return blake2b(text, digest_size=_OUTLINE_DIGEST_BYTES).digest()
+
+    @cached_property
+    def fingerprint(self) -> RequestFingerprint:
+        """Return the whole fingerprint, for which the body is read once."""
+        digest = blake2b(self._body, digest_size=_BODY_DIGEST_BYTES).digest()
+        return RequestFingerprint(self.outline, digest)
--- a/tests/functional/test_metadata_follower.py
+++ b/tests/functional/test_metadata_follower.py
@@ -60,6 +60,7 @@
             self.servers,
             clock,
             lambda: None,
+            lambda item: None,
             is_first_start=True,
         )
         self.tasks = TaskOwner()
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -181,7 +181,9 @@
 
     def _expire_later(self, server: CrashingServer) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(_ENTRY_EXPIRY_SECONDS, self.store.remove, f"servers/{server.id}")
+        loop.call_later(
+            _ENTRY_EXPIRY_SECONDS, self.store.remove, f"servers/{server.id}"
+        )
 
 
 def _configuration() -> bytes:
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -91,6 +91,7 @@
             self.servers,
             clock,
             self.ownership.metadata_changed,
+            lambda item: None,
             is_first_start=is_first_start,
         )
         self._tasks = TaskOwner()
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -31,6 +31,9 @@
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.crash_protection import (
+    CrashProtection,
+)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
@@ -38,6 +41,7 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
+from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
 from tests.lib.routing_builders import (
     LANGUAGE,
     MODEL,
@@ -126,7 +130,19 @@
             clock,
             random.Random(1),
         )
-        self.reachability = ReachabilityProber(self.servers, DomainName("d1"))
+        self.crash_protection = CrashProtection(
+            membership(),
+            FakeMetadataStore(StoreData()),
+            self.view,
+            self.servers,
+            self.metrics,
+            lambda data, address: None,
+            clock,
+            random.Random(3),
+        )
+        self.reachability = ReachabilityProber(
+            self.servers, DomainName("d1"), self.crash_protection.detector.probed
+        )
 
         def ignore(record: ServerRecord) -> None:
             return
@@ -135,6 +151,7 @@
             self.view,
             PlatformRelayCodec(),
             dispatcher,
+            self.crash_protection,
             self.metrics,
             RoutingBounds(),
             ignore,
