Close a connection whose server sends a response part without end

A server whose response head never ended cost a host 141 MB in 0.6 s; chunk extensions, trailers, bytes after the end and the bodies of responses that are not relayed were read as fast as they came. Callers got 504 at their deadline.

Cause: only the body of a response was bounded, by the caller's reading; all else was parsed and kept, or dropped, without a limit.

Status lines, fields, interim responses, and chunk framing with trailers now have limits. So have events of a stream, bodies that are not relayed, and JSON responses. A server that exceeds one, or sends bytes after a response or without a request, has its connection closed at once and counts as failing.

--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import (
@@ -19,10 +21,19 @@
 
 
 class ConnectionPool:
-    """Reuse idle connections, the last used one first; open others up to a limit."""
+    """Reuse idle connections, the last used one first; open others up to a limit.
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    ``on_unsolicited`` is called when the server sends bytes on an idle connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        max_connections: int,
+        on_unsolicited: Callable[[], None] = lambda: None,
+    ) -> None:
         self._address = address
+        self._on_unsolicited = on_unsolicited
         self._max_connections = max_connections
         self._idle: list[ServerConnection] = []
         self._in_use = 0
@@ -92,7 +103,7 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    ServerConnection, host, port
+                    partial(ServerConnection, self._on_unsolicited), host, port
                 )
         except ConnectionRefusedError as error:
             raise ServerNotListeningError(
--- a/src/gooseberrydeal/_internal/network/http1/json_client.py
+++ b/src/gooseberrydeal/_internal/network/http1/json_client.py
@@ -3,21 +3,28 @@
 import asyncio
 import json
 import logging
+from typing import Final
 
 from gooseberrydeal._internal.exceptions import ServerBrokenError
 from gooseberrydeal._internal.models.routing.http_heads import Header, ResponseHead
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.network.http1.framing import encode_request
 from gooseberrydeal._internal.network.http1.response_sink import ResponseEnd
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.utils.json_value import JsonObject
 
 logger = logging.getLogger(__name__)
 
 
+_DEFAULT_MAX_BODY_BYTES: Final = 1_048_576
+
+
 class _ResponseCollector:
     """Collect the status and the whole body of one response."""
 
-    def __init__(self) -> None:
+    def __init__(self, connection: ServerConnection, max_body_bytes: int) -> None:
+        self._connection = connection
+        self._max_body_bytes = max_body_bytes
         self._done: asyncio.Future[ResponseEnd] = (
             asyncio.get_running_loop().create_future()
         )
@@ -37,6 +44,13 @@
 
     def body_received(self, data: bytes) -> None:
         self._body += data
+        if len(self._body) > self._max_body_bytes:
+            logger.info(
+                "closing a connection: the body of a response has over %d bytes",
+                self._max_body_bytes,
+            )
+            self._connection.abort()
+            self.response_ended(ResponseEnd.INVALID)
 
     def response_ended(self, end: ResponseEnd) -> None:
         if not self._done.done():
@@ -49,11 +63,18 @@
 class JsonClient:
     """Send JSON requests to one server over a connection pool.
 
-    ``address`` has the form ``IP:port``.
+    ``address`` has the form ``IP:port``. A response with a longer body than
+    ``max_body_bytes`` is invalid.
     """
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_connections: int,
+        max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
+    ) -> None:
         self._address = address
+        self._max_body_bytes = max_body_bytes
         self._pool = ConnectionPool(address, max_connections)
 
     async def call(
@@ -78,7 +99,7 @@
             method.encode(), target.encode(), request_headers, data
         )
         connection = await self._pool.acquire()
-        collector = _ResponseCollector()
+        collector = _ResponseCollector(connection, self._max_body_bytes)
         connection.send(message, collector, is_head_request=False)
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -95,7 +116,7 @@
             self._pool.discard(connection)
             raise
         self._pool.release(connection)
-        if end is not ResponseEnd.COMPLETE:
+        if end not in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS):
             raise ServerBrokenError(
                 f"{method} {target.partition('?')[0]} at {self._address} ended with"
                 f" a {end.value} response"
--- a/src/gooseberrydeal/_internal/network/http1/response_sink.py
+++ b/src/gooseberrydeal/_internal/network/http1/response_sink.py
@@ -9,11 +9,14 @@
 class ResponseEnd(Enum):
     """List the ways in which a response can end.
 
-    ``LOST`` means that the connection was closed before the end of the response,
-    ``INVALID`` that the server sent bytes that are not a valid response to the request.
+    ``EXCESS`` means that the response is complete but more bytes followed it, ``LOST``
+    that the connection was closed before the end of the response, ``INVALID`` that the
+    server sent bytes that are not a valid response to the request, or that exceed the
+    limits of a response's parts.
     """
 
     COMPLETE = "complete"
+    EXCESS = "excess"
     LOST = "lost"
     INVALID = "invalid"
 
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -9,6 +10,7 @@
 
 from gooseberrydeal._internal.models.routing.http_heads import Header, ResponseHead
 from gooseberrydeal._internal.network.http1.framing import is_bodiless
+from gooseberrydeal._internal.network.http1.response_budget import ResponseBudget
 from gooseberrydeal._internal.network.http1.response_sink import (
     ResponseEnd,
     ResponseSink,
@@ -24,16 +26,20 @@
 # Connections are not reused this close to the server's own idle timeout, since the
 # server could close them just as a request is sent.
 _IDLE_MARGIN_SECONDS: Final = 0.7
+# The limits of a response's head are checked after each piece of this size.
+_HEAD_PIECE_BYTES: Final = 4_096
 
 
 class ServerConnection(asyncio.Protocol):
     """Send one request at a time; close on any bytes that are not its response.
 
     The connection is reused only if no bytes followed the end of the response, since
-    those could be mistaken for the response to the next request.
+    those could be mistaken for the response to the next request. ``on_unsolicited`` is
+    called when bytes arrive while no request waits for a response.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_unsolicited: Callable[[], None]) -> None:
+        self._on_unsolicited = on_unsolicited
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -49,6 +55,7 @@
         self._allows_keep_alive = False
         self._has_received_eof = False
         self._body: list[bytes] = []
+        self._budget = ResponseBudget()
         self._idle_timeout = _DEFAULT_IDLE_TIMEOUT_SECONDS
         self._idle_deadline = 0.0
 
@@ -71,6 +78,7 @@
         self._sink = sink
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
+        self._budget = ResponseBudget()
         self._reset_message()
         self._transport.write(data)
 
@@ -103,17 +111,15 @@
         if sink is None or self._parser is None:
             logger.info("closing a connection: server sent bytes without a request")
             self.abort()
+            self._on_unsolicited()
+            return
+        problem = self._feed(self._parser, memoryview(data))
+        if problem is not None:
+            logger.info(
+                "closing a connection: server sent an invalid response: %s", problem
+            )
+            self._end(ResponseEnd.INVALID)
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if not self._is_response_complete:
-                logger.info(
-                    "closing a connection: server sent an invalid response: %s", error
-                )
-                self._end(ResponseEnd.INVALID)
-                return
-            self._has_unexpected_data = True
         self._flush_body()
         if self._is_response_complete and self._sink is sink:
             self._complete()
@@ -145,10 +151,12 @@
     def on_status(self, status: bytes) -> None:
         """Append a fragment of the reason phrase."""
         if not self._is_response_complete:
+            self._budget.count_reason(len(status))
             self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field; trailer fields are ignored."""
+        """Store a header field; trailer fields are only counted."""
+        self._budget.count_field()
         if not self._is_response_complete and not self._is_head_complete:
             self._headers.append((name, value))
 
@@ -160,6 +168,7 @@
         if self._status < HTTPStatus.OK:
             return
         self._is_head_complete = True
+        self._budget.complete_head()
         self._is_self_delimited = self._is_head_request or is_bodiless(self._status)
         for name, value in self._headers:
             lower = name.lower()
@@ -175,6 +184,7 @@
     def on_body(self, body: bytes) -> None:
         """Collect the body bytes of the current read."""
         if not self._is_response_complete:
+            self._budget.count_body(len(body))
             self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -186,8 +196,33 @@
                 self._parser.should_keep_alive()
             )
         else:
+            self._budget.count_interim()
             self._reset_message()
 
+    def _feed(
+        self, parser: httptools.HttpResponseParser, data: memoryview
+    ) -> str | None:
+        """Parse bytes; return what is wrong with the response, if anything is."""
+        start = 0
+        while start < len(data) and not self._is_response_complete:
+            end = len(data)
+            if not self._is_head_complete:
+                end = min(end, start + _HEAD_PIECE_BYTES)
+            try:
+                parser.feed_data(data[start:end])
+            except httptools.HttpParserError as error:
+                if not self._is_response_complete:
+                    return str(error)
+                self._has_unexpected_data = True
+            self._budget.count_received(end - start)
+            start = end
+            excess = self._budget.excess()
+            if excess is not None and not self._is_response_complete:
+                return excess
+        if start < len(data):
+            self._has_unexpected_data = True
+        return None
+
     def _reset_message(self) -> None:
         self._status = 0
         self._reason = b""
@@ -219,7 +254,8 @@
             if sink is not None:
                 sink.response_ended(ResponseEnd.COMPLETE)
             return
-        self._end(ResponseEnd.COMPLETE)
+        has_excess = self._has_unexpected_data
+        self._end(ResponseEnd.EXCESS if has_excess else ResponseEnd.COMPLETE)
 
     def _end(self, end: ResponseEnd) -> None:
         sink, self._sink = self._sink, None
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -29,6 +29,10 @@
 )
 
 
+# A response that is not relayed has a short body; reading on would only delay its end.
+_MAX_DISCARDED_BYTES: Final = 65_536
+
+
 class Attempt:
     """Relay a response to the caller as it arrives.
 
@@ -64,6 +68,8 @@
         self._status = 0
         self._receive_count = 0
         self._lost_connection = False
+        self._sent_excess_bytes = False
+        self._discarded_bytes = 0
         self._last_body_at = 0.0
         self._longest_pause = 0.0
         self._on_head = on_head
@@ -75,6 +81,11 @@
         """Return the status of the response, 0 if none was received."""
         return self._status
 
+    @property
+    def sent_excess_bytes(self) -> bool:
+        """Return whether the server sent more bytes than its response may have."""
+        return self._sent_excess_bytes
+
     @property
     def lost_connection(self) -> bool:
         """Return whether the server's side ended the connection before the response."""
@@ -131,19 +142,23 @@
             self._longest_pause = max(self._longest_pause, now - self._last_body_at)
         self._last_body_at = now
         if not self._is_relaying:
+            self._discard(data)
             return
         if self._is_event_stream:
             data = self._events.feed(data)
+            if self._events.is_overfull:
+                self._stop("an event of the stream has no end", AttemptOutcome.CUT)
         self._exchange.write(data)
 
     def response_ended(self, end: ResponseEnd) -> None:
         """Finish the caller's reply, or set the outcome of the failed attempt."""
         self._lost_connection = end is ResponseEnd.LOST
+        self._sent_excess_bytes = end is ResponseEnd.EXCESS
         if self._rejection is not None:
             self._finish(self._rejection)
         elif not self._is_relaying:
             self._finish(AttemptOutcome.LOST)
-        elif end is ResponseEnd.COMPLETE:
+        elif end in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS):
             self._exchange.write(self._events.rest())
             self._exchange.finish()
             self._finish(AttemptOutcome.SERVED)
@@ -151,6 +166,23 @@
             self._events.rest()
             self._finish(AttemptOutcome.CUT)
 
+    def _discard(self, data: bytes) -> None:
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            outcome = self._rejection or AttemptOutcome.LOST
+            self._stop("the body of a response that is not relayed is long", outcome)
+
+    def _stop(self, problem: str, outcome: AttemptOutcome) -> None:
+        """Close the connection because of what the server sends."""
+        logger.info(
+            "closing a connection: %s",
+            problem,
+            extra={"request_id": self._request_id, "server": self._record.id},
+        )
+        self._connection.abort()
+        self._sent_excess_bytes = True
+        self._finish(outcome)
+
     def _set_backpressure(self, is_full: bool) -> None:
         """Pause reading from the server while the caller's send buffer is full."""
         if is_full:
--- a/src/gooseberrydeal/_internal/operations/router/event_splitter.py
+++ b/src/gooseberrydeal/_internal/operations/router/event_splitter.py
@@ -5,6 +5,7 @@
 
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 _EVENT_TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
+_MAX_EVENT_BYTES: Final = 1_048_576
 
 
 class EventSplitter:
@@ -19,6 +20,11 @@
         """Return the last id among complete events, ``None`` if there was none."""
         return self._last_id
 
+    @property
+    def is_overfull(self) -> bool:
+        """Return whether the incomplete event is longer than events may be."""
+        return len(self._incomplete) > _MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those that form complete events."""
         data = self._incomplete + data
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -213,6 +213,8 @@
             pool.release(connection)
             self._last_status = attempt.status
             self._lost_connection = attempt.lost_connection
+            if attempt.sent_excess_bytes:
+                record.health.note_failure(self._clock())
             self._has_response_begun = False
             times.longest_pause = max(times.longest_pause, attempt.longest_pause)
             self._metrics.count_attempt(outcome.value)
@@ -228,11 +230,10 @@
         Wait until it is known whether the server crashed, if another server would run
         the request next or the request was at a server that crashed before.
         """
-        detector = self._crash_protection.detector
+        guard, detector = self._crash_protection.guard, self._crash_protection.detector
         detector.connection_lost(record, self._identity)
         self._on_unreachable(record)
-        is_suspect = self._crash_protection.guard.is_suspect(self._identity)
-        if is_suspect or self._can_run_again(pending=1):
+        if guard.is_suspect(self._identity) or self._can_run_again(pending=1):
             await detector.wait_for_verdict(record)
 
     async def _wait_for_outcome(self, attempt: Attempt) -> AttemptOutcome:
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -1,5 +1,6 @@
 """Hold this host's view of one backend server."""
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Mapping
 from typing import Final
@@ -21,6 +22,7 @@
     EngineUsage,
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
+from gooseberrydeal._internal.operations.router.copy_counts import CopyCounts
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
 from gooseberrydeal._internal.policy.server_health import ServerHealth
@@ -30,14 +32,6 @@
 _MAX_RECENT_COPIES: Final = 96
 
 
-class _CopyCounts:
-    __slots__ = ("in_flight", "started")
-
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.started = 0
-
-
 class ServerRecord:
     """Combine a server's entry, its owner's status and this host's own usage."""
 
@@ -46,14 +40,14 @@
     ) -> None:
         self._entry = entry
         self._service = service
-        self._pool = ConnectionPool(entry.address, max_connections)
         self._load = LoadEstimate()
         self._health = ServerHealth()
+        self._pool = self._new_pool(entry.address, max_connections)
         self._status: EngineStatus | None = None
         self._status_at = 0.0
         self._periods = ExchangePeriods()
         self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
-        self._uses: dict[AdapterCopyKey, _CopyCounts] = {}
+        self._uses: dict[AdapterCopyKey, CopyCounts] = {}
         self._load_requests: dict[AdapterCopyKey, int] = {}
         self._target_deadlines: dict[AdapterCopyKey, float] = {}
         self._missing: dict[AdapterCopyKey, float] = {}
@@ -111,7 +105,7 @@
         is_restart = entry.started_at != self._entry.started_at
         if entry.address != self._entry.address:
             self._pool.retire()
-            self._pool = ConnectionPool(entry.address, max_connections)
+            self._pool = self._new_pool(entry.address, max_connections)
         else:
             self._pool.set_limit(max_connections)
             if is_restart:
@@ -220,7 +214,7 @@
         """Count a request that is sent to the server."""
         self._load.begin(tokens, prompt_tokens)
         if key is not None and key.adapter:
-            use = self._uses.setdefault(key, _CopyCounts())
+            use = self._uses.setdefault(key, CopyCounts())
             use.in_flight += 1
 
     def end(self, key: AdapterCopyKey | None, tokens: int) -> bool:
@@ -292,6 +286,12 @@
             load_requests,
         )
 
+    def _new_pool(self, address: str, max_connections: int) -> ConnectionPool:
+        def on_unsolicited() -> None:
+            self._health.note_failure(asyncio.get_running_loop().time())
+
+        return ConnectionPool(address, max_connections, on_unsolicited)
+
     def _use_entry_copies(self, now: float) -> None:
         """Use the copies in the server's entry while there is no fresh status."""
         held = self._entry.held
--- a/src/gooseberrydeal/_internal/platform/store_client.py
+++ b/src/gooseberrydeal/_internal/platform/store_client.py
@@ -24,6 +24,8 @@
 # A call without a response after this time counts as lost. Responses usually take 4 ms.
 _CALL_TIMEOUT_SECONDS: Final = 1.5
 _MAX_CONNECTIONS: Final = 4
+# A page has up to 1 MB of items; a watch that fell behind returns more.
+_MAX_RESPONSE_BYTES: Final = 33_554_432
 
 
 class PlatformStore:
@@ -35,7 +37,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._client = JsonClient(address, _MAX_CONNECTIONS)
+        self._client = JsonClient(address, _MAX_CONNECTIONS, _MAX_RESPONSE_BYTES)
 
     async def list(self, prefix: str) -> StorePage:
         """Return all items under a prefix and the store revision of the first page."""
