Refuse requests whose chunk extensions or trailers have no end

The same fault as with servers, on the side of callers: head and body of a request had limits, the framing of a chunked body had none, so that a caller could make a host keep a trailer field of any length until the idle timeout. Such a request is answered with 431 now. The new test fails without the check (it then gets no answer but the timeout).

--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Final, Protocol
+from typing import Final
 
 import httptools
 
 from gooseberrydeal._internal.models.routing.http_heads import Header, RequestHead
-from gooseberrydeal._internal.models.routing.routing_configuration import CallerLimits
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.request_handling import RequestHandler
+from gooseberrydeal._internal.network.http1.response_budget import framing_allowance
 from gooseberrydeal._internal.network.http1.socket_options import (
     enable_dead_peer_detection,
 )
@@ -27,24 +28,6 @@
 _FIELD_OVERHEAD_BYTES: Final = 4
 
 
-class RequestHandler(Protocol):
-    """Serve the requests of all callers' connections."""
-
-    @property
-    def limits(self) -> CallerLimits:
-        """Return the limits on sizes and times of callers' requests."""
-        ...
-
-    @property
-    def is_draining(self) -> bool:
-        """Return whether connections are closed after the current response."""
-        ...
-
-    def handle(self, exchange: CallerExchange) -> Coroutine[Any, Any, None]:
-        """Serve one request; the exchange is aborted if this leaves it unfinished."""
-        ...
-
-
 class CallerConnection(asyncio.Protocol):
     """Parse requests strictly and pass them to the handler one at a time.
 
@@ -72,6 +55,7 @@
         self._is_receiving = False
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._pipelined: list[tuple[RequestHead, bytes]] = []
         self._exchange: CallerExchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -101,6 +85,8 @@
         """Parse received bytes and start the next request if one is complete."""
         if self._is_closing:
             return
+        was_receiving_body = self._is_receiving and self._is_head_complete
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -111,6 +97,9 @@
         if self._is_receiving and not self._is_head_complete:
             self._received_head_bytes += len(data)
             self._check_head_size(self._received_head_bytes)
+        elif self._is_receiving and was_receiving_body:
+            self._framing_bytes += len(data) - (self._body_bytes - body_bytes_before)
+            self._check_framing()
         self._start_next_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -141,6 +130,7 @@
         self._is_receiving = True
         self._body = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         if self._exchange is None:
             self._start_timeout(self._handler.limits.header_timeout)
 
@@ -258,6 +248,13 @@
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request body is too large"
             )
 
+    def _check_framing(self) -> None:
+        if self._framing_bytes > framing_allowance(self._body_bytes):
+            self._refuse(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the chunk extensions or trailer fields are too large",
+            )
+
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         """Send an error response with the reason as its body, then close.
 
--- a/src/gooseberrydeal/_internal/network/http1/caller_listener.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_listener.py
@@ -2,10 +2,8 @@
 
 import asyncio
 
-from gooseberrydeal._internal.network.http1.caller_connection import (
-    CallerConnection,
-    RequestHandler,
-)
+from gooseberrydeal._internal.network.http1.caller_connection import CallerConnection
+from gooseberrydeal._internal.network.http1.request_handling import RequestHandler
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 
 _ACCEPT_BACKLOG = 512
--- a/tests/functional/test_relay_callers.py
+++ b/tests/functional/test_relay_callers.py
@@ -130,3 +130,27 @@
         assert sent_bytes < total_bytes
 
     run_relay(scenario, [flood])
+
+
+@pytest.mark.parametrize(
+    ("prefix", "piece"),
+    [
+        (b"1;a=", b"b"),
+        (b"", b"0"),
+        (b"1\r\nx\r\n0\r\nX-Long: ", b"v"),
+        (b"1\r\nx\r\n0\r\n", b"a:\r\n"),
+    ],
+)
+def test_framing_without_end_is_refused(prefix: bytes, piece: bytes) -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.writer.write(
+            b"POST /once/a HTTP/1.1\r\nHost: example\r\nX-Request-Id: q1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + prefix
+        )
+        for _ in range(16):
+            caller.writer.write(piece * 2000)
+            await asyncio.sleep(0.005)
+        assert (await caller.read_head())[0] in (400, 431)
+
+    server = run_relay(scenario, [echo])[0]
+    assert not server.requests
