Keep no request bodies for the detection of crashes

Lost connections were remembered for ten seconds with the requests on them, which held their bodies: 128 requests of 4 MB to one server are more than a host's memory. Only the request's id and fingerprint are kept now. After a probe that connected, another start of the server counts as a crash only if it registers within two seconds, so that a reset followed by a release is none. Evidence of fewer than three crashes expires after ten minutes and is repeated between hosts for one.

--- a/src/gooseberrydeal/_internal/operations/router/crash_detector.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_detector.py
@@ -8,6 +8,7 @@
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
+from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.probe_result import ProbeResult
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -16,11 +17,12 @@
 
 logger = logging.getLogger(__name__)
 
-CrashHandler = Callable[[CrashId, Sequence[RequestIdentity]], None]
+CrashHandler = Callable[[CrashId, Sequence[LostRequest]], None]
 
 # A connection lost longer ago than this was not lost by the crash that a probe shows.
 _PROBE_WINDOW_SECONDS: Final = 2.0
-# Servers that crashed are registered again within this time.
+# Servers that crashed are registered again within this time. One that was connected to
+# after the loss may have started again before; then it registers within the time above.
 _RESTART_WINDOW_SECONDS: Final = 10.0
 # A connection lost this soon after a crash was found was lost by the same crash.
 _SAME_CRASH_SECONDS: Final = 1.0
@@ -36,7 +38,8 @@
 
     address: str
     started_at: int
-    requests: list[tuple[RequestIdentity, float]] = field(default_factory=list)
+    requests: list[tuple[LostRequest, float]] = field(default_factory=list)
+    window_seconds: float = _RESTART_WINDOW_SECONDS
     crash_count: int = 0
     crashed_at: float = float("-inf")
     is_probed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -72,13 +75,15 @@
             return
         now = self._clock()
         self._drop_old(now)
+        request = LostRequest(identity.request_id, identity.fingerprint)
         lost = self._lost_connections(record)
         if now - lost.crashed_at < _SAME_CRASH_SECONDS:
-            self._on_crash(self._crash_id(record.id, lost), (identity,))
+            self._on_crash(self._crash_id(record.id, lost), (request,))
             return
         lost.is_probed.clear()
         if len(lost.requests) < _MAX_LOST_REQUESTS:
-            lost.requests.append((identity, now))
+            lost.requests.append((request, now))
+            lost.window_seconds = _RESTART_WINDOW_SECONDS
 
     def probed(self, record: ServerRecord, result: ProbeResult) -> None:
         """Record the result of a connection attempt to a server."""
@@ -92,8 +97,10 @@
                 result.value,
                 extra={"server": record.id},
             )
+            if result is not ProbeResult.SILENT:
+                lost.window_seconds = _PROBE_WINDOW_SECONDS
             if result is ProbeResult.NOT_LISTENING:
-                self._report(record.id, lost, _PROBE_WINDOW_SECONDS)
+                self._report(record.id, lost)
         lost.is_probed.set()
 
     def server_started(self, entry: ServerEntry) -> None:
@@ -108,7 +115,7 @@
             record = self._servers.get(server)
             is_leaving = record is not None and not record.accepts_requests
             if lost.requests and not is_leaving:
-                self._report(server, lost, _RESTART_WINDOW_SECONDS)
+                self._report(server, lost)
             del self._lost[server]
 
     async def wait_for_verdict(self, record: ServerRecord) -> None:
@@ -122,18 +129,14 @@
         except TimeoutError:
             logger.info("the server was not probed yet", extra={"server": record.id})
 
-    def _report(
-        self, server: ServerId, lost: _LostConnections, window_seconds: float
-    ) -> None:
-        now = self._clock()
-        requests = [
-            identity for identity, at in lost.requests if now - at <= window_seconds
-        ]
+    def _report(self, server: ServerId, lost: _LostConnections) -> None:
+        oldest = self._clock() - lost.window_seconds
+        requests = [request for request, lost_at in lost.requests if lost_at >= oldest]
         lost.requests.clear()
         if not requests:
             return
         lost.crash_count += 1
-        lost.crashed_at = now
+        lost.crashed_at = self._clock()
         crash = self._crash_id(server, lost)
         logger.warning(
             "server crashed with %d requests of this host",
--- a/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from itertools import islice
 from typing import Final
 
@@ -26,6 +26,9 @@
 _GOSSIP_HOSTS: Final = 2
 # Requests with the most crashes are repeated first, in as many datagrams as this.
 _GOSSIP_DATAGRAMS: Final = 2
+# Evidence is repeated for this long after the latest crash, and as long as it refuses
+# the request.
+_GOSSIP_SECONDS: Final = 60.0
 
 
 class CrashGossip:
@@ -40,14 +43,14 @@
         membership: HostMembership,
         view: MetadataView,
         history: CrashHistory,
-        send: Callable[[bytes, str], None],
+        send_datagram: Callable[[bytes, str], None],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._membership = membership
         self._view = view
         self._history = history
-        self._send = send
+        self._send_datagram = send_datagram
         self._clock = clock
         self._rng = rng
         self._pending: dict[RequestFingerprint, None] = {}
@@ -72,34 +75,38 @@
     def _announce_pending(self) -> None:
         fingerprints, self._pending = self._pending, {}
         first = islice(fingerprints, _MAX_REQUESTS_PER_BATCH)
-        self._send_evidence(first, self._other_hosts())
+        self._send(list(self._evidence_of(first)), self._other_hosts())
 
     def _repeat(self) -> None:
         hosts = self._other_hosts()
         chosen = self._rng.sample(hosts, min(_GOSSIP_HOSTS, len(hosts)))
+        now = self._clock()
+        current = (
+            item
+            for item in self._evidence_of(self._history.by_importance())
+            if item.seconds_ago < _GOSSIP_SECONDS
+            or self._history.is_refused(item.fingerprint, now)
+        )
         limit = _GOSSIP_DATAGRAMS * _MAX_REQUESTS_PER_DATAGRAM
-        self._send_evidence(islice(self._history.by_importance(), limit), chosen)
+        self._send(list(islice(current, limit)), chosen)
 
-    def _send_evidence(
-        self,
-        fingerprints: Iterable[RequestFingerprint],
-        hosts: Sequence[HostMembership],
-    ) -> None:
+    def _evidence_of(
+        self, fingerprints: Iterable[RequestFingerprint]
+    ) -> Iterator[CrashEvidence]:
         now = self._clock()
-        found = (self._history.evidence_of(key, now) for key in fingerprints)
-        evidence = [item for item in found if item is not None]
-        for start in range(0, len(evidence), _MAX_REQUESTS_PER_DATAGRAM):
-            self._send_report(
-                evidence[start : start + _MAX_REQUESTS_PER_DATAGRAM], hosts
-            )
+        for fingerprint in fingerprints:
+            evidence = self._history.evidence_of(fingerprint, now)
+            if evidence is not None:
+                yield evidence
 
-    def _send_report(
-        self, evidence: list[CrashEvidence], hosts: Sequence[HostMembership]
+    def _send(
+        self, evidence: Sequence[CrashEvidence], hosts: Sequence[HostMembership]
     ) -> None:
-        report = CrashReport(self._membership.host, tuple(evidence))
-        data = encode_crash_report(report)
-        for host in hosts:
-            self._send(data, host.address)
+        for start in range(0, len(evidence), _MAX_REQUESTS_PER_DATAGRAM):
+            part = tuple(evidence[start : start + _MAX_REQUESTS_PER_DATAGRAM])
+            data = encode_crash_report(CrashReport(self._membership.host, part))
+            for host in hosts:
+                self._send_datagram(data, host.address)
 
     def _other_hosts(self) -> list[HostMembership]:
         own = self._membership.host
--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
+from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
 )
@@ -51,6 +52,7 @@
         self._served = RecentlyServed()
         self._runs: set[GuardedRun] = set()
         self._refused: frozenset[RequestFingerprint] = frozenset()
+        self._last_crash: CrashId | None = None
 
     def is_refused(self, identity: RequestIdentity) -> bool:
         """Return whether a request must not be sent to a server."""
@@ -82,21 +84,25 @@
             self._on_evidence((fingerprint,))
             self._withdraw_refused()
 
-    def note_crash(self, crash: CrashId, identities: Sequence[RequestIdentity]) -> None:
-        """Record a crash and the requests of this host that were at the server."""
-        self._metrics.count_crash()
+    def note_crash(self, crash: CrashId, requests: Sequence[LostRequest]) -> None:
+        """Record a crash and the requests of this host that were at the server.
+
+        Further requests may be reported for the same crash.
+        """
+        if crash != self._last_crash:
+            self._metrics.count_crash()
+            self._last_crash = crash
         now = self._clock()
-        fingerprints = {identity.fingerprint: identity for identity in identities}
-        for fingerprint, identity in fingerprints.items():
+        for request_id, fingerprint in requests:
             self._history.note_crash(fingerprint, crash, now)
             self._refute_if_served(fingerprint, now)
             logger.info(
                 "request %s was at a server that crashed, %d crashes so far",
                 fingerprint,
                 self._history.crash_count(fingerprint),
-                extra={"request_id": identity.request_id, "server": crash.server},
+                extra={"request_id": request_id, "server": crash.server},
             )
-        self._on_evidence(tuple(fingerprints))
+        self._on_evidence([request.fingerprint for request in requests])
         self._withdraw_refused()
 
     def merge(self, evidence: Iterable[CrashEvidence]) -> None:
--- a/src/gooseberrydeal/_internal/policy/crash_history.py
+++ b/src/gooseberrydeal/_internal/policy/crash_history.py
@@ -24,7 +24,8 @@
 _REFUSAL_SECONDS: Final = 120.0
 _MAX_REFUSAL_SECONDS: Final = 3600.0
 # Longer than the longest refusal, so that a single crash then renews it.
-_RETENTION_SECONDS: Final = 2 * _MAX_REFUSAL_SECONDS
+_REFUSED_RETENTION_SECONDS: Final = 2 * _MAX_REFUSAL_SECONDS
+_RETENTION_SECONDS: Final = 600.0
 # Refuted evidence is kept while older messages about the same crashes may arrive.
 _REFUTED_RETENTION_SECONDS: Final = 60.0
 _MAX_REQUESTS: Final = 4096
@@ -124,7 +125,7 @@
     def merge(self, evidence: CrashEvidence, now: float) -> bool:
         """Add evidence; return whether any of it was new."""
         latest = now - max(0.0, evidence.seconds_ago)
-        if not evidence.crashes or now - latest > _RETENTION_SECONDS:
+        if not evidence.crashes or now - latest > _REFUSED_RETENTION_SECONDS:
             return False
         suspect = self._suspects.get(evidence.fingerprint)
         if suspect is None:
@@ -171,6 +172,8 @@
         """Drop evidence that is too old."""
         for number, group in enumerate(self._by_count):
             limit = _RETENTION_SECONDS if number else _REFUTED_RETENTION_SECONDS
+            if number == _REFUSE_AFTER_CRASHES:
+                limit = _REFUSED_RETENTION_SECONDS
             for fingerprint in list(group):
                 if now - self._suspects[fingerprint].last_crash_at > limit:
                     self._drop(fingerprint)
--- a/tests/functional/test_crash_detection.py
+++ b/tests/functional/test_crash_detection.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gooseberrydeal._internal.models.ids import RequestId, ServerId
+from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.models.routing.server_entry import ServerState
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 from tests.lib.crash_world import crash_id
@@ -26,6 +27,10 @@
     return RequestIdentity(RequestId("q1"), path, "", body)
 
 
+def _lost_request(path: str = "/once/a") -> LostRequest:
+    return LostRequest(RequestId("q1"), _identity(path).fingerprint)
+
+
 def _is_suspect(harness: RelayHarness, path: str = "/once/a") -> bool:
     return harness.crash_protection.guard.is_suspect(_identity(path))
 
@@ -132,9 +137,7 @@
         await caller.reader.read(1)
         await asyncio.sleep(_PROBE_SECONDS)
         assert not _is_suspect(harness, path)
-        assert b"server_crashes_total" not in harness.metrics.render().replace(
-            b"# HELP gooseberry_router_server_crashes_total", b""
-        ).replace(b"# TYPE gooseberry_router_server_crashes_total", b"")
+        assert b"server_crashes_total 1" not in harness.metrics.render()
 
     run_relay(scenario, [script], [script])
 
@@ -194,7 +197,7 @@
         await asyncio.sleep(_PROBE_SECONDS)
         for number in range(3):
             harness.crash_protection.guard.note_crash(
-                crash_id(number), [_identity(path)]
+                crash_id(number), [_lost_request(path)]
             )
         status, fields, body = await caller.read_response()
         assert (status, body) == (400, b"crash_suspect\n")
@@ -214,7 +217,9 @@
         caller.send("/once/a")
         await caller.read_head()
         for number in range(3):
-            harness.crash_protection.guard.note_crash(crash_id(number), [_identity()])
+            harness.crash_protection.guard.note_crash(
+                crash_id(number), [_lost_request()]
+            )
         assert await caller.reader.readexactly(4) == b"done"
         caller.send("/once/a")
         assert (await caller.read_response())[0] == 200
@@ -233,7 +238,7 @@
         for number in range(3):
             for first, path in enumerate(("/once/a", "/stream/a")):
                 harness.crash_protection.guard.note_crash(
-                    crash_id(10 * first + number), [_identity(path)]
+                    crash_id(10 * first + number), [_lost_request(path)]
                 )
         for path in ("/once/a", "/once/a?page=2", "/stream/a"):
             caller.send(path, "q7", X_Other="1")
--- a/tests/lib/crash_world.py
+++ b/tests/lib/crash_world.py
@@ -14,6 +14,7 @@
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.network.report_codec import decode_report
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.crash_protection import (
@@ -45,6 +46,10 @@
     return RequestIdentity(RequestId(request_id), path, caller, body)
 
 
+def lost_request(body: bytes = CRASHING) -> LostRequest:
+    return LostRequest(RequestId("q1"), identity(body).fingerprint)
+
+
 def crash_id(number: int) -> CrashId:
     return CrashId(ServerId(f"s{number}"), 1, 1)
 
@@ -139,8 +144,8 @@
 
     def crash(self, number: int, *bodies: bytes) -> None:
         """Let a server crash with requests of this host."""
-        identities = [identity(body) for body in bodies or (CRASHING,)]
-        self.protection.guard.note_crash(crash_id(number), identities)
+        requests = [lost_request(body) for body in bodies or (CRASHING,)]
+        self.protection.guard.note_crash(crash_id(number), requests)
 
     def serve(self, body: bytes) -> None:
         self.protection.guard.note_served(identity(body))
