--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -19,12 +19,16 @@
     engine_backend,
     ownership,
 )
+from gooseberrydeal._internal.operations.router.crash_detector import CrashDetector
+from gooseberrydeal._internal.operations.router.crash_gossip import CrashGossip
+from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
 from gooseberrydeal._internal.policy import permit_pool, retry_rules
 from gooseberrydeal._internal.policy.answer_check import AnswerCheck
 from gooseberrydeal._internal.policy.configuration_follower import (
     ConfigurationFollower,
     OfferStatus,
 )
+from gooseberrydeal._internal.policy.crash_history import CrashHistory
 from gooseberrydeal._internal.policy.crash_suspects import (
     CrashSuspects,
     SuspectHandling,
@@ -33,12 +37,15 @@
 from gooseberrydeal._internal.policy.work_queue import WorkQueue
 from tests.functional import (
     test_claim_faults,
+    test_crash_detection,
+    test_crash_sharing,
     test_engine_faults,
     test_ownership_faults,
 )
 from tests.lib.fake_store import StoreFault
 from tests.unit import (
     test_configuration,
+    test_crash_history,
     test_permit_pool,
     test_slot_table,
     test_small_policies,
@@ -94,6 +101,21 @@
     )
 
 
+def _drop_the_oldest(self: CrashHistory) -> None:
+    while len(self._suspects) > 4096:
+        self._drop(next(iter(self._suspects)))
+
+
+def _ignore(self: Any, *arguments: Any) -> None:
+    return
+
+
+def _check_release() -> None:
+    test_crash_detection.test_the_end_of_a_leaving_or_released_server_is_no_crash(
+        test_crash_detection._drain
+    )
+
+
 # For each guard: a description, the object and the attribute to replace, the
 # replacement, and a test that must fail with it.
 _GUARDS: list[tuple[str, Any, str, Any, Check]] = [
@@ -160,6 +182,55 @@
         lambda self, fingerprint, now: SuspectHandling.NONE,
         test_engine_faults.test_a_request_that_crashes_engines_is_refused_after_two,
     ),
+    (
+        "requests that were served are cleared",
+        CrashHistory,
+        "note_served",
+        lambda self, fingerprint: 0,
+        test_crash_sharing.test_a_frequent_innocent_request_is_never_refused,
+    ),
+    (
+        "requests beside the one that crashes servers are not refused",
+        CrashHistory,
+        "_is_explained_by_another",
+        lambda self, fingerprint, suspect: False,
+        test_crash_history.test_a_request_beside_a_stronger_suspect_is_not_refused,
+    ),
+    (
+        "hosts that are cut off from each other learn of crashes from the store",
+        CrashRecords,
+        "note_evidence",
+        _ignore,
+        test_crash_sharing.test_failure_domains_cut_off_from_each_other_learn_through_the_store,
+    ),
+    (
+        "restarted hosts read which requests crash servers",
+        CrashRecords,
+        "apply",
+        _ignore,
+        test_crash_sharing.test_a_restarted_host_knows_what_was_refused_before_it_was_killed,
+    ),
+    (
+        "evidence of crashes is repeated",
+        CrashGossip,
+        "_repeat",
+        _ignore,
+        test_crash_sharing.test_hosts_that_missed_the_datagrams_learn_by_repetition,
+    ),
+    (
+        "a flood of suspects displaces no refused request",
+        CrashHistory,
+        "_enforce_limit",
+        _drop_the_oldest,
+        test_crash_history.test_a_flood_of_suspects_displaces_no_refused_request,
+    ),
+    (
+        "the end of a leaving server is no crash",
+        CrashDetector,
+        "_is_in_service",
+        lambda self, record: True,
+        _check_release,
+    ),
     (
         "foreign copies are kept until their owner is gone",
         ownership.Ownership,
