Count the framing of pipelined requests for each request alone

A caller that sent the end of one large body and the start of the next request in one write got 431: the bytes of both were counted as chunk framing of the second, since the count of body bytes starts anew with each request. The new test fails without the change (431 in place of 200).

--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -10,8 +10,8 @@
 
 from gooseberrydeal._internal.models.routing.http_heads import Header, RequestHead
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.framing import framing_allowance
 from gooseberrydeal._internal.network.http1.request_handling import RequestHandler
-from gooseberrydeal._internal.network.http1.response_budget import framing_allowance
 from gooseberrydeal._internal.network.http1.socket_options import (
     enable_dead_peer_detection,
 )
@@ -56,6 +56,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._begun_requests = 0
         self._pipelined: list[tuple[RequestHead, bytes]] = []
         self._exchange: CallerExchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -86,7 +87,7 @@
         if self._is_closing:
             return
         was_receiving_body = self._is_receiving and self._is_head_complete
-        body_bytes_before = self._body_bytes
+        begun_before, body_bytes_before = self._begun_requests, self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -97,7 +98,7 @@
         if self._is_receiving and not self._is_head_complete:
             self._received_head_bytes += len(data)
             self._check_head_size(self._received_head_bytes)
-        elif self._is_receiving and was_receiving_body:
+        elif was_receiving_body and self._begun_requests == begun_before:
             self._framing_bytes += len(data) - (self._body_bytes - body_bytes_before)
             self._check_framing()
         self._start_next_request()
@@ -131,6 +132,7 @@
         self._body = []
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._begun_requests += 1
         if self._exchange is None:
             self._start_timeout(self._handler.limits.header_timeout)
 
--- a/src/gooseberrydeal/_internal/network/http1/framing.py
+++ b/src/gooseberrydeal/_internal/network/http1/framing.py
@@ -24,6 +24,10 @@
     }
 )
 LAST_CHUNK: Final = b"0\r\n\r\n"
+# Chunk sizes, chunk extensions and trailers, beyond what short chunks need.
+_MAX_FRAMING_BYTES: Final = 16_384
+# A chunk of one byte has five bytes of framing.
+_FRAMING_PER_BODY_BYTE: Final = 8
 
 
 def end_to_end_headers(headers: Iterable[Header]) -> list[Header]:
@@ -69,6 +73,11 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def framing_allowance(body_bytes: int) -> int:
+    """Return how many bytes of framing a chunked body of that size may have."""
+    return _MAX_FRAMING_BYTES + _FRAMING_PER_BODY_BYTE * body_bytes
+
+
 def is_bodiless(status: int) -> bool:
     """Return whether responses with this status never have a body."""
     return status < HTTPStatus.OK or status in (
--- a/src/gooseberrydeal/_internal/network/http1/json_client.py
+++ b/src/gooseberrydeal/_internal/network/http1/json_client.py
@@ -15,7 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-
 _DEFAULT_MAX_BODY_BYTES: Final = 1_048_576
 
 
--- a/src/gooseberrydeal/_internal/network/http1/response_budget.py
+++ b/src/gooseberrydeal/_internal/network/http1/response_budget.py
@@ -2,20 +2,13 @@
 
 from typing import Final
 
+from gooseberrydeal._internal.network.http1.framing import framing_allowance
+
 # Status line, fields and interim responses together.
 MAX_HEAD_BYTES: Final = 32_768
 MAX_REASON_BYTES: Final = 1_024
 MAX_FIELDS: Final = 256
 MAX_INTERIM_RESPONSES: Final = 16
-# Chunk sizes, chunk extensions and trailers, beyond what short chunks need.
-MAX_FRAMING_BYTES: Final = 16_384
-# A chunk of one byte has five bytes of framing.
-_FRAMING_PER_BODY_BYTE: Final = 8
-
-
-def framing_allowance(body_bytes: int) -> int:
-    """Return how many bytes of framing a message with such a body may have."""
-    return MAX_FRAMING_BYTES + _FRAMING_PER_BODY_BYTE * body_bytes
 
 
 class ResponseBudget:
--- a/tests/functional/test_relay_callers.py
+++ b/tests/functional/test_relay_callers.py
@@ -1,6 +1,7 @@
 """Check the limits on callers, and callers that disconnect or do not read."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -154,3 +155,26 @@
 
     server = run_relay(scenario, [echo])[0]
     assert not server.requests
+
+
+def test_pipelined_requests_with_bodies_are_not_taken_for_framing() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        configuration = harness.view.configuration
+        assert configuration is not None
+        limits = replace(configuration.limits, body_bytes=100_000)
+        harness.view.configuration = replace(configuration, limits=limits)
+        body = b"b" * 60_000
+        head = (
+            b"POST /once/a HTTP/1.1\r\nHost: example\r\nX-Request-Id: q1\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body)
+        )
+        caller.writer.write(head + body[:-1000])
+        await asyncio.sleep(0.05)
+        caller.writer.write(body[-1000:] + head + body[:10])
+        await asyncio.sleep(0.05)
+        caller.writer.write(body[10:])
+        for _ in range(2):
+            status, _, received = await caller.read_response()
+            assert (status, len(received)) == (200, len(body))
+
+    run_relay(scenario, [echo])
