Drop the event without end before a stream resumes

After an event that exceeded its limit, the buffered part of it was sent to the caller in front of the events of the next server. The new test fails without the change.

--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -27,9 +27,7 @@
         HTTPStatus.MISDIRECTED_REQUEST,
     }
 )
-
-
-# A response that is not relayed has a short body; reading on would only delay its end.
+# Longest body that is read to its end although it is not relayed.
 _MAX_DISCARDED_BYTES: Final = 65_536
 
 
@@ -180,6 +178,7 @@
             extra={"request_id": self._request_id, "server": self._record.id},
         )
         self._connection.abort()
+        self._events.rest()
         self._sent_excess_bytes = True
         self._finish(outcome)
 
--- a/tests/functional/test_endless_responses.py
+++ b/tests/functional/test_endless_responses.py
@@ -195,3 +195,25 @@
         await listener.stop()
 
     asyncio.run(run())
+
+
+def test_a_stream_resumes_without_the_event_that_had_no_end() -> None:
+    calls: list[ReceivedRequest] = []
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        calls.append(request)
+        if len(calls) == 1:
+            first = b"10\r\nid: 1\ndata: e1\n\n\r\n"
+            await _EndlessServer(_EVENTS + first, b"8\r\ndata: e2\r\n")(request, writer)
+            return
+        last = b"id: 2\ndata: e2\n\n"
+        fields = ("Content-Type: text/event-stream", request_id_line(request))
+        writer.write(response(last, "200 OK", *fields))
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a")
+        await caller.read_head()
+        body = await caller.read_chunked_body()
+        assert body == b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+
+    run_relay(scenario, [], [script, script])
