--- a/src/gooseberrydeal/_internal/models/routing/crash_evidence.py
+++ b/src/gooseberrydeal/_internal/models/routing/crash_evidence.py
@@ -1,9 +1,8 @@
-"""Define what hosts tell each other about requests that may crash servers."""
+"""Define what is known about a request that may crash servers."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
@@ -22,11 +21,3 @@
     fingerprint: RequestFingerprint
     crashes: Mapping[CrashId, bool]
     seconds_ago: float
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """Send a part of a host's evidence to another host."""
-
-    host: HostId
-    evidence: tuple[CrashEvidence, ...]
--- a/src/gooseberrydeal/_internal/network/crash_codec.py
+++ b/src/gooseberrydeal/_internal/network/crash_codec.py
@@ -7,11 +7,9 @@
 
 from gooseberrydeal._internal.exceptions import PeerProtocolError
 from gooseberrydeal._internal.models.ids import HostId, ServerId
-from gooseberrydeal._internal.models.routing.crash_evidence import (
-    CrashEvidence,
-    CrashReport,
-)
+from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
 )
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -13,7 +13,7 @@
 from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
-from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import (
     CopyStatus,
     EngineStatus,
--- a/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
@@ -6,10 +6,8 @@
 from itertools import islice
 from typing import Final
 
-from gooseberrydeal._internal.models.routing.crash_evidence import (
-    CrashEvidence,
-    CrashReport,
-)
+from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
-from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.usage_report import (
--- a/tests/lib/crash_world.py
+++ b/tests/lib/crash_world.py
@@ -11,8 +11,8 @@
     RequestId,
     ServerId,
 )
-from gooseberrydeal._internal.models.routing.crash_evidence import CrashReport
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.network.report_codec import decode_report
