Check streams that crash engines, and list what the keeper does not watch

By reading: a keeper watches engines for crashes, not servers of plain services, and keeps its suspects in memory only.

--- a/tests/functional/test_crash_detection.py
+++ b/tests/functional/test_crash_detection.py
@@ -21,6 +21,8 @@
 )
 
 _PROBE_SECONDS = 0.05
+# The platform's bound on sends after the third crash.
+_MAX_LATE_CRASHES = 3
 
 
 def _identity(path: str = "/once/a", body: bytes = b"x") -> RequestIdentity:
@@ -256,3 +258,45 @@
 
     servers = run_relay(scenario, [echo], [echo])
     assert sum(len(server.requests) for server in servers) == 3
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/resumable/a"])
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_a_stream_that_crashes_engines_is_refused(path: str, has_begun: bool) -> None:
+    async def run() -> None:
+        engines = [await _crashing_engine(has_begun=has_begun) for _ in range(8)]
+        async with RelayHarness([], engines) as harness:
+            crashes = []
+            for number in range(8):
+                caller = await Caller.connect(harness)
+                caller.send(path, f"q{number}", b"crash")
+                await caller.reader.read()
+                caller.close()
+                await asyncio.sleep(_PROBE_SECONDS)
+                crashes.append(sum(len(engine.requests) for engine in engines))
+            assert crashes[-1] == crashes[-3]
+            assert 3 <= crashes[-1] <= 3 + _MAX_LATE_CRASHES
+            caller = await Caller.connect(harness)
+            caller.send(path, "q9", b"other")
+            assert (await caller.read_response())[0] == 200
+
+    asyncio.run(run())
+
+
+async def _crashing_engine(*, has_begun: bool) -> ScriptedServer:
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if request.body != b"crash":
+            await echo(request, writer)
+            return
+        if has_begun:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: e1\n\n\r\n"
+            )
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        await server.stop()
+        reset_connection(writer)
+
+    server = await ScriptedServer(script).start()
+    return server
