Answer 502 to a refused request that callers may not repeat

A well-formed request got 400 when it was refused for crashes, also where any failure without a promise is final for its caller. Only callers of requests that may be repeated come back after a 5xx, so only these need the client error. Both statuses are checked for each kind of request.

--- a/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
@@ -15,9 +15,8 @@
 class RelayCodec(Protocol):
     """Parse the headers of requests and responses, and build those to send on."""
 
-    @property
-    def final_refusal_status(self) -> int:
-        """Return a status that tells callers not to send the request again."""
+    def final_refusal_status(self, *, is_repeatable: bool) -> int:
+        """Return a status after which callers do not send the request again."""
         ...
 
     def read_request(self, head: RequestHead) -> RequestAttributes:
--- a/src/gooseberrydeal/_internal/operations/router/failed_reply.py
+++ b/src/gooseberrydeal/_internal/operations/router/failed_reply.py
@@ -42,7 +42,9 @@
         """Refuse the request for the servers that crashed while it was there."""
         reason = RefusalReason.CRASH_SUSPECT
         self._log.refused_or_cut(reason)
-        self._end(reason, None, self._codec.final_refusal_status)
+        is_repeatable = self._request.route.is_repeatable
+        status = self._codec.final_refusal_status(is_repeatable=is_repeatable)
+        self._end(reason, None, status)
 
     def server_failed(self) -> None:
         """Report that a server failed and may have run the request."""
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -130,7 +130,7 @@
             attributes.request_id, attributes.path, attributes.caller, exchange.body
         )
         if self._crash_protection.guard.is_refused(identity):
-            self._refuse_crashing(exchange, identity)
+            self._refuse_crashing(exchange, identity, route)
             return
         time_limit = route.timeout
         if attributes.time_limit is not None:
@@ -163,7 +163,7 @@
             self._in_progress -= 1
 
     def _refuse_crashing(
-        self, exchange: CallerExchange, identity: RequestIdentity
+        self, exchange: CallerExchange, identity: RequestIdentity, route: Route
     ) -> None:
         reason = RefusalReason.CRASH_SUSPECT
         self._metrics.count_refusal(reason)
@@ -172,7 +172,8 @@
             identity.fingerprint,
             extra={"request_id": identity.request_id, "reason": reason.value},
         )
-        refuse(exchange, reason, None, self._codec.final_refusal_status)
+        status = self._codec.final_refusal_status(is_repeatable=route.is_repeatable)
+        refuse(exchange, reason, None, status)
 
     def _refresh_routes(self) -> None:
         configuration = self._view.configuration
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -32,10 +32,13 @@
 class PlatformRelayCodec:
     """Translate between the platform's header fields and the router's own types."""
 
-    @property
-    def final_refusal_status(self) -> int:
-        """Return a status after which the platform's callers do not try again."""
-        return HTTPStatus.BAD_REQUEST
+    def final_refusal_status(self, *, is_repeatable: bool) -> int:
+        """Return a status after which the platform's callers do not try again.
+
+        They repeat a repeatable request after any failure but a few client errors, and
+        others only after a status that promises that the request did not run.
+        """
+        return HTTPStatus.BAD_REQUEST if is_repeatable else HTTPStatus.BAD_GATEWAY
 
     def read_request(self, head: RequestHead) -> RequestAttributes:
         """Return the routing data of a request; invalid fields count as absent."""
--- a/tests/functional/test_crash_detection.py
+++ b/tests/functional/test_crash_detection.py
@@ -21,6 +21,9 @@
 )
 
 _PROBE_SECONDS = 0.05
+# Callers repeat repeatable requests after any failure but some client errors, and
+# others only after a status that promises that the request did not run.
+_FINAL_STATUS = {"/once/a": 502, "/stream/a": 502, "/safe/a": 400, "/resumable/a": 400}
 # The platform's bound on sends after the third crash.
 _MAX_LATE_CRASHES = 3
 
@@ -202,7 +205,7 @@
                 crash_id(number), [_lost_request(path)]
             )
         status, fields, body = await caller.read_response()
-        assert (status, body) == (400, b"crash_suspect\n")
+        assert (status, body) == (_FINAL_STATUS[path], b"crash_suspect\n")
         assert "retry-after" not in fields
         await asyncio.sleep(_PROBE_SECONDS)
         assert not harness.handler.in_progress
@@ -244,8 +247,8 @@
                 )
         for path in ("/once/a", "/once/a?page=2", "/stream/a"):
             caller.send(path, "q7", X_Other="1")
-            status, fields, _ = await caller.read_response()
-            assert status == 400
+            status, fields, body = await caller.read_response()
+            assert (status, body) == (502, b"crash_suspect\n")
             assert "retry-after" not in fields
         for path, body, credential in (
             ("/once/b", b"x", None),
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -39,9 +39,9 @@
     return len(cluster.crash_times)
 
 
-@pytest.mark.parametrize("path", ["/safe/a", "/once/a"])
+@pytest.mark.parametrize(("path", "final"), [("/safe/a", 400), ("/once/a", 502)])
 def test_a_request_that_crashed_three_servers_is_not_sent_without_end(
-    path: str,
+    path: str, final: int
 ) -> None:
     async def scenario(cluster: CrashCluster) -> None:
         others = asyncio.create_task(cluster.call_steadily(200, 0.025, b"other"))
@@ -55,7 +55,7 @@
         late = [t for t in cluster.crash_times if t > third + _STABLE_WINDOW_SECONDS]
         assert len(late) <= _MAX_LATE_CRASHES
         assert len(cluster.crash_times) <= 3 + _MAX_LATE_CRASHES
-        assert set(statuses[-10:]) == {400}
+        assert set(statuses[-10:]) == {final}
         # A request that must not be repeated fails if it was on a server that crashed.
         assert counts[200] + counts[502] == 200
         assert counts[502] <= len(cluster.crash_times) * 6
