--- a/tests/lib/crash_world.py
+++ b/tests/lib/crash_world.py
@@ -46,6 +46,11 @@
     return RequestIdentity(RequestId(request_id), path, caller, body)
 
 
+def relayed_identity(path: str = "/once/a") -> RequestIdentity:
+    """Return the identity of a request as the callers of the relay send it."""
+    return identity(b"x", path, caller="")
+
+
 def lost_request(body: bytes = CRASHING) -> LostRequest:
     return LostRequest(RequestId("q1"), identity(body).fingerprint)
 
