--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -9,11 +9,19 @@
 from tests.lib.scripted_server import ReceivedRequest, reset_connection, response
 
 CRASH_MARK = b"crash"
+BAD_PART = "bad"
+# Events of a stream, and the time between two of them.
+_EVENTS = 4
+_EVENT_INTERVAL_SECONDS = 0.1
 
 
 class CrashingServer:
     """Answer requests with their body, and crash when one starts that has the mark.
 
+    A request with one of ``bad_parts`` among the parts of its prompt, of which the last
+    does not count, crashes the server after the head of its response was sent. Paths
+    under ``/stream/`` are answered with events.
+
     A crash resets all connections and closes the listening socket. The server starts
     again with a new id at the same address ``down_seconds`` later. ``on_start`` is
     called with the id at each start, ``on_end`` when the server has ended.
@@ -31,7 +39,9 @@
         self.address = free_address()
         self.down_seconds = down_seconds
         self.service_seconds = service_seconds
+        self.bad_parts = {BAD_PART}
         self.crash_times: list[float] = []
+        self.bad_part_times: list[float] = []
         self.answered: list[str] = []
         self._on_start = on_start
         self._on_end = on_end
@@ -101,14 +111,48 @@
                 if request.body.startswith(CRASH_MARK):
                     self.crash()
                     return
+                has_bad_part = not self.bad_parts.isdisjoint(_shared_parts(request))
+                if has_bad_part:
+                    now = asyncio.get_running_loop().time()
+                    self.bad_part_times.append(now)
                 await asyncio.sleep(self.service_seconds)
                 request_id = request.header("x-request-id") or ""
+                if request.head.startswith(b"POST /stream/"):
+                    await self._write_stream(request_id, writer, has_bad_part)
+                elif has_bad_part:
+                    self.crash()
+                    return
+                else:
+                    writer.write(
+                        response(request.body, "200 OK", f"X-Request-Id: {request_id}")
+                    )
                 self.answered.append(request_id)
-                writer.write(
-                    response(request.body, "200 OK", f"X-Request-Id: {request_id}")
-                )
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
             self._writers.discard(writer)
             writer.close()
+
+    async def _write_stream(
+        self, request_id: str, writer: asyncio.StreamWriter, has_bad_part: bool
+    ) -> None:
+        fields = f"Content-Type: text/event-stream\r\nX-Request-Id: {request_id}"
+        head = f"HTTP/1.1 200 OK\r\n{fields}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        await writer.drain()
+        await asyncio.sleep(self.service_seconds)
+        if has_bad_part:
+            self.crash()
+            return
+        for number in range(1, _EVENTS + 1):
+            event = b"id: %d\ndata: e%d\n\n" % (number, number)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(_EVENT_INTERVAL_SECONDS)
+        writer.write(b"0\r\n\r\n")
+
+
+def _shared_parts(request: ReceivedRequest) -> list[str]:
+    """Return the ids of all parts of the prompt but the last."""
+    header = request.header("x-prompt-prefix") or ""
+    return [item.partition(":")[0] for item in header.split(",")][:-1]
