Log the prompt parts of requests that were at a crashed server

The log counted crashes for whole requests only, so it could not show whether requests that differ had a part of their prompts in common. The line now names the shared parts.

--- a/src/gooseberrydeal/_internal/models/routing/lost_request.py
+++ b/src/gooseberrydeal/_internal/models/routing/lost_request.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
 )
@@ -13,3 +13,4 @@
 
     request_id: RequestId
     fingerprint: RequestFingerprint
+    prompt_parts: tuple[PromptPartId, ...] = ()
--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
 
 
@@ -14,7 +14,8 @@
     is none. ``time_limit`` is how many seconds the caller waits, ``None`` if not
     stated.
     ``prompt_tokens`` and ``output_tokens`` are the counts that the caller states, 0 if
-    it does not.
+    it does not. ``shared_prompt_parts`` names the parts of the prompt, in order, that
+    other requests may have too.
     """
 
     request_id: RequestId
@@ -25,3 +26,4 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     caller: str = ""
+    shared_prompt_parts: tuple[PromptPartId, ...] = ()
--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -93,14 +93,18 @@
             self._metrics.count_crash()
             self._last_crash = crash
         now = self._clock()
-        for request_id, fingerprint in requests:
+        for request_id, fingerprint, prompt_parts in requests:
             self._history.note_crash(fingerprint, crash, now)
             self._refute_if_served(fingerprint, now)
             logger.info(
                 "request %s was at a server that crashed, %d crashes so far",
                 fingerprint,
                 self._history.crash_count(fingerprint),
-                extra={"request_id": request_id, "server": crash.server},
+                extra={
+                    "request_id": request_id,
+                    "server": crash.server,
+                    "prompt_parts": list(prompt_parts),
+                },
             )
         self._on_evidence([request.fingerprint for request in requests])
         self._withdraw_refused()
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -127,7 +127,11 @@
             refuse(exchange, RefusalReason.UNKNOWN_OPERATION, None)
             return
         identity = RequestIdentity(
-            attributes.request_id, attributes.path, attributes.caller, exchange.body
+            attributes.request_id,
+            attributes.path,
+            attributes.caller,
+            exchange.body,
+            attributes.shared_prompt_parts,
         )
         if self._crash_protection.guard.is_refused(identity):
             self._refuse_crashing(exchange, identity, route)
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -8,6 +8,9 @@
 MODEL: Final = b"x-model"
 # The number of prompt tokens and the maximum number of output tokens, comma-separated.
 TOKEN_COUNTS: Final = b"x-token-counts"
+# The parts of the prompt in order, as ID:TOKENS pairs separated by commas; the last one
+# belongs to the request itself or to its session.
+PROMPT_PARTS: Final = b"x-prompt-prefix"
 LAST_EVENT_ID: Final = b"last-event-id"
 EXPECT_INSTANCE: Final = b"x-expect-instance"
 # The adapter's version if the request names an adapter, else that of the base model.
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.models.routing.http_heads import (
@@ -57,6 +57,9 @@
             prompt_tokens=prompt,
             output_tokens=output,
             caller=_decode_text(fields.get(header_names.CREDENTIAL, b"")),
+            shared_prompt_parts=_parse_shared_parts(
+                fields.get(header_names.PROMPT_PARTS, b"")
+            ),
         )
 
     def forward_headers(
@@ -123,6 +126,13 @@
     return int(first), int(second)
 
 
+def _parse_shared_parts(value: bytes) -> tuple[PromptPartId, ...]:
+    """Return the ids of all parts of a prompt but the last, each of them once."""
+    ids = [pair.partition(":")[0].strip() for pair in _decode_text(value).split(",")]
+    named = dict.fromkeys(part_id.lower() for part_id in ids[:-1] if part_id)
+    return tuple(PromptPartId(part_id) for part_id in named)
+
+
 def _parse_adapter(value: bytes | None) -> AdapterKey | None:
     if not value:
         return None
--- a/src/gooseberrydeal/_internal/policy/request_identity.py
+++ b/src/gooseberrydeal/_internal/policy/request_identity.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 from typing import Final
 
-from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.request_fingerprint import (
     RequestFingerprint,
 )
@@ -21,18 +21,29 @@
     """
 
     def __init__(
-        self, request_id: RequestId, path: str, caller: str, body: bytes
+        self,
+        request_id: RequestId,
+        path: str,
+        caller: str,
+        body: bytes,
+        prompt_parts: tuple[PromptPartId, ...] = (),
     ) -> None:
         self._request_id = request_id
         self._path = path
         self._caller = caller
         self._body = body
+        self._prompt_parts = prompt_parts
 
     @property
     def request_id(self) -> RequestId:
         """Return the id of this attempt of the caller."""
         return self._request_id
 
+    @property
+    def prompt_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the parts of the prompt that other requests may have too."""
+        return self._prompt_parts
+
     @property
     def body_length(self) -> int:
         """Return the length of the body in bytes."""
--- a/src/gooseberrydeal/_internal/utils/json_log.py
+++ b/src/gooseberrydeal/_internal/utils/json_log.py
@@ -17,6 +17,7 @@
     "caller",
     "revision",
     "epoch",
+    "prompt_parts",
 )
 
 
