Refuse requests that share a prompt part which crashes engines

What callers saw: requests with one part in their prompts crashed engine after engine, and all others on these engines lost their answers.

Cause: crashes were counted per whole request (path, caller and body).

The history now counts crashes for features of requests: the request itself, and each part of its prompt but the last. It is one mechanism for both; evidence, gossip and records in the store keep their format, in which a part has an empty outline.

- A part is cleared once an answer on it has lasted 0.25 s, for 30 s, also from crashes that follow: the first part, which all requests share, stays cleared while engines crash faster than they can answer.
A whole request is cleared as before, by its end.
- Crashes are attributed to the feature with the most of them first; a feature is a cause if three crashes remain that no stronger cause explains.
This finds several causes at once.
Of two features that are always together the one with fewer requests is taken.
- After the refusal hosts take turns, by rendezvous hashing, to admit one request at a time until it is answered or crashes its server.
Before, all hosts admitted all at once.
- Requests refused for a part get 502 at once: they are well-formed, so not 400.

The soak's random faults now include crashes by a part; its distinct requests and crashes keep their numbers over restarts of a host.

The guard test of cleared requests is replaced by three: clearing, the memory of cleared parts, and answers that have begun.

--- a/src/gooseberrydeal/_internal/models/routing/lost_request.py
+++ b/src/gooseberrydeal/_internal/models/routing/lost_request.py
@@ -2,15 +2,15 @@
 
 from typing import NamedTuple
 
-from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.ids import RequestId
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 
 
 class LostRequest(NamedTuple):
-    """Identify a request without keeping its body."""
+    """Identify a request without keeping its body.
+
+    ``features`` begins with the request itself, followed by the parts of its prompt.
+    """
 
     request_id: RequestId
-    fingerprint: RequestFingerprint
-    prompt_parts: tuple[PromptPartId, ...] = ()
+    features: tuple[RequestFeature, ...]
--- a/src/gooseberrydeal/_internal/network/crash_codec.py
+++ b/src/gooseberrydeal/_internal/network/crash_codec.py
@@ -10,9 +10,7 @@
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 
 DECODE_ERRORS = (cbor2.CBORError, ValueError, TypeError, IndexError, OverflowError)
 
@@ -43,7 +41,7 @@
 def _to_fields(evidence: Iterable[CrashEvidence]) -> list[Any]:
     return [
         [
-            *item.fingerprint,
+            *item.feature,
             int(item.seconds_ago * 1000),
             [[*crash, is_refuted] for crash, is_refuted in item.crashes.items()],
         ]
@@ -54,7 +52,7 @@
 def _parse(items: list[Any]) -> tuple[CrashEvidence, ...]:
     return tuple(
         CrashEvidence(
-            RequestFingerprint(bytes(outline), bytes(body)),
+            RequestFeature(bytes(outline), bytes(body)),
             _parse_crashes(crashes),
             int(milliseconds_ago) / 1000,
         )
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -27,6 +27,9 @@
         HTTPStatus.MISDIRECTED_REQUEST,
     }
 )
+# An engine that crashes when it begins to answer does so within this time after the
+# first bytes of the body.
+_ANSWERING_SECONDS: Final = 0.25
 # Longest body that is read to its end although it is not relayed.
 _MAX_DISCARDED_BYTES: Final = 65_536
 
@@ -34,7 +37,8 @@
 class Attempt:
     """Relay a response to the caller as it arrives.
 
-    ``on_head`` is called when the response's head is received. ``is_retryable`` states
+    ``on_head`` is called when the response's head is received, ``on_answering`` once
+    its body has been arriving for some time. ``is_retryable`` states
     whether another server may execute the request if this one fails. If the caller's
     reply has already begun, the response resumes it: only its body is relayed.
     """
@@ -50,6 +54,7 @@
         is_retryable: bool,
         events: EventSplitter,
         on_head: Callable[[], None],
+        on_answering: Callable[[], None],
     ) -> None:
         self._exchange = exchange
         self._codec = codec
@@ -70,7 +75,9 @@
         self._discarded_bytes = 0
         self._last_body_at = 0.0
         self._longest_pause = 0.0
+        self._first_body_at: float | None = None
         self._on_head = on_head
+        self._on_answering: Callable[[], None] | None = on_answering
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[AttemptOutcome] = self._loop.create_future()
 
@@ -142,6 +149,7 @@
         if not self._is_relaying:
             self._discard(data)
             return
+        self._check_answering(now)
         if self._is_event_stream:
             data = self._events.feed(data)
             if self._events.is_overfull:
@@ -164,6 +172,14 @@
             self._events.rest()
             self._finish(AttemptOutcome.CUT)
 
+    def _check_answering(self, now: float) -> None:
+        if self._first_body_at is None:
+            self._first_body_at = now
+        has_lasted = now - self._first_body_at >= _ANSWERING_SECONDS
+        if has_lasted and self._on_answering and self._status < HTTPStatus.BAD_REQUEST:
+            self._on_answering()
+            self._on_answering = None
+
     def _discard(self, data: bytes) -> None:
         self._discarded_bytes += len(data)
         if self._discarded_bytes > _MAX_DISCARDED_BYTES:
--- a/src/gooseberrydeal/_internal/operations/router/crash_detector.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_detector.py
@@ -75,9 +75,7 @@
             return
         now = self._clock()
         self._drop_old(now)
-        request = LostRequest(
-            identity.request_id, identity.fingerprint, identity.prompt_parts
-        )
+        request = LostRequest(identity.request_id, identity.features)
         lost = self._lost_connections(record)
         if now - lost.crashed_at < _SAME_CRASH_SECONDS:
             self._on_crash(self._crash_id(record.id, lost), (request,))
--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -2,21 +2,28 @@
 
 import logging
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
+from typing import Final, Protocol
 
+from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.lost_request import LostRequest
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.policy.crash_history import CrashHistory
-from gooseberrydeal._internal.policy.recently_served import RecentlyServed
+from gooseberrydeal._internal.policy.recently_cleared import RecentlyCleared
+from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 
 logger = logging.getLogger(__name__)
 
+_REQUEST_CLEARED_SECONDS: Final = 2.0
+# Engines that crash one after the other may leave no answer standing for a while, and
+# all requests of a route share the first part of their prompts.
+_PART_CLEARED_SECONDS: Final = 30.0
+# Longer bodies are not remembered, since each would have to be read for its digest.
+_MAX_CLEARED_BODY_BYTES: Final = 65_536
+
 
 class GuardedRun(Protocol):
     """Serve a request that may turn out to crash servers."""
@@ -26,7 +33,7 @@
         """Return what identifies the request."""
         ...
 
-    def refuse_as_crashing(self) -> None:
+    def refuse_as_crashing(self, cause: RequestFeature) -> None:
         """Withdraw the request from its server unless its response has begun."""
         ...
 
@@ -34,37 +41,50 @@
 class CrashGuard:
     """Keep the crash history of this host and apply it to requests.
 
-    ``on_evidence`` is called with the requests about which this host has learnt
-    something from its own servers, so that the other hosts are told.
+    ``hosts`` returns the hosts that may send requests. ``on_evidence`` is called with
+    the features about which this host has learnt something from its own servers, so
+    that the other hosts are told.
     """
 
     def __init__(
         self,
         history: CrashHistory,
+        trials: RefusalTrials,
         metrics: RouterMetrics,
-        on_evidence: Callable[[Sequence[RequestFingerprint]], None],
+        hosts: Callable[[], Iterable[HostId]],
+        on_evidence: Callable[[Sequence[RequestFeature]], None],
         clock: Callable[[], float],
     ) -> None:
         self._history = history
+        self._trials = trials
         self._metrics = metrics
+        self._hosts = hosts
         self._on_evidence = on_evidence
         self._clock = clock
-        self._served = RecentlyServed()
+        self._served = RecentlyCleared(_REQUEST_CLEARED_SECONDS)
+        self._cleared_parts = RecentlyCleared(_PART_CLEARED_SECONDS)
         self._runs: set[GuardedRun] = set()
-        self._refused: frozenset[RequestFingerprint] = frozenset()
+        self._refused: frozenset[RequestFeature] = frozenset()
         self._last_crash: CrashId | None = None
 
-    def is_refused(self, identity: RequestIdentity) -> bool:
-        """Return whether a request must not be sent to a server."""
-        fingerprint = self._history.find(identity)
-        return fingerprint is not None and self._history.is_refused(
-            fingerprint, self._clock()
-        )
+    def refusal_cause(self, identity: RequestIdentity) -> RequestFeature | None:
+        """Return why a request must not be sent to a server, ``None`` if it may be."""
+        if not self._history.causes:
+            return None
+        now = self._clock()
+        for feature in self._history.find_all(identity):
+            if feature in self._history.causes:
+                seconds_since_end = now - self._history.refusal_end(feature)
+                if seconds_since_end < 0 or not self._trials.admits(
+                    feature, identity.request_id, seconds_since_end, self._hosts()
+                ):
+                    return feature
+        return None
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
-        """Return whether the request was at a server when it crashed."""
-        fingerprint = self._history.find(identity)
-        return fingerprint is not None and bool(self._history.crash_count(fingerprint))
+        """Return whether a feature of the request was at a server when it crashed."""
+        found = self._history.find_all(identity)
+        return any(self._history.crash_count(feature) for feature in found)
 
     def enter(self, run: GuardedRun) -> None:
         """Register a request that is being served."""
@@ -74,15 +94,25 @@
         """Unregister a request that is no longer served."""
         self._runs.discard(run)
 
+    def note_answering(self, identity: RequestIdentity) -> None:
+        """Record that a server has been answering a request for some time.
+
+        This clears the parts of the prompt, which would have crashed the server when
+        the answer began.
+        """
+        now = self._clock()
+        for part in identity.parts:
+            self._cleared_parts.note(part, now)
+        self._clear(part for part in identity.parts if self._history.crash_count(part))
+
     def note_served(self, identity: RequestIdentity) -> None:
         """Record that a server ran a request to the end."""
-        self._served.note(identity, self._clock())
-        fingerprint = self._history.find(identity)
-        if fingerprint is None:
-            return
-        if self._refute(fingerprint):
-            self._on_evidence((fingerprint,))
-            self._withdraw_refused()
+        if identity.body_length <= _MAX_CLEARED_BODY_BYTES:
+            self._served.note(identity.fingerprint, self._clock())
+        self.note_answering(identity)
+        feature = self._history.find(identity)
+        if feature is not None:
+            self._clear((feature,))
 
     def note_crash(self, crash: CrashId, requests: Sequence[LostRequest]) -> None:
         """Record a crash and the requests of this host that were at the server.
@@ -93,60 +123,82 @@
             self._metrics.count_crash()
             self._last_crash = crash
         now = self._clock()
-        for request_id, fingerprint, prompt_parts in requests:
-            self._history.note_crash(fingerprint, crash, now)
-            self._refute_if_served(fingerprint, now)
+        noted: dict[RequestFeature, None] = {}
+        for request_id, features in requests:
+            for feature in features:
+                if not self._is_cleared(feature, now):
+                    self._history.note_crash(feature, crash, now)
+                    noted[feature] = None
+            whole, *parts = features
             logger.info(
-                "request %s was at a server that crashed, %d crashes so far",
-                fingerprint,
-                self._history.crash_count(fingerprint),
+                "%s was at a server that crashed, %d crashes so far",
+                whole,
+                self._history.crash_count(whole),
                 extra={
                     "request_id": request_id,
                     "server": crash.server,
-                    "prompt_parts": list(prompt_parts),
+                    "prompt_parts": {
+                        part.content.decode("utf-8", "backslashreplace"): (
+                            self._history.crash_count(part)
+                        )
+                        for part in parts
+                    },
                 },
             )
-        self._on_evidence([request.fingerprint for request in requests])
+        self._on_evidence(list(noted))
         self._withdraw_refused()
 
     def merge(self, evidence: Iterable[CrashEvidence]) -> None:
         """Add the evidence of another host."""
         now = self._clock()
-        changed = [e.fingerprint for e in evidence if self._history.merge(e, now)]
-        refuted = [key for key in changed if self._refute_if_served(key, now)]
+        changed = [e.feature for e in evidence if self._history.merge(e, now)]
+        refuted = [key for key in changed if self._refute_if_cleared(key, now)]
         if refuted:
             self._on_evidence(refuted)
         if changed:
             self._withdraw_refused()
 
-    def _refute_if_served(self, fingerprint: RequestFingerprint, now: float) -> bool:
-        """Refute the crashes of a request that is served all the time."""
-        return self._served.holds(fingerprint, now) and self._refute(fingerprint)
+    def _clear(self, features: Iterable[RequestFeature]) -> None:
+        refuted = [feature for feature in features if self._refute(feature)]
+        if refuted:
+            self._on_evidence(refuted)
+            self._withdraw_refused()
 
-    def _refute(self, fingerprint: RequestFingerprint) -> bool:
-        """Refute the crashes of a request; return whether there were any."""
-        refuted = self._history.note_served(fingerprint)
+    def _is_cleared(self, feature: RequestFeature, now: float) -> bool:
+        """Return whether requests with a feature are served all the time."""
+        cleared = self._cleared_parts if feature.is_prompt_part else self._served
+        return cleared.holds(feature, now)
+
+    def _refute_if_cleared(self, feature: RequestFeature, now: float) -> bool:
+        return self._is_cleared(feature, now) and self._refute(feature)
+
+    def _refute(self, feature: RequestFeature) -> bool:
+        """Refute the crashes of a feature; return whether there were any."""
+        refuted = self._history.note_cleared(feature)
         if refuted:
             logger.info(
-                "request %s was served, so it did not cause %d crashes",
-                fingerprint,
-                refuted,
+                "%s was served, so it did not cause %d crashes", feature, refuted
             )
         return bool(refuted)
 
     def _withdraw_refused(self) -> None:
         """Withdraw the requests that new evidence refuses from their servers."""
         refused = self._history.refused(self._clock())
-        for fingerprint in refused - self._refused:
+        new = refused - self._refused
+        for feature in new:
             logger.warning(
-                "request %s is refused: %d servers crashed while it was there",
-                fingerprint,
-                self._history.crash_count(fingerprint),
+                "%s is refused: %d servers crashed while it was there",
+                feature,
+                self._history.crash_count(feature),
             )
         self._refused = refused
+        self._trials.retain(self._history.causes)
         self._metrics.set_state("requests_refused_for_crashes", len(refused))
-        if not refused:
+        if not new:
             return
         for run in list(self._runs):
-            if self._history.find(run.identity) in refused:
-                run.refuse_as_crashing()
+            cause = next(
+                (f for f in self._history.find_all(run.identity) if f in new), None
+            )
+            if cause is not None:
+                run.refuse_as_crashing(cause)
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -5,9 +5,7 @@
 
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
@@ -18,6 +16,7 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.crash_history import CrashHistory
+from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 
@@ -36,7 +35,14 @@
         rng: random.Random,
     ) -> None:
         history = CrashHistory()
-        self._guard = CrashGuard(history, metrics, self._share, clock)
+        self._guard = CrashGuard(
+            history,
+            RefusalTrials(membership.host),
+            metrics,
+            lambda: view.hosts,
+            self._share,
+            clock,
+        )
         self._detector = CrashDetector(servers, self._guard.note_crash, clock)
         self._gossip = CrashGossip(membership, view, history, send, clock, rng)
         self._records = CrashRecords(
@@ -72,6 +78,6 @@
         """Take in a record of the metadata store."""
         self._records.apply(item)
 
-    def _share(self, fingerprints: Sequence[RequestFingerprint]) -> None:
-        self._gossip.announce(fingerprints)
-        self._records.note_evidence(fingerprints)
+    def _share(self, features: Sequence[RequestFeature]) -> None:
+        self._gossip.announce(features)
+        self._records.note_evidence(features)
--- a/src/gooseberrydeal/_internal/operations/router/crash_records.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_records.py
@@ -16,9 +16,7 @@
 from gooseberrydeal._internal.models.ids import LeaseId
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
 from gooseberrydeal._internal.network.crash_codec import (
     decode_crash_record,
@@ -44,8 +42,8 @@
 # Records outlive the process that wrote them by this much.
 _LEASE_SECONDS: Final = 600.0
 _RENEW_AFTER_SECONDS: Final = 60.0
-_MAX_RECORDED_REQUESTS: Final = 64
-# A request with this many crashes is recorded again when they turn out to be refuted.
+_MAX_RECORDED_FEATURES: Final = 64
+# A feature with this many crashes is recorded again when they turn out to be refuted.
 _MIN_CRASHES_TO_CORRECT: Final = 2
 
 
@@ -72,8 +70,8 @@
         self._history = history
         self._on_evidence = on_evidence
         self._clock = clock
-        self._own: dict[RequestFingerprint, None] = {}
-        self._recorded: frozenset[RequestFingerprint] = frozenset()
+        self._own: dict[RequestFeature, None] = {}
+        self._recorded: frozenset[RequestFeature] = frozenset()
         self._changed = asyncio.Event()
         self._lease: LeaseId | None = None
         self._lease_renewed_at = 0.0
@@ -81,14 +79,14 @@
         self._generation = 0
         self._applied_revisions: dict[str, int] = {}
 
-    def note_evidence(self, fingerprints: Iterable[RequestFingerprint]) -> None:
-        """Record soon what this host has learnt about some requests."""
-        for fingerprint in fingerprints:
-            count = self._history.crash_count(fingerprint)
+    def note_evidence(self, features: Iterable[RequestFeature]) -> None:
+        """Record soon what this host has learnt about some features."""
+        for feature in features:
+            count = self._history.crash_count(feature)
             if count:
-                self._own[fingerprint] = None
+                self._own[feature] = None
                 self._changed.set()
-            elif fingerprint in self._recorded:
+            elif feature in self._recorded:
                 self._changed.set()
 
     def apply(self, item: StoreItem) -> None:
@@ -124,11 +122,11 @@
             await asyncio.sleep(delay * random.uniform(1.0, 1.2))
 
     async def _write(self) -> None:
-        for fingerprint in [k for k in self._own if not self._history.crash_count(k)]:
-            if fingerprint not in self._recorded:
-                del self._own[fingerprint]
+        for feature in [k for k in self._own if not self._history.crash_count(k)]:
+            if feature not in self._recorded:
+                del self._own[feature]
         ranked = (key for key in self._history.by_importance() if key in self._own)
-        chosen = list(islice(ranked, _MAX_RECORDED_REQUESTS))
+        chosen = list(islice(ranked, _MAX_RECORDED_FEATURES))
         if not chosen and not self._recorded:
             return
         now = self._clock()
--- a/src/gooseberrydeal/_internal/operations/router/failed_reply.py
+++ b/src/gooseberrydeal/_internal/operations/router/failed_reply.py
@@ -3,9 +3,13 @@
 from typing import Final
 
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
-from gooseberrydeal._internal.operations.router.refusals import refuse
+from gooseberrydeal._internal.operations.router.refusals import (
+    final_refusal_status,
+    refuse,
+)
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 
@@ -38,12 +42,11 @@
         else:
             self._end(reason, retry_after)
 
-    def refuse_as_crashing(self) -> None:
-        """Refuse the request for the servers that crashed while it was there."""
+    def refuse_as_crashing(self, cause: RequestFeature) -> None:
+        """Refuse the request for the servers that crashed while ``cause`` was there."""
         reason = RefusalReason.CRASH_SUSPECT
         self._log.refused_or_cut(reason)
-        is_repeatable = self._request.route.is_repeatable
-        status = self._codec.final_refusal_status(is_repeatable=is_repeatable)
+        status = final_refusal_status(self._codec, self._request.route, cause)
         self._end(reason, None, status)
 
     def server_failed(self) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -1,9 +1,14 @@
 """Answer rejected requests."""
 
+from http import HTTPStatus
+
 from gooseberrydeal._internal.models.http_status import HTTP_STATUS
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.http_heads import Header
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
+from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 
 
 def refuse(
@@ -22,3 +27,14 @@
         headers.append((b"Retry-After", b"%.2f" % retry_after))
     body = reason.value.encode() + b"\n"
     exchange.respond(status or HTTP_STATUS[reason], headers, body)
+
+
+def final_refusal_status(codec: RelayCodec, route: Route, cause: RequestFeature) -> int:
+    """Return the status, which is final, of a request that is refused for crashes.
+
+    A request that crashes servers is its caller's error. One that shares a part with
+    such requests may be sound, so its status blames the servers.
+    """
+    if cause.is_prompt_part:
+        return HTTPStatus.BAD_GATEWAY
+    return codec.final_refusal_status(is_repeatable=route.is_repeatable)
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.ids import ServiceName
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     CallerLimits,
@@ -21,7 +22,10 @@
 )
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
-from gooseberrydeal._internal.operations.router.refusals import refuse
+from gooseberrydeal._internal.operations.router.refusals import (
+    final_refusal_status,
+    refuse,
+)
 from gooseberrydeal._internal.operations.router.request_run import RequestRun
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -133,8 +137,9 @@
             exchange.body,
             attributes.shared_prompt_parts,
         )
-        if self._crash_protection.guard.is_refused(identity):
-            self._refuse_crashing(exchange, identity, route)
+        cause = self._crash_protection.guard.refusal_cause(identity)
+        if cause is not None:
+            self._refuse_crashing(exchange, identity, route, cause)
             return
         time_limit = route.timeout
         if attributes.time_limit is not None:
@@ -167,16 +172,20 @@
             self._in_progress -= 1
 
     def _refuse_crashing(
-        self, exchange: CallerExchange, identity: RequestIdentity, route: Route
+        self,
+        exchange: CallerExchange,
+        identity: RequestIdentity,
+        route: Route,
+        cause: RequestFeature,
     ) -> None:
         reason = RefusalReason.CRASH_SUSPECT
         self._metrics.count_refusal(reason)
         logger.info(
-            "request %s refused: servers crashed while it was there",
-            identity.fingerprint,
+            "%s refused: servers crashed while it was there",
+            cause,
             extra={"request_id": identity.request_id, "reason": reason.value},
         )
-        status = self._codec.final_refusal_status(is_repeatable=route.is_repeatable)
+        status = final_refusal_status(self._codec, route, cause)
         refuse(exchange, reason, None, status)
 
     def _refresh_routes(self) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
@@ -20,6 +21,7 @@
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
 )
+from gooseberrydeal._internal.operations.router.crash_screening import CrashScreening
 from gooseberrydeal._internal.operations.router.denial import note_denial
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
@@ -76,7 +78,7 @@
         self._exchange = exchange
         self._codec = codec
         self._dispatcher = dispatcher
-        self._crash_protection = crash_protection
+        self._guard = crash_protection.guard
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._on_usage_changed = on_usage_changed
@@ -88,10 +90,11 @@
         self._lost_connection = False
         self._has_response_begun = False
         self._task: asyncio.Task[None] | None = None
-        self._is_withdrawn = False
+        self._crash_cause: RequestFeature | None = None
         self._server: ServerId | None = None
         self._log = RequestLog(request, metrics)
         self._failure = FailedReply(request, exchange, codec, self._log)
+        self._screening = CrashScreening(identity, crash_protection, self._failure)
         self._times = ServeTimes(request.arrived_at)
 
     @property
@@ -99,19 +102,18 @@
         """Return what identifies the request if the caller sends it again."""
         return self._identity
 
-    def refuse_as_crashing(self) -> None:
+    def refuse_as_crashing(self, cause: RequestFeature) -> None:
         """Withdraw the request from its server, unless its response has begun."""
         if self._has_response_begun or self._task is asyncio.current_task():
             return
-        self._is_withdrawn = True
+        self._crash_cause = cause
         if self._task is not None:
             self._task.cancel()
 
     async def serve(self) -> None:
         """Serve the request, or fail it at its deadline."""
-        guard = self._crash_protection.guard
         self._task = asyncio.current_task()
-        guard.enter(self)
+        self._guard.enter(self)
         seconds_remaining = self._request.deadline - self._clock()
         try:
             async with asyncio.timeout(max(0.0, seconds_remaining)):
@@ -119,14 +121,15 @@
         except TimeoutError:
             self._failure.deadline_exceeded()
         except asyncio.CancelledError:
-            if self._is_withdrawn and self._task and not self._task.uncancel():
-                self._failure.refuse_as_crashing()
+            cause = self._crash_cause
+            if cause is not None and self._task and not self._task.uncancel():
+                self._failure.refuse_as_crashing(cause)
                 return
             waited = self._clock() - self._request.arrived_at
             self._log.cancelled(waited, self._server)
             raise
         finally:
-            guard.leave(self)
+            self._guard.leave(self)
 
     async def _serve(self) -> None:
         while True:
@@ -134,14 +137,17 @@
             if isinstance(assignment, NoAssignment):
                 self._failure.reject(assignment.reason, assignment.retry_after)
                 return
-            if self._crash_protection.guard.is_refused(self._identity):
-                self._failure.refuse_as_crashing()
+            if self._screening.refuse_if_crashing():
                 return
             outcome = await self._attempt(assignment)
             if outcome is None:
                 continue
             if self._lost_connection:
-                await self._check_for_crash(assignment.record)
+                self._screening.connection_lost(assignment.record)
+                self._on_unreachable(assignment.record)
+                await self._screening.wait_for_verdict(
+                    assignment.record, can_run_again=self._can_run_again(pending=1)
+                )
             if not self._handle_outcome(assignment, outcome):
                 return
 
@@ -192,6 +198,7 @@
                 is_retryable=self._can_run_again(pending=1),
                 events=self._events,
                 on_head=on_head_received,
+                on_answering=self._screening.note_answering,
             )
             try:
                 connection.send(
@@ -224,18 +231,6 @@
             if record.end(assignment.copy, request.tokens):
                 self._on_copy_released(record)
 
-    async def _check_for_crash(self, record: ServerRecord) -> None:
-        """Report a lost connection.
-
-        Wait until it is known whether the server crashed, if another server would run
-        the request next or the request was at a server that crashed before.
-        """
-        guard, detector = self._crash_protection.guard, self._crash_protection.detector
-        detector.connection_lost(record, self._identity)
-        self._on_unreachable(record)
-        if guard.is_suspect(self._identity) or self._can_run_again(pending=1):
-            await detector.wait_for_verdict(record)
-
     async def _wait_for_outcome(self, attempt: Attempt) -> AttemptOutcome:
         """Wait for the outcome, with an idle timeout if another server may run it."""
         if not self._can_run_again(pending=1):
@@ -267,7 +262,7 @@
             elif self._last_status:
                 health.note_success(now)
                 if self._last_status < HTTPStatus.BAD_REQUEST:
-                    self._crash_protection.guard.note_served(self._identity)
+                    self._screening.note_served()
                 self._log.served(assignment.record.id, self._times)
             return False
         self._log.attempt_failed(assignment.record.id, outcome, self._last_status)
@@ -282,8 +277,7 @@
         is_lost = outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT)
         if is_lost and not self._lost_connection:
             self._on_unreachable(assignment.record)
-        if self._crash_protection.guard.is_refused(self._identity):
-            self._failure.refuse_as_crashing()
+        if self._screening.refuse_if_crashing():
             return False
         if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
             return True
--- a/src/gooseberrydeal/_internal/policy/request_identity.py
+++ b/src/gooseberrydeal/_internal/policy/request_identity.py
@@ -1,13 +1,11 @@
-"""Compute the fingerprint by which a repeated request is recognised."""
+"""Compute what identifies a request and what it has in common with others."""
 
 from functools import cached_property
 from hashlib import blake2b
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
-from gooseberrydeal._internal.models.routing.request_fingerprint import (
-    RequestFingerprint,
-)
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 
 _OUTLINE_DIGEST_BYTES: Final = 8
 _BODY_DIGEST_BYTES: Final = 16
@@ -17,7 +15,8 @@
     """Identify a request by its path without the query, its caller and its body.
 
     All else may differ when a caller sends a request again. Both digests are computed
-    when first used, since most requests never need them.
+    when first used, since most requests never need them. The parts of the prompt are
+    what the request may have in common with requests that differ from it.
     """
 
     def __init__(
@@ -32,7 +31,7 @@
         self._path = path
         self._caller = caller
         self._body = body
-        self._prompt_parts = prompt_parts
+        self._parts = tuple(map(RequestFeature.from_prompt_part, prompt_parts))
 
     @property
     def request_id(self) -> RequestId:
@@ -40,9 +39,14 @@
         return self._request_id
 
     @property
-    def prompt_parts(self) -> tuple[PromptPartId, ...]:
+    def parts(self) -> tuple[RequestFeature, ...]:
         """Return the parts of the prompt that other requests may have too."""
-        return self._prompt_parts
+        return self._parts
+
+    @property
+    def features(self) -> tuple[RequestFeature, ...]:
+        """Return the request itself and the parts of its prompt."""
+        return (self.fingerprint, *self._parts)
 
     @property
     def body_length(self) -> int:
@@ -57,7 +61,7 @@
         return blake2b(text, digest_size=_OUTLINE_DIGEST_BYTES).digest()
 
     @cached_property
-    def fingerprint(self) -> RequestFingerprint:
-        """Return the whole fingerprint, for which the body is read once."""
+    def fingerprint(self) -> RequestFeature:
+        """Return the feature of this request alone; the body is read once for it."""
         digest = blake2b(self._body, digest_size=_BODY_DIGEST_BYTES).digest()
-        return RequestFingerprint(self.outline, digest)
+        return RequestFeature(self.outline, digest)
--- a/tests/functional/test_crash_soak.py
+++ b/tests/functional/test_crash_soak.py
@@ -12,6 +12,8 @@
 
 # Evidence reaches all hosts within this time once nothing is disturbed any more.
 _STABLE_WINDOW_SECONDS = 3.0
+# A part of prompts that crashed as many servers is refused after that time.
+_PART_CRASHES = 5
 _ROUNDS = 6
 _STEPS_PER_ROUND = 25
 _DOMAINS = 3
@@ -28,6 +30,7 @@
         self._incarnation = 1
         self._server = 0
         self._innocent = 0
+        self._part_crashes = 0
         self._hosts = [self._start(f"h{number}") for number in range(_HOSTS)]
 
     async def run(self) -> None:
@@ -37,6 +40,9 @@
                     await self._step()
                     await asyncio.sleep(self._rng.uniform(0.0, 0.3))
                 await self._check_calm()
+            while not all(host.refuses_part("first", "bad") for host in self._hosts):
+                self._crash_by_part(self._rng.choice(self._hosts))
+                await self._check_calm()
         finally:
             for host in self._hosts:
                 await host.kill()
@@ -51,6 +57,8 @@
         action = self._rng.random()
         if action < 0.4:
             self._crash(host)
+        elif action < 0.55:
+            self._crash_by_part(host)
         elif action < 0.7:
             host.serve(b"innocent %d" % self._rng.randint(0, self._innocent))
         elif action < 0.78:
@@ -77,6 +85,15 @@
         host.crash(self._server, *beside)
         self._rng.choice(self._hosts).serve(b"frequent")
 
+    def _crash_by_part(self, host: CrashHost) -> None:
+        self._server += 1
+        prompts = [("first", f"m{self._server}")]
+        if not host.refuses_part("first", "bad"):
+            prompts.append(("first", "bad"))
+            self._part_crashes += 1
+        host.crash_with_parts(self._server, *prompts)
+        self._rng.choice(self._hosts).answer("first", f"m{self._server}")
+
     async def _restart(self, host: CrashHost) -> None:
         self._hosts.remove(host)
         await host.kill()
@@ -90,6 +107,7 @@
             host.store.is_cut = host.store.loses_answers = False
         for host in self._hosts:
             host.serve(b"frequent")
+            host.answer("first")
         # A call that the store has not answered yet takes another 1.5 s to fail.
         await asyncio.sleep(_STABLE_WINDOW_SECONDS + 1.5)
         assert [host.name for host in self._hosts if not host.refuses()] == []
@@ -97,6 +115,11 @@
         for number in range(self._innocent + 1):
             body = b"innocent %d" % number
             assert not any(host.refuses(body) for host in self._hosts)
+        is_refused = all(host.refuses_part("first", "bad") for host in self._hosts)
+        assert is_refused or self._part_crashes < _PART_CRASHES
+        for number in range(self._server + 1):
+            parts = ("first", f"m{number}")
+            assert not any(host.refuses_part(*parts) for host in self._hosts)
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
--- a/tests/functional/test_withdrawn_requests.py
+++ b/tests/functional/test_withdrawn_requests.py
@@ -25,7 +25,7 @@
 
 
 def _lost_request(path: str = "/once/a") -> LostRequest:
-    return LostRequest(RequestId("q1"), relayed_identity(path).fingerprint)
+    return LostRequest(RequestId("q1"), relayed_identity(path).features)
 
 
 @pytest.mark.parametrize("path", ["/once/a", "/safe/a", "/stream/a", "/resumable/a"])
--- a/tests/lib/crash_world.py
+++ b/tests/lib/crash_world.py
@@ -1,13 +1,15 @@
 """Run the crash protection of several hosts over a store and a network in memory."""
 
 import asyncio
+import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from gooseberrydeal._internal.models.ids import (
     DomainName,
     HostId,
+    PromptPartId,
     RequestId,
     ServerId,
 )
@@ -15,6 +17,7 @@
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.lost_request import LostRequest
+from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.report_codec import decode_report
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.crash_protection import (
@@ -42,8 +45,20 @@
     path: str = "/a/b",
     caller: str = "c1",
     request_id: str = "q1",
+    parts: Sequence[str] = (),
 ) -> RequestIdentity:
-    return RequestIdentity(RequestId(request_id), path, caller, body)
+    return RequestIdentity(
+        RequestId(request_id), path, caller, body, tuple(map(PromptPartId, parts))
+    )
+
+
+def prompt_part(name: str) -> RequestFeature:
+    return RequestFeature.from_prompt_part(PromptPartId(name))
+
+
+def distinct_identity(number: int, *parts: str) -> RequestIdentity:
+    """Return the identity of a request that differs from those of other numbers."""
+    return identity(b"distinct %d" % number, request_id=f"d{number}", parts=parts)
 
 
 def relayed_identity(path: str = "/once/a") -> RequestIdentity:
@@ -52,7 +67,7 @@
 
 
 def lost_request(body: bytes = CRASHING) -> LostRequest:
-    return LostRequest(RequestId("q1"), identity(body).fingerprint)
+    return LostRequest(RequestId("q1"), identity(body).features)
 
 
 def crash_id(number: int) -> CrashId:
@@ -67,6 +82,7 @@
         self.cut_domains: set[str] = set()
         self.lost_next = 0
         self.sent_bytes: Counter[str] = Counter()
+        self.request_numbers = itertools.count(1)
 
     def send(self, sender: "CrashHost", data: bytes, address: str) -> None:
         self.sent_bytes[sender.name] += len(data)
@@ -152,8 +168,28 @@
         requests = [lost_request(body) for body in bodies or (CRASHING,)]
         self.protection.guard.note_crash(crash_id(number), requests)
 
+    def crash_with_parts(self, number: int, *prompts: Sequence[str]) -> None:
+        """Let a server crash with distinct requests of this host."""
+        requests = [
+            LostRequest(found.request_id, found.features)
+            for found in map(self._distinct_identity, prompts)
+        ]
+        self.protection.guard.note_crash(crash_id(number), requests)
+
+    def answer(self, *parts: str) -> None:
+        """Let a server begin to answer a request with these parts in its prompt."""
+        self.protection.guard.note_answering(self._distinct_identity(parts))
+
+    def refuses_part(self, *parts: str) -> bool:
+        """Return whether the host refuses a request with these parts in its prompt."""
+        found = self._distinct_identity(parts)
+        return self.protection.guard.refusal_cause(found) is not None
+
+    def _distinct_identity(self, parts: Sequence[str]) -> RequestIdentity:
+        return distinct_identity(next(self._network.request_numbers), *parts)
+
     def serve(self, body: bytes) -> None:
         self.protection.guard.note_served(identity(body))
 
     def refuses(self, body: bytes = CRASHING) -> bool:
-        return self.protection.guard.is_refused(identity(body))
+        return self.protection.guard.refusal_cause(identity(body)) is not None
--- a/tests/unit/test_crash_history.py
+++ b/tests/unit/test_crash_history.py
@@ -74,8 +74,8 @@
 
 def test_a_served_request_starts_anew() -> None:
     history = _history(2)
-    assert history.note_served(KEY) == 2
-    assert history.note_served(KEY) == 0
+    assert history.note_cleared(KEY) == 2
+    assert history.note_cleared(KEY) == 0
     for number in (0, 1, 2, 3):
         history.note_crash(KEY, crash_id(number), 0.0)
     assert not history.is_refused(KEY, 0.0)
@@ -109,7 +109,7 @@
     innocent = identity(b"innocent").fingerprint
     for number in range(3):
         history.note_crash(innocent, crash_id(number), 0.0)
-    history.note_served(innocent)
+    history.note_cleared(innocent)
     assert history.is_refused(KEY, 0.0)
 
 
@@ -165,7 +165,7 @@
 
 def test_a_request_with_very_many_crashes_is_described_by_a_few() -> None:
     history = _history(1000)
-    history.note_served(KEY)
+    history.note_cleared(KEY)
     history.note_crash(KEY, crash_id(1000), 0.0)
     evidence = history.evidence_of(KEY, 0.0)
     assert evidence is not None
@@ -194,12 +194,12 @@
     for item in mixed:
         shuffled.merge(item, 0.0)
     for item in evidence:
-        count = ordered.crash_count(item.fingerprint)
-        assert shuffled.crash_count(item.fingerprint) == count
+        count = ordered.crash_count(item.feature)
+        assert shuffled.crash_count(item.feature) == count
 
 
 @given(st.lists(_EVIDENCE, max_size=4))
 def test_stored_records_are_decoded_as_written(evidence: list[CrashEvidence]) -> None:
     decoded = decode_crash_record(encode_crash_record(evidence))
-    assert [item.fingerprint for item in decoded] == [e.fingerprint for e in evidence]
+    assert [item.feature for item in decoded] == [e.feature for e in evidence]
     assert [item.crashes for item in decoded] == [e.crashes for e in evidence]
--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -21,8 +21,9 @@
 )
 from gooseberrydeal._internal.operations.router.crash_detector import CrashDetector
 from gooseberrydeal._internal.operations.router.crash_gossip import CrashGossip
+from gooseberrydeal._internal.operations.router.crash_guard import CrashGuard
 from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
-from gooseberrydeal._internal.policy import permit_pool, retry_rules
+from gooseberrydeal._internal.policy import crash_history, permit_pool, retry_rules
 from gooseberrydeal._internal.policy.answer_check import AnswerCheck
 from gooseberrydeal._internal.policy.configuration_follower import (
     ConfigurationFollower,
@@ -33,6 +34,8 @@
     CrashSuspects,
     SuspectHandling,
 )
+from gooseberrydeal._internal.policy.recently_cleared import RecentlyCleared
+from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.policy.slot_table import SlotTable
 from gooseberrydeal._internal.policy.work_queue import WorkQueue
 from tests.functional import (
@@ -41,6 +44,7 @@
     test_crash_sharing,
     test_engine_faults,
     test_ownership_faults,
+    test_prompt_part_sharing,
 )
 from tests.lib.fake_store import StoreFault
 from tests.unit import (
@@ -185,15 +189,36 @@
     (
         "requests that were served are cleared",
         CrashHistory,
-        "note_served",
-        lambda self, fingerprint: 0,
-        test_crash_sharing.test_a_frequent_innocent_request_is_never_refused,
+        "note_cleared",
+        lambda self, feature: 0,
+        test_crash_history.test_a_served_request_starts_anew,
+    ),
+    (
+        "parts of prompts that were answered a while ago are no suspects",
+        RecentlyCleared,
+        "holds",
+        lambda self, feature, now: False,
+        test_prompt_part_sharing.test_the_first_part_of_all_prompts_is_not_refused_while_no_engine_is_left,
+    ),
+    (
+        "an answer that has begun clears the parts of its prompt",
+        CrashGuard,
+        "note_answering",
+        _ignore,
+        test_prompt_part_sharing.test_a_first_part_that_was_never_answered_is_refused,
+    ),
+    (
+        "one request at a time tests whether a refused part still crashes servers",
+        RefusalTrials,
+        "admits",
+        lambda self, *arguments: True,
+        test_prompt_part_sharing.test_one_request_at_a_time_tests_a_part_after_its_refusal,
     ),
     (
         "requests beside the one that crashes servers are not refused",
-        CrashHistory,
-        "_is_explained_by_another",
-        lambda self, fingerprint, suspect: False,
+        crash_history,
+        "find_causes",
+        lambda features: frozenset(item.feature for item in features),
         test_crash_history.test_a_request_beside_a_stronger_suspect_is_not_refused,
     ),
     (
