Do not pass on a stream that ends inside an event as complete

What callers saw: an engine that answers with neither a length nor chunks ends its answer with the connection. If it stopped inside an event, the caller got the last chunk, as of a complete stream, with half an event at its end.

Cause: such a response counts as complete when its connection is closed in order, and the relay then passed on what the splitter still held.

A stream now is broken off if it ends inside an event, and without any event if it ended with its connection. The attempt counts as cut: it is resumed where that is allowed, else the caller's reply ends without its last chunk. A connection that ended so counts as lost, so a crash behind it is found. ResponseEnd tells closed responses from others.

--- a/src/gooseberrydeal/_internal/network/http1/json_client.py
+++ b/src/gooseberrydeal/_internal/network/http1/json_client.py
@@ -115,7 +115,7 @@
             self._pool.discard(connection)
             raise
         self._pool.release(connection)
-        if end not in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS):
+        if not end.is_whole:
             raise ServerBrokenError(
                 f"{method} {target.partition('?')[0]} at {self._address} ended with"
                 f" a {end.value} response"
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -130,16 +130,16 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the response, which is complete only if it is delimited by the close."""
+        """End the response, which is whole only if it is delimited by the close."""
         if self._sink is None:
             return
-        is_complete = (
+        is_delimited_by_close = (
             exc is None
             and self._has_received_eof
             and self._is_head_complete
             and not self._is_self_delimited
         )
-        self._end(ResponseEnd.COMPLETE if is_complete else ResponseEnd.LOST)
+        self._end(ResponseEnd.CLOSED if is_delimited_by_close else ResponseEnd.LOST)
 
     def on_message_begin(self) -> None:
         """Reset the state for a message; none may follow the final response."""
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -158,13 +158,16 @@
 
     def response_ended(self, end: ResponseEnd) -> None:
         """Finish the caller's reply, or set the outcome of the failed attempt."""
-        self._lost_connection = end is ResponseEnd.LOST
+        is_broken_off = self._is_event_stream and self._is_broken_off(end)
+        self._lost_connection = end is ResponseEnd.LOST or (
+            end is ResponseEnd.CLOSED and is_broken_off
+        )
         self._sent_excess_bytes = end is ResponseEnd.EXCESS
         if self._rejection is not None:
             self._finish(self._rejection)
         elif not self._is_relaying:
             self._finish(AttemptOutcome.LOST)
-        elif end in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS):
+        elif end.is_whole and not is_broken_off:
             self._exchange.write(self._events.rest())
             self._exchange.finish()
             self._finish(AttemptOutcome.SERVED)
@@ -172,6 +175,13 @@
             self._events.rest()
             self._finish(AttemptOutcome.CUT)
 
+    def _is_broken_off(self, end: ResponseEnd) -> bool:
+        """Return whether an event stream ends early although its framing is whole."""
+        has_no_event = self._first_body_at is None and not self._is_resuming
+        return self._events.is_inside_event or (
+            end is ResponseEnd.CLOSED and has_no_event
+        )
+
     def _check_answering(self, now: float) -> None:
         if self._first_body_at is None:
             self._first_body_at = now
--- a/src/gooseberrydeal/_internal/operations/router/event_splitter.py
+++ b/src/gooseberrydeal/_internal/operations/router/event_splitter.py
@@ -20,6 +20,11 @@
         """Return the last id among complete events, ``None`` if there was none."""
         return self._last_id
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete."""
+        return bool(self._incomplete.strip(b"\r\n"))
+
     @property
     def is_overfull(self) -> bool:
         """Return whether the incomplete event is longer than events may be."""
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -6,7 +6,7 @@
 
 from tests.lib.relay_scripts import broken_stream, deny_copy, request_id_line, run_relay
 from tests.lib.relay_world import Caller, RelayHarness
-from tests.lib.scripted_server import ReceivedRequest
+from tests.lib.scripted_server import ReceivedRequest, Script
 
 
 async def _stream(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -100,3 +100,67 @@
     assert broken.requests
     resumed = [r for r in healthy.requests if r.header("last-event-id")]
     assert {r.header("last-event-id") for r in resumed} == {"2"}
+
+
+_UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+
+
+def _unframed_stream(events: bytes) -> Script:
+    """Return a script that sends a stream without length or chunks, then closes."""
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"{_UNFRAMED_HEAD}{request_id_line(request)}\r\n\r\n"
+        writer.write(head.encode() + events)
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "events", [_COMPLETE_STREAM + b"id: 6\nda", _COMPLETE_STREAM[:-1], b"id: 1", b""]
+)
+def test_an_unframed_stream_that_ends_inside_an_event_does_not_look_complete(
+    events: bytes,
+) -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/stream/a")
+        await caller.read_head()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await caller.read_chunked_body()
+
+    assert len(run_relay(scenario, engines=[_unframed_stream(events)])[0].requests) == 1
+
+
+def test_an_unframed_stream_that_ends_between_events_is_complete() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/stream/a")
+        assert (await caller.read_response())[2] == _COMPLETE_STREAM
+
+    run_relay(scenario, engines=[_unframed_stream(_COMPLETE_STREAM)])
+
+
+def test_a_chunked_stream_that_ends_inside_an_event_does_not_look_complete() -> None:
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        events = _COMPLETE_STREAM + b"id: 6\nda"
+        head = f"{_UNFRAMED_HEAD}{request_id_line(request)}\r\n"
+        writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(events), events))
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/stream/a")
+        await caller.read_head()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await caller.read_chunked_body()
+
+    run_relay(scenario, engines=[script])
+
+
+def test_an_unframed_stream_that_is_broken_off_is_resumed_elsewhere() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _COMPLETE_STREAM
+
+    broken = _unframed_stream(b"id: 1\ndata: e1\n\nid: 2\nda")
+    servers = run_relay(scenario, engines=[broken, _stream])
+    assert 1 <= sum(len(server.requests) for server in servers) <= 2
