Log the limits on requests that servers state

Nothing read the field Server-Limit, so the logs could not show whether a host knew of a limit that was exceeded. It is decoded now, and a line says when a server states a limit, changes it or lifts it. A response without the field lifts the limit only if it succeeds and its request was sent after the limit was stated; a malformed one changes nothing.

--- a/src/gooseberrydeal/_internal/models/routing/reply_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/reply_facts.py
@@ -22,9 +22,14 @@
     """Hold the header values that determine how a response is handled.
 
     ``is_not_run`` is set if the server states that it did not start the request.
+    ``request_limit`` is the number of requests per second that it takes from all hosts
+    together, ``None`` if it states none; ``has_invalid_limit`` is set if it states one
+    that cannot be read.
     """
 
     request_id: str | None
     is_not_run: bool
     is_event_stream: bool
     load: ReportedLoad | None = None
+    request_limit: float | None = None
+    has_invalid_limit: bool = False
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -37,10 +37,10 @@
 class Attempt:
     """Relay a response to the caller as it arrives.
 
-    ``on_head`` is called when the response's head is received, ``on_answering`` once
-    its body has been arriving for some time. ``is_retryable`` states
-    whether another server may execute the request if this one fails. If the caller's
-    reply has already begun, the response resumes it: only its body is relayed.
+    ``on_head`` is called with the status when the response's head is received,
+    ``on_answering`` once its body has been arriving for some time. ``is_retryable``
+    states whether another server may execute the request if this one fails. If the
+    caller's reply has already begun, the response resumes it: only its body is relayed.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
         *,
         is_retryable: bool,
         events: EventSplitter,
-        on_head: Callable[[], None],
+        on_head: Callable[[int, ResponseAttributes], None],
         on_answering: Callable[[], None],
     ) -> None:
         self._exchange = exchange
@@ -121,8 +121,8 @@
         """Start relaying the response, or record why it is not relayed."""
         self._status = head.status
         self._receive_count += 1
-        self._on_head()
         attributes = self._codec.read_response(head)
+        self._on_head(head.status, attributes)
         if attributes.load is not None:
             total = attributes.load.running + attributes.load.waiting
             self._record.load.report(total, attributes.load.slowdown, self._loop.time())
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -21,6 +21,7 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.pending_want import PendingLoad
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
@@ -67,6 +68,7 @@
         self,
         servers: ServerTable,
         view: MetadataView,
+        limits: ServerLimits,
         domain: DomainName,
         version_bound: float,
         signal: ChangeSignal,
@@ -82,8 +84,14 @@
         self._on_load_requested = on_load_requested
         self._clock = clock
         self._rng = rng
+        self._limits = limits
         self._demand = AdapterDemand()
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the limits on requests that servers state."""
+        return self._limits
+
     def set_version_bound(self, seconds: float) -> None:
         """Set the time, in seconds, by which a newly declared version must be in use.
 
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
@@ -183,10 +184,13 @@
             if request.send_count == 1:
                 self._metrics.observe_wait(times.sent_at - request.arrived_at)
 
-            def on_head_received() -> None:
+            def on_head(status: int, attributes: ResponseAttributes) -> None:
                 self._has_response_begun = True
                 pending_prefill.end()
                 times.head_at = self._clock()
+                self._dispatcher.limits.response_received(
+                    record, status, attributes, times.sent_at
+                )
                 self._metrics.observe_first_byte(times.head_at - times.sent_at)
 
             attempt = Attempt(
@@ -197,7 +201,7 @@
                 request.attributes.request_id,
                 is_retryable=self._can_run_again(pending=1),
                 events=self._events,
-                on_head=on_head_received,
+                on_head=on_head,
                 on_answering=self._screening.note_answering,
             )
             try:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -28,6 +28,7 @@
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
+from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.stall_monitor import StallMonitor
 from gooseberrydeal._internal.operations.router.status_endpoint import (
@@ -114,6 +115,7 @@
         self._dispatcher = Dispatcher(
             self._servers,
             self._view,
+            ServerLimits(now),
             settings.domain,
             settings.bounds.adapter_version,
             signal,
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -18,6 +18,8 @@
 REQUEST_PRIORITY: Final = b"x-request-priority"
 NOT_EXECUTED: Final = b"x-not-executed"
 INSTANCE_LOAD: Final = b"x-instance-load"
+# The requests per second, a decimal number, that a server takes from all hosts.
+SERVER_LIMIT: Final = b"server-limit"
 
 # Fields that only the router may set in forwarded requests; those that a caller sent
 # are removed.
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -1,5 +1,7 @@
 """Decode and encode the header fields of relayed requests and responses."""
 
+import math
+import re
 from http import HTTPStatus
 from typing import Final
 
@@ -19,6 +21,7 @@
 from gooseberrydeal._internal.network.http1.framing import end_to_end_headers
 from gooseberrydeal._internal.platform import header_names
 
+_LIMIT_PATTERN: Final = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 _EVENT_STREAM: Final = b"text/event-stream"
 _TRUE_VALUE: Final = b"1"
 # A load field holds the numbers of running and waiting requests and of slots, and
@@ -96,12 +99,16 @@
         """Return the routing data of a response; an invalid load counts as absent."""
         fields = {name.lower(): value for name, value in head.headers}
         request_id = fields.get(header_names.REQUEST_ID)
+        stated_limit = fields.get(header_names.SERVER_LIMIT)
+        request_limit = _parse_limit(stated_limit)
         return ResponseAttributes(
             request_id=None if request_id is None else _decode_text(request_id),
             is_not_run=fields.get(header_names.NOT_EXECUTED, b"").strip() == _TRUE_VALUE
             or head.status == HTTPStatus.MISDIRECTED_REQUEST,
             is_event_stream=fields.get(b"content-type", b"").startswith(_EVENT_STREAM),
             load=_parse_load(fields.get(header_names.INSTANCE_LOAD)),
+            request_limit=request_limit,
+            has_invalid_limit=stated_limit is not None and request_limit is None,
         )
 
     def reply_headers(self, head: ResponseHead) -> list[Header]:
@@ -140,6 +147,13 @@
     return AdapterKey(model, adapter)
 
 
+def _parse_limit(value: bytes | None) -> float | None:
+    if value is None or not _LIMIT_PATTERN.fullmatch(value.strip()):
+        return None
+    limit = float(value)
+    return limit if math.isfinite(limit) else None
+
+
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
     if value is None:
         return None
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -22,6 +22,7 @@
     MetadataView,
 )
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from tests.lib.routing_builders import (
@@ -52,6 +53,7 @@
         self.dispatcher = Dispatcher(
             self.servers,
             self.view,
+            ServerLimits(self.now),
             DomainName("d1"),
             VERSION_BOUND_SECONDS,
             self.signal,
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -38,6 +38,7 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
+from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
@@ -123,6 +124,7 @@
         dispatcher = Dispatcher(
             self.servers,
             self.view,
+            ServerLimits(clock),
             DomainName("d1"),
             5.0,
             signal,
