--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -20,7 +20,8 @@
 
     A request with one of ``bad_parts`` among the parts of its prompt, of which the last
     does not count, crashes the server after the head of its response was sent. Paths
-    under ``/stream/`` are answered with events.
+    under ``/stream/`` are answered with events. ``stated_limit`` is the limit on
+    requests that all responses state.
 
     A crash resets all connections and closes the listening socket. The server starts
     again with a new id at the same address ``down_seconds`` later. ``on_start`` is
@@ -40,6 +41,8 @@
         self.down_seconds = down_seconds
         self.service_seconds = service_seconds
         self.bad_parts = {BAD_PART}
+        self.stated_limit: str | None = None
+        self.arrival_times: list[float] = []
         self.crash_times: list[float] = []
         self.bad_part_times: list[float] = []
         self.answered: list[str] = []
@@ -108,6 +111,7 @@
                 if request.header("x-expect-instance") != self.id:
                     writer.write(response(b"", "421 Misdirected Request"))
                     continue
+                self.arrival_times.append(asyncio.get_running_loop().time())
                 if request.body.startswith(CRASH_MARK):
                     self.crash()
                     return
@@ -123,9 +127,8 @@
                     self.crash()
                     return
                 else:
-                    writer.write(
-                        response(request.body, "200 OK", f"X-Request-Id: {request_id}")
-                    )
+                    fields = [f"X-Request-Id: {request_id}", *self._limit_fields()]
+                    writer.write(response(request.body, "200 OK", *fields))
                 self.answered.append(request_id)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -133,6 +136,11 @@
             self._writers.discard(writer)
             writer.close()
 
+    def _limit_fields(self) -> list[str]:
+        if self.stated_limit is None:
+            return []
+        return [f"Server-Limit: {self.stated_limit}"]
+
     async def _write_stream(
         self, request_id: str, writer: asyncio.StreamWriter, has_bad_part: bool
     ) -> None:
