Keep to the limits that servers state, all hosts together

What callers saw: nothing at once; a server in need that named a limit of 2.7 requests a second got 49 in 4 s (21 allowed), another with 1.8 got 22 (16 allowed).

Cause: nothing read the field, so a server could not say what it takes. The class: a rule for all hosts together that no host keeps its part of.

Each host has a part of a limit and counts all that it sends: requests, repeats, resumed streams, and orders and reports of the engine's owner, since the record shows that orders count. There is no coordinator:

- A changed limit is announced to all hosts by datagram, and repeated with each host's demand once a second to those that share it and to two others.
- At most as many hosts as the limit allows each second, and four, may use a server, chosen by rendezvous hashing; otherwise one request of each of 340 hosts would exceed it.
- They share the limit by demand.
An equal share is left to hosts that were not heard of.
Demand that has grown counts three exchanges later, after the others use less.
- A host starts without permits, so that there is no burst in the first window.
- A limit lasts until a success without it, whose request was sent after the limit was stated, or a restart; 60 s without any response forget it.

Another server is chosen before a request is refused. If all are used up it is refused at once, as not run, with the time to the next permit. Adapters are loaded at engines without a limit as long as there is one.

--- a/src/gooseberrydeal/_internal/models/http_status.py
+++ b/src/gooseberrydeal/_internal/models/http_status.py
@@ -21,6 +21,7 @@
     RefusalReason.NOT_OWNER: 503,
     RefusalReason.SERVER_LEAVING: 503,
     RefusalReason.SERVER_SLOW: 503,
+    RefusalReason.SERVER_LIMITED: 503,
     RefusalReason.SHUTTING_DOWN: 503,
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.ISOLATED: 503,
--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -22,6 +22,7 @@
     NOT_OWNER = "not_owner"
     SERVER_LEAVING = "server_leaving"
     SERVER_SLOW = "server_slow"
+    SERVER_LIMITED = "server_limited"
     SHUTTING_DOWN = "shutting_down"
     NO_CONFIGURATION = "no_configuration"
     ISOLATED = "isolated"
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/limit_codec.py
@@ -0,0 +1,54 @@
+"""Encode and decode reports about the limits that servers state."""
+
+from typing import Any
+
+from gooseberrydeal._internal.models.ids import HostId, ServerId, ServiceName
+from gooseberrydeal._internal.models.routing.limit_report import (
+    LimitReport,
+    LimitStatement,
+)
+
+
+def limit_report_fields(report: LimitReport) -> list[Any]:
+    """Return the fields of a report, by position."""
+    demands = [
+        [service, int(demand * 1000)] for service, demand in report.demands.items()
+    ]
+    statements = [
+        [
+            item.server,
+            item.started_at,
+            _to_thousandths(item.requests_per_second),
+            int(item.seconds_ago * 1000),
+        ]
+        for item in report.statements
+    ]
+    return [report.host, demands, statements]
+
+
+def parse_limit_report(fields: list[Any]) -> LimitReport:
+    """Return a report from its fields.
+
+    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
+    """
+    host, demands, statements = fields[:3]
+    return LimitReport(
+        HostId(str(host)),
+        {
+            ServiceName(str(service)): max(0, int(demand)) / 1000
+            for service, demand in demands
+        },
+        tuple(
+            LimitStatement(
+                ServerId(str(server)),
+                int(started_at),
+                None if limit is None else max(0, int(limit)) / 1000,
+                max(0, int(milliseconds_ago)) / 1000,
+            )
+            for server, started_at, limit, milliseconds_ago in statements
+        ),
+    )
+
+
+def _to_thousandths(limit: float | None) -> int | None:
+    return None if limit is None else int(limit * 1000)
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -18,6 +18,7 @@
     CopyStatus,
     EngineStatus,
 )
+from gooseberrydeal._internal.models.routing.limit_report import LimitReport
 from gooseberrydeal._internal.models.routing.usage_report import (
     CopyLoadRequest,
     CopyUse,
@@ -29,8 +30,12 @@
     crash_report_fields,
     parse_crash_report,
 )
+from gooseberrydeal._internal.network.limit_codec import (
+    limit_report_fields,
+    parse_limit_report,
+)
 
-Report = UsageReport | EngineStatus | CrashReport
+Report = UsageReport | EngineStatus | CrashReport | LimitReport
 
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
@@ -41,6 +46,7 @@
     USAGE = 1
     STATUS = 2
     CRASHES = 3
+    LIMITS = 4
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -99,6 +105,12 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.CRASHES), *fields])
 
 
+def encode_limit_report(report: LimitReport) -> bytes:
+    """Encode what servers stated about their limits on requests."""
+    fields = limit_report_fields(report)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.LIMITS), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -114,6 +126,8 @@
             return _parse_status(fields)
         if kind == _ReportKind.CRASHES:
             return parse_crash_report(fields)
+        if kind == _ReportKind.LIMITS:
+            return parse_limit_report(fields)
     except DECODE_ERRORS as error:
         raise PeerProtocolError(
             f"report has invalid encoding or fields: {error!r}"
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -3,7 +3,8 @@
 import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
@@ -18,6 +19,9 @@
     NoAssignment,
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.engine_candidate import (
+    engine_candidate,
+)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.pending_want import PendingLoad
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
@@ -26,13 +30,10 @@
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
 from gooseberrydeal._internal.policy.engine_choice import (
-    PREFILL_TOKENS_PER_SECOND,
     EngineAction,
-    EngineCandidate,
     EngineDecision,
     RequestSize,
     choose_engine,
-    pending_prefill_limit,
 )
 from gooseberrydeal._internal.policy.plain_server_choice import (
     PlainCandidate,
@@ -101,13 +102,15 @@
 
     async def assign(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Return a server for a request, after its adapter was loaded if needed."""
+        self._limits.note_request(request.service)
         if request.attributes.adapter is None:
             return self._assign_plain(request)
         return await self._assign_engine(request)
 
     def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
         now = self._clock()
-        records = {r.id: r for r in self._eligible_servers(request)}
+        eligible = self._eligible_servers(request)
+        records = {r.id: r for r in eligible if self._may_send(r)}
         candidates = [
             PlainCandidate(
                 server=record.id,
@@ -122,7 +125,8 @@
         ]
         best = choose_plain_server(candidates, self._rng)
         if best is None:
-            return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+            return self._no_server(eligible)
+        self._limits.take(records[best.server])
         return Assignment(records[best.server])
 
     async def _assign_engine(self, request: RoutedRequest) -> Assignment | NoAssignment:
@@ -142,12 +146,13 @@
                 decision = self._decide(request, copy, now)
                 record = self._servers.get(decision.server or ServerId(""))
                 if decision.action is EngineAction.SEND and record is not None:
+                    self._limits.take(record)
                     requested_at = (
                         now if pending_load is None else pending_load.requested_at
                     )
                     return Assignment(record, copy, now - requested_at)
                 if decision.action is EngineAction.NO_ENGINE:
-                    return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+                    return self._no_server(self._eligible_servers(request))
                 if now >= wait_until:
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
@@ -236,45 +241,35 @@
         pause_limit = request.route.longest_pause
         if waited > request.route.target_latency * _PAUSE_LIMIT_FRACTION:
             pause_limit = math.inf
+        records = [r for r in self._eligible_servers(request) if self._may_send(r)]
+        limited = {r.id for r in records if self._limits.is_limited(r)}
         candidates = [
-            self._candidate(record, copy, pause_limit, now)
-            for record in self._eligible_servers(request)
+            engine_candidate(record, copy, self._domain, pause_limit, now)
+            for record in records
         ]
+        if len(limited) < len(records):
+            candidates = [
+                replace(item, can_load=False, accepts_load_orders=False)
+                if item.server in limited
+                else item
+                for item in candidates
+            ]
         size = RequestSize(request.attributes.prompt_tokens, request.tokens)
         expected_uses = self._demand.expected_uses(copy.key, now) * len(
             self._view.hosts
         )
         return choose_engine(copy, size, candidates, expected_uses)
 
-    def _candidate(
-        self, record: ServerRecord, copy: AdapterCopyKey, pause_limit: float, now: float
-    ) -> EngineCandidate:
-        size = record.service.engine
-        event_tokens = size.event_tokens if size is not None else 1
-        return EngineCandidate(
-            server=record.id,
-            requests=record.load.requests(now),
-            tokens=record.load.tokens(now),
-            pending_prefill_tokens=record.load.pending_prefill_tokens(
-                now, PREFILL_TOKENS_PER_SECOND
-            ),
-            batch_size=record.entry.slots,
-            token_capacity=size.token_capacity if size is not None else 0,
-            slowdown=record.load.slowdown,
-            is_local=record.entry.domain == self._domain,
-            has_model=record.holds_model(copy.model),
-            copy=record.copy_state(copy, now),
-            ready_in=record.ready_in(copy, now),
-            can_load=record.can_load(now),
-            accepts_load_orders=record.accepts_load_orders(now),
-            is_warm=record.is_warm(copy),
-            has_silent_owner=record.has_silent_owner(now),
-            pending_prefill_limit=pending_prefill_limit(
-                pause_limit, event_tokens, record.load.slowdown
-            ),
-            failure_rate=record.health.failure_rate(now),
-            is_avoided=record.health.is_unreachable,
-        )
+    def _may_send(self, record: ServerRecord) -> bool:
+        return self._limits.seconds_until_free(record) <= 0.0
+
+    def _no_server(self, eligible: Sequence[ServerRecord]) -> NoAssignment:
+        """Refuse a request for lack of a server, or for the limits of all servers."""
+        if not eligible:
+            return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+        seconds = min(self._limits.seconds_until_free(record) for record in eligible)
+        seconds = min(max(seconds, _RETRY_AFTER_SECONDS), _OVERLOAD_RETRY_AFTER_SECONDS)
+        return NoAssignment(RefusalReason.SERVER_LIMITED, seconds)
 
     def _eligible_servers(self, request: RoutedRequest) -> list[ServerRecord]:
         return [
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.limit_report import LimitReport
 from gooseberrydeal._internal.models.routing.usage_report import (
     EngineUsage,
     UsageReport,
@@ -58,6 +59,7 @@
         self._clock = clock
         self._ownership: EngineOwnership | None = None
         self._on_crash_report: Callable[[CrashReport], None] | None = None
+        self._on_limit_report: Callable[[LimitReport], None] | None = None
         self._socket = DatagramSocket(self._on_report)
         self._sequence = 0
         self._pending: set[ServerRecord] = set()
@@ -73,6 +75,10 @@
         """Set the function that receives evidence about requests that crash servers."""
         self._on_crash_report = on_crash_report
 
+    def set_limit_handler(self, on_limit_report: Callable[[LimitReport], None]) -> None:
+        """Set the function that receives what servers stated about their limits."""
+        self._on_limit_report = on_limit_report
+
     async def open(self) -> None:
         """Bind the socket; raise ``OSError`` if that fails."""
         await self._socket.open(self._membership.address)
@@ -171,6 +177,10 @@
             if self._on_crash_report is not None:
                 self._on_crash_report(report)
             return
+        if isinstance(report, LimitReport):
+            if self._on_limit_report is not None:
+                self._on_limit_report(report)
+            return
         known = self._last_sequences.get(report.host)
         current = (report.incarnation, report.sequence)
         if known is not None and known[0] == current[0] and known[1] >= current[1]:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -20,6 +20,10 @@
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
+from gooseberrydeal._internal.operations.router.limit_exchange import LimitExchange
+from gooseberrydeal._internal.operations.router.limited_engine_orders import (
+    LimitedEngineOrders,
+)
 from gooseberrydeal._internal.operations.router.metadata_follower import (
     MetadataDecoder,
     MetadataFollower,
@@ -87,13 +91,20 @@
             rng,
         )
         self._report_exchange.set_crash_handler(self._crash_protection.report_received)
+        limits = ServerLimits(
+            self._servers, settings.host, lambda: self._view.hosts, now
+        )
+        self._limit_exchange = LimitExchange(
+            membership, self._view, limits, self._report_exchange.send, rng
+        )
+        self._report_exchange.set_limit_handler(limits.merge)
         self._lease_keeper = LeaseKeeper(
             store, membership, clock.seconds_since_boot, self._on_metadata_change
         )
         self._ownership = EngineOwnership(
             membership,
             store,
-            orders,
+            LimitedEngineOrders(orders, self._servers, limits),
             self._view,
             self._servers,
             self._lease_keeper,
@@ -115,7 +126,7 @@
         self._dispatcher = Dispatcher(
             self._servers,
             self._view,
-            ServerLimits(now),
+            limits,
             settings.domain,
             settings.bounds.adapter_version,
             signal,
@@ -160,6 +171,7 @@
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
         self._tasks.start(self._report_exchange.run(), "report exchange")
+        self._tasks.start(self._limit_exchange.run(), "limit exchange")
         self._crash_protection.start()
         logger.info("started", extra={"host": self._settings.host})
 
--- a/src/gooseberrydeal/_internal/policy/stated_limit.py
+++ b/src/gooseberrydeal/_internal/policy/stated_limit.py
@@ -19,11 +19,13 @@
         """Return when the server last stated or lifted the limit."""
         return self._stated_at
 
+    def is_forgotten(self, now: float) -> bool:
+        """Return whether nothing confirmed the last statement for a long time."""
+        return now - self._stated_at > _RETENTION_SECONDS
+
     def current(self, now: float) -> float | None:
         """Return the limit in force, ``None`` if there is none."""
-        if now - self._stated_at > _RETENTION_SECONDS:
-            return None
-        return self._requests_per_second
+        return None if self.is_forgotten(now) else self._requests_per_second
 
     def observe(
         self, requests_per_second: float | None, sent_at: float, now: float
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -50,10 +50,13 @@
         self.signal = ChangeSignal()
         self.load_requests: list[ServerRecord] = []
         self.status_number = 0
+        self.limits = ServerLimits(
+            self.servers, HostId("h1"), lambda: self.view.hosts, self.now
+        )
         self.dispatcher = Dispatcher(
             self.servers,
             self.view,
-            ServerLimits(self.now),
+            self.limits,
             DomainName("d1"),
             VERSION_BOUND_SECONDS,
             self.signal,
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -120,11 +120,14 @@
             self._set_ready_copies(f"e-{number}")
         signal = ChangeSignal()
         self.metrics = RouterMetrics()
+        self.limits = ServerLimits(
+            self.servers, HostId("h1"), lambda: self.view.hosts, clock
+        )
         self.load_requests: list[ServerRecord] = []
         dispatcher = Dispatcher(
             self.servers,
             self.view,
-            ServerLimits(clock),
+            self.limits,
             DomainName("d1"),
             5.0,
             signal,
--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -19,11 +19,20 @@
     engine_backend,
     ownership,
 )
+from gooseberrydeal._internal.operations.router import server_limits
 from gooseberrydeal._internal.operations.router.crash_detector import CrashDetector
 from gooseberrydeal._internal.operations.router.crash_gossip import CrashGossip
 from gooseberrydeal._internal.operations.router.crash_guard import CrashGuard
 from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
-from gooseberrydeal._internal.policy import crash_history, permit_pool, retry_rules
+from gooseberrydeal._internal.operations.router.limited_engine_orders import (
+    LimitedEngineOrders,
+)
+from gooseberrydeal._internal.policy import (
+    crash_history,
+    limit_division,
+    permit_pool,
+    retry_rules,
+)
 from gooseberrydeal._internal.policy.answer_check import AnswerCheck
 from gooseberrydeal._internal.policy.configuration_follower import (
     ConfigurationFollower,
@@ -43,8 +52,10 @@
     test_crash_detection,
     test_crash_sharing,
     test_engine_faults,
+    test_limit_division,
     test_ownership_faults,
     test_prompt_part_sharing,
+    test_stated_limits,
 )
 from tests.lib.fake_store import StoreFault
 from tests.unit import (
@@ -249,6 +260,27 @@
         _drop_the_oldest,
         test_crash_history.test_a_flood_of_suspects_displaces_no_refused_request,
     ),
+    (
+        "a server's limit is divided among the hosts",
+        server_limits,
+        "own_rate",
+        lambda limit, own, members, demands: (limit, 1.0),
+        test_limit_division.test_hosts_that_are_cut_off_from_each_other_keep_to_the_limit,
+    ),
+    (
+        "hosts that cannot keep small shares do not use a server",
+        limit_division,
+        "_EXTRA_MEMBERS",
+        1000,
+        lambda: test_limit_division.check_limit(0.3, hosts=60),
+    ),
+    (
+        "orders count under the limits of engines",
+        LimitedEngineOrders,
+        "_take",
+        lambda self, entry: True,
+        test_stated_limits.test_orders_and_reports_count_under_an_engines_limit,
+    ),
     (
         "the end of a leaving server is no crash",
         CrashDetector,
--- a/tests/unit/test_report_codec.py
+++ b/tests/unit/test_report_codec.py
@@ -5,13 +5,22 @@
 from hypothesis import strategies as st
 
 from gooseberrydeal._internal.exceptions import PeerProtocolError
-from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
+from gooseberrydeal._internal.models.ids import (
+    FencingNumber,
+    HostId,
+    ServerId,
+    ServiceName,
+)
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.models.routing.engine_status import (
     CopyStatus,
     EngineStatus,
 )
+from gooseberrydeal._internal.models.routing.limit_report import (
+    LimitReport,
+    LimitStatement,
+)
 from gooseberrydeal._internal.models.routing.usage_report import (
     CopyLoadRequest,
     CopyUse,
@@ -20,6 +29,7 @@
 )
 from gooseberrydeal._internal.network.report_codec import (
     decode_report,
+    encode_limit_report,
     encode_status,
     encode_usage,
 )
@@ -95,6 +105,34 @@
     ]
 
 
+_statements = st.builds(
+    LimitStatement,
+    st.text(max_size=9).map(ServerId),
+    _counts,
+    st.none() | _counts.map(lambda number: number / 1000),
+    _counts.map(lambda number: number / 1000),
+)
+
+
+@given(
+    demands=st.dictionaries(st.text(max_size=9).map(ServiceName), _hundredths),
+    statements=st.lists(_statements, max_size=4).map(tuple),
+)
+def test_limit_reports_survive(
+    demands: dict[ServiceName, float], statements: tuple[LimitStatement, ...]
+) -> None:
+    report = LimitReport(HostId("h1"), demands, statements)
+    found = decode_report(encode_limit_report(report))
+    assert isinstance(found, LimitReport)
+    assert found.demands == pytest.approx(demands, abs=0.0011)
+    for got, sent in zip(found.statements, statements, strict=True):
+        assert (got.server, got.started_at) == (sent.server, sent.started_at)
+        assert got.seconds_ago == pytest.approx(sent.seconds_ago, abs=0.0011)
+        assert got.requests_per_second == pytest.approx(
+            sent.requests_per_second, abs=0.0011
+        )
+
+
 @given(data=st.binary(max_size=60))
 def test_other_bytes_are_refused_or_left_out(data: bytes) -> None:
     try:
