Take the ports of tests that run side by side from parts of the range

A test of crashing requests failed once with 'address already in use' (eight workers, beside nothing else): a server that is down for half a second starts again at its port, which another worker had chosen meanwhile; both draw from the same 12,000 ports at random, and a probe finds the port free while its server is down. Not reproduced by hand; the trace shows the bind of the restarted server.

Each worker now has its part of the range, and a port is chosen again only after all others of its part. No check is changed.

--- a/src/gooseberrydeal/_internal/lab/free_port.py
+++ b/src/gooseberrydeal/_internal/lab/free_port.py
@@ -2,23 +2,56 @@
 
 import random
 import socket
+from collections.abc import Iterator
 from typing import Final
 
 LOOPBACK: Final = "127.0.0.1"
+# Below the ephemeral range, so that no outgoing connection takes a port before the
+# caller listens on it.
 _FIRST_PORT: Final = 20_000
 _END_PORT: Final = 32_000
 _MAX_ATTEMPTS: Final = 200
 
 
-def free_port() -> int:
-    """Return a TCP port that is currently free on the loopback interface.
+class _PortRange:
+    """Hand out the ports of a range in turn, beginning anywhere.
 
-    The port lies below the ephemeral range, so that no outgoing connection takes it
-    before the caller listens on it. Raises ``OSError`` if none is found.
+    A port is handed out again only after all others, so that a server that is down for
+    a moment finds its port free when it starts again.
     """
-    rng = random.SystemRandom()
+
+    def __init__(self, first: int, end: int) -> None:
+        self._ports = self._in_turn(first, end)
+
+    def next(self) -> int:
+        return next(self._ports)
+
+    @staticmethod
+    def _in_turn(first: int, end: int) -> Iterator[int]:
+        port = random.SystemRandom().randrange(first, end)
+        while True:
+            yield port
+            port = port + 1 if port + 1 < end else first
+
+
+_range = _PortRange(_FIRST_PORT, _END_PORT)
+
+
+def use_part_of_ports(part: int, parts: int) -> None:
+    """Use only one of several equal parts of the ports in this process.
+
+    Processes that run side by side with parts of their own never choose the same port.
+    """
+    global _range  # noqa: PLW0603
+    size = (_END_PORT - _FIRST_PORT) // parts
+    first = _FIRST_PORT + part * size
+    _range = _PortRange(first, first + size)
+
+
+def free_port() -> int:
+    """Return a TCP port that is currently free; raise ``OSError`` if none is found."""
     for _ in range(_MAX_ATTEMPTS):
-        port = rng.randrange(_FIRST_PORT, _END_PORT)
+        port = _range.next()
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,8 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from gooseberrydeal._internal.lab.free_port import use_part_of_ports
+
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -17,6 +19,11 @@
 )
 settings.load_profile("ci")
 
+# Workers that run tests side by side take their ports from parts of the range.
+_WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+use_part_of_ports(_WORKER, _WORKERS)
+
 _KNOWN_FAILURES = Path(__file__).parent.parent / "KNOWN-RED.txt"
 _TEST_PREFIX = "Test: "
 
