--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -128,6 +128,8 @@
         }
         if self._view.store_epoch != self._epoch:
             self._begin_epoch()
+        for server in self._own_claims.keys() - engines.keys():
+            del self._own_claims[server]
         for server in list(self._owners):
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
--- a/src/gooseberrydeal/_internal/operations/router/server_limits.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_limits.py
@@ -43,8 +43,7 @@
 class ServerLimits:
     """Divide the limits of servers among the hosts, and count what this host sends.
 
-    ``hosts`` returns the hosts that may send requests. ``on_change`` is called if a
-    server has stated a new limit to this host or lifted it.
+    ``hosts`` returns the hosts that may send requests.
     """
 
     def __init__(
@@ -53,20 +52,19 @@
         own: HostId,
         hosts: Callable[[], Iterable[HostId]],
         clock: Callable[[], float],
-        on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._servers = servers
         self._own = own
         self._hosts = hosts
         self._clock = clock
-        self._on_change = on_change
+        self._on_change: Callable[[LimitStatement], None] | None = None
         self._limited: dict[tuple[ServerId, int], _LimitedServer] = {}
         self._demand = DemandTracker(_DEMAND_DECAY_SECONDS)
         self._own_demands: dict[ServiceName, deque[float]] = {}
         self._demands: dict[ServiceName, dict[HostId, tuple[float, float]]] = {}
 
-    def set_change_listener(self, on_change: Callable[[], None]) -> None:
-        """Call a function if a server has stated a new limit to this host."""
+    def set_change_listener(self, on_change: Callable[[LimitStatement], None]) -> None:
+        """Call a function with each limit that is new to this host, or was lifted."""
         self._on_change = on_change
 
     def note_request(self, service: ServiceName) -> None:
@@ -117,7 +115,8 @@
         self._divide(record, found)
         if _is_announced_change(found.announced, limit):
             found.announced = limit
-            self._on_change()
+            if self._on_change is not None:
+                self._on_change(self._statement(key, found))
 
     def merge(self, report: LimitReport) -> None:
         """Apply another host's demand and what servers stated to it."""
@@ -161,20 +160,15 @@
             if not current:
                 del self._demands[service]
 
-    def report(self) -> LimitReport | None:
-        """Return what the other hosts need to know, ``None`` if there is nothing."""
-        if not self._limited:
-            return None
+    def statements(self) -> list[LimitStatement]:
+        """Return what is known of the limits of all servers."""
+        return [self._statement(key, found) for key, found in self._limited.items()]
+
+    def own_demands(self) -> dict[ServiceName, float]:
+        """Return this host's demand for each service with limited servers."""
         now = self._clock()
-        statements = tuple(
-            LimitStatement(
-                *key, found.stated.current(now), max(0.0, now - found.stated.stated_at)
-            )
-            for key, found in self._limited.items()
-        )
         services = {record.entry.service for record, _ in self._in_force()}
-        demands = {service: self._demand.rate(service, now) for service in services}
-        return LimitReport(self._own, demands, statements)
+        return {service: self._demand.rate(service, now) for service in services}
 
     def fellow_members(self) -> set[HostId]:
         """Return the hosts that share a limit with this one."""
@@ -184,6 +178,13 @@
                 fellows.update(found.members)
         return fellows - {self._own}
 
+    def _statement(
+        self, key: tuple[ServerId, int], found: _LimitedServer
+    ) -> LimitStatement:
+        now = self._clock()
+        limit = found.stated.current(now)
+        return LimitStatement(*key, limit, max(0.0, now - found.stated.stated_at))
+
     def _in_force(self) -> Iterator[tuple[ServerRecord, _LimitedServer]]:
         for key, found in self._limited.items():
             record = self._servers.get(key[0])
