--- a/src/gooseberrydeal/_internal/operations/router/server_limits.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_limits.py
@@ -34,9 +34,15 @@
 
 @dataclass(slots=True)
 class _LimitedServer:
+    """Hold a server's limit and this host's part of it.
+
+    ``members_of`` is what ``members`` were chosen from, at the cost of a hash a host.
+    """
+
     stated: StatedLimit = field(default_factory=StatedLimit)
     permits: PacedPermits | None = None
     members: list[HostId] = field(default_factory=list)
+    members_of: tuple[int, frozenset[HostId]] | None = None
     announced: float | None = None
 
 
@@ -204,7 +210,10 @@
             found.permits = None
             return
         service = record.entry.service
-        found.members = limit_members(record.id, limit, {self._own, *self._hosts()})
+        members_of = (int(limit), frozenset((self._own, *self._hosts())))
+        if found.members_of != members_of:
+            found.members_of = members_of
+            found.members = limit_members(record.id, limit, members_of[1])
         demands = {
             host: demand for host, (demand, _) in self._demands.get(service, {}).items()
         }
