Keep the store's epoch when a response does not state it or precedes it

A response without the field Store-Era would have looked like one of epoch 0, and so like a restored store; one that was delayed across a restoration would have led back to the epoch before. The first changes nothing now, the second counts as no answer. The tests of hosts that share crash evidence take their runner from one place.

--- a/src/gooseberrydeal/_internal/lab/router/metadata_app.py
+++ b/src/gooseberrydeal/_internal/lab/router/metadata_app.py
@@ -61,7 +61,7 @@
         self._revision = _FIRST_REVISION
         self._next_lease = 1
         self._is_unavailable = False
-        self._epoch = 1
+        self._epoch: int | None = 1
 
     def set_unavailable(self, *, is_unavailable: bool) -> None:
         """Start or end an outage, in which every call is answered with status 503."""
@@ -73,13 +73,17 @@
 
     def restore(self, saved: SavedStore) -> None:
         """Replace the data by those of a copy; later writes and all leases are lost."""
-        self._epoch += 1
+        self._epoch = (self._epoch or 0) + 1
         self._items = dict(saved.items)
         self._changes.clear()
         self._leases.clear()
         self._revision = saved.revision
         self._next_lease = saved.next_lease
 
+    def set_epoch(self, epoch: int | None) -> None:
+        """Set the number of restorations that responses state, ``None`` for none."""
+        self._epoch = epoch
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key and return the new revision; lease 0 means no lease."""
         self._revision += 1
@@ -203,14 +207,15 @@
 class _EpochHeader:
     """Add to all responses how often the store was restored."""
 
-    def __init__(self, app: ASGIApp, epoch: Callable[[], int]) -> None:
+    def __init__(self, app: ASGIApp, epoch: Callable[[], int | None]) -> None:
         self._app = app
         self._epoch = epoch
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         async def send_with_epoch(message: Message) -> None:
-            if message["type"] == "http.response.start":
-                MutableHeaders(scope=message)["Store-Era"] = str(self._epoch())
+            epoch = self._epoch()
+            if message["type"] == "http.response.start" and epoch is not None:
+                MutableHeaders(scope=message)["Store-Era"] = str(epoch)
             await send(message)
 
         await self._app(scope, receive, send_with_epoch)
--- a/src/gooseberrydeal/_internal/platform/store_client.py
+++ b/src/gooseberrydeal/_internal/platform/store_client.py
@@ -198,7 +198,10 @@
             raise StoreUnavailableError(str(error)) from error
         except ServerBrokenError as error:
             raise StoreUnansweredError(str(error)) from error
-        self._epoch = _epoch(response.head)
+        epoch = _epoch(response.head)
+        if epoch is not None and epoch < self._epoch:
+            raise StoreUnansweredError("the response precedes the store's restoration")
+        self._epoch = self._epoch if epoch is None else epoch
         status = response.status
         is_complete = response.body is not None or method == "DELETE"
         if status in accepted_statuses or (status == HTTPStatus.OK and is_complete):
@@ -223,10 +226,10 @@
     return int(lease.partition("/")[0]) == epoch
 
 
-def _epoch(head: ResponseHead) -> int:
-    """Return how often the store was restored, 0 if it does not say."""
+def _epoch(head: ResponseHead) -> int | None:
+    """Return how often the store was restored, ``None`` if it does not say."""
     value = head.first(_EPOCH_HEADER)
-    return int(value) if value is not None and value.strip().isdigit() else 0
+    return int(value) if value is not None and value.strip().isdigit() else None
 
 
 def _decode_item(data: JsonObject, epoch: int) -> StoreItem:
--- a/tests/functional/test_crash_sharing.py
+++ b/tests/functional/test_crash_sharing.py
@@ -1,36 +1,16 @@
 """Check that all hosts learn which requests crash servers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
+from tests.lib.crash_hosts import run_hosts
 from tests.lib.crash_world import CRASHING, CrashHost, CrashNetwork
 from tests.lib.fake_metadata_store import StoreData
-from tests.lib.virtual_loop import run_virtual
 
 # The platform's bound on how long hosts may go on sending such a request.
 _STABLE_WINDOW_SECONDS = 3.0
 
-Scenario = Callable[[StoreData, CrashNetwork, list[CrashHost]], Awaitable[None]]
-
-
-def _run(scenario: Scenario, hosts: int = 3, domains: int = 1) -> None:
-    async def run() -> None:
-        data, network = StoreData(), CrashNetwork()
-        started = [
-            CrashHost(f"h{n}", data, network, f"d{n % domains}").start()
-            for n in range(hosts)
-        ]
-        await asyncio.sleep(0.5)
-        try:
-            await scenario(data, network, started)
-        finally:
-            for host in started:
-                await host.kill()
-
-    run_virtual(run())
-
 
 def test_hosts_count_each_others_crashes_at_once() -> None:
     async def scenario(
@@ -42,7 +22,7 @@
             await asyncio.sleep(0.01)
         assert all(host.refuses() for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_hosts_that_missed_the_datagrams_learn_by_repetition() -> None:
@@ -59,7 +39,7 @@
         await asyncio.sleep(_STABLE_WINDOW_SECONDS)
         assert all(host.refuses() for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_failure_domains_cut_off_from_each_other_learn_through_the_store() -> None:
@@ -72,7 +52,7 @@
         await asyncio.sleep(_STABLE_WINDOW_SECONDS)
         assert all(host.refuses() for host in hosts)
 
-    _run(scenario, domains=3)
+    run_hosts(scenario, domains=3)
 
 
 def test_a_domain_cut_off_from_store_and_hosts_counts_alone_and_learns_later() -> None:
@@ -93,7 +73,7 @@
         assert hosts[1].refuses()
         assert hosts[0].refuses(b"local")
 
-    _run(scenario, hosts=2, domains=2)
+    run_hosts(scenario, hosts=2, domains=2)
 
 
 def test_a_restarted_host_knows_what_was_refused_before_it_was_killed() -> None:
@@ -114,7 +94,7 @@
         await asyncio.sleep(0.1)
         assert hosts[1].refuses()
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_a_new_host_learns_from_the_others_while_the_store_is_away() -> None:
@@ -132,7 +112,7 @@
         await asyncio.sleep(_STABLE_WINDOW_SECONDS)
         assert new.refuses()
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_records_are_written_once_the_store_is_back() -> None:
@@ -151,7 +131,7 @@
         await asyncio.sleep(0.1)
         assert hosts[0].refuses()
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_a_write_whose_response_was_lost_does_not_stop_later_ones() -> None:
@@ -168,7 +148,7 @@
         await asyncio.sleep(_STABLE_WINDOW_SECONDS)
         assert hosts[1].refuses()
 
-    _run(scenario, hosts=2, domains=2)
+    run_hosts(scenario, hosts=2, domains=2)
 
 
 def test_a_served_request_is_cleared_on_all_hosts() -> None:
@@ -185,7 +165,7 @@
         assert [host.refuses(b"innocent") for host in hosts] == [False] * 3
         assert all(host.refuses() for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_a_frequent_innocent_request_is_never_refused() -> None:
@@ -198,7 +178,7 @@
             await asyncio.sleep(0.05)
             assert not any(host.refuses(b"frequent") for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 @pytest.mark.parametrize("hosts", [3, 40])
@@ -214,7 +194,7 @@
         seconds = 10.0
         assert (data.revision - before) / seconds <= min(100, len(hosts))
 
-    _run(scenario, hosts=hosts)
+    run_hosts(scenario, hosts=hosts)
 
 
 def test_repetition_between_hosts_stays_within_the_control_traffic() -> None:
@@ -228,4 +208,4 @@
         await asyncio.sleep(20.0)
         assert max(network.sent_bytes.values()) / 20.0 <= 23_000 / 4
 
-    _run(scenario, hosts=12)
+    run_hosts(scenario, hosts=12)
--- a/tests/functional/test_prompt_part_sharing.py
+++ b/tests/functional/test_prompt_part_sharing.py
@@ -1,36 +1,16 @@
 """Check that all hosts refuse a part of prompts that crashes engines, and no other."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
+from tests.lib.crash_hosts import run_hosts
 from tests.lib.crash_world import CrashHost, CrashNetwork
 from tests.lib.fake_metadata_store import StoreData
-from tests.lib.virtual_loop import run_virtual
 
 # The platform's bound on how long hosts may go on sending requests with such a part.
 _STABLE_WINDOW_SECONDS = 3.0
 _REFUSAL_SECONDS = 120.0
 _TURN_SECONDS = 15.0
 
-Scenario = Callable[[StoreData, CrashNetwork, list[CrashHost]], Awaitable[None]]
-
-
-def _run(scenario: Scenario, hosts: int = 3, domains: int = 1) -> None:
-    async def run() -> None:
-        data, network = StoreData(), CrashNetwork()
-        started = [
-            CrashHost(f"h{n}", data, network, f"d{n % domains}").start()
-            for n in range(hosts)
-        ]
-        await asyncio.sleep(0.5)
-        try:
-            await scenario(data, network, started)
-        finally:
-            for host in started:
-                await host.kill()
-
-    run_virtual(run())
-
 
 async def _crash_three(host: CrashHost) -> None:
     host.answer("first", "m9")
@@ -51,7 +31,7 @@
         assert all(host.refuses_part("first", "bad") for host in hosts)
         assert not any(host.refuses_part("first", "m1") for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_the_first_part_of_all_prompts_is_not_refused_while_no_engine_is_left() -> None:
@@ -68,7 +48,7 @@
         assert all(host.refuses_part("first", bad) for host in hosts)
         assert not any(host.refuses_part("first", "m2") for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_a_first_part_that_was_never_answered_is_refused() -> None:
@@ -84,7 +64,7 @@
             host.refuses_part("first", f"m{n}") for n in range(4) for host in hosts
         )
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_cut_off_domains_and_hosts_without_store_learn_of_a_part() -> None:
@@ -102,7 +82,7 @@
         await asyncio.sleep(_STABLE_WINDOW_SECONDS)
         assert all(host.refuses_part("x", "worse") for host in hosts)
 
-    _run(scenario, domains=3)
+    run_hosts(scenario, domains=3)
 
 
 def test_restarted_and_new_hosts_refuse_a_known_part() -> None:
@@ -120,7 +100,7 @@
         await asyncio.sleep(0.1)
         assert all(host.refuses_part("x", "bad") for host in hosts)
 
-    _run(scenario)
+    run_hosts(scenario)
 
 
 def test_one_request_at_a_time_tests_a_part_after_its_refusal() -> None:
@@ -141,4 +121,4 @@
         await asyncio.sleep(0.1)
         assert not any(host.refuses_part("x", "bad") for host in hosts * 3)
 
-    _run(scenario)
+    run_hosts(scenario)
--- a/tests/functional/test_store_restored.py
+++ b/tests/functional/test_store_restored.py
@@ -3,10 +3,15 @@
 import asyncio
 import os
 import random
+from collections.abc import Awaitable, Callable
 
 import pytest
 
-from gooseberrydeal._internal.exceptions import StoreHistoryError
+from gooseberrydeal._internal.exceptions import (
+    LeaseLostError,
+    StoreHistoryError,
+    StoreUnansweredError,
+)
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.metadata_app import MetadataApp
 from gooseberrydeal._internal.models.ids import ServerId
@@ -154,14 +159,23 @@
     run_virtual(scenario())
 
 
-def test_the_client_reports_a_restored_store_and_orders_its_revisions() -> None:
-    async def scenario() -> None:
+def _run_client(
+    scenario: Callable[[MetadataApp, PlatformStore], Awaitable[None]],
+) -> None:
+    async def run() -> None:
         address = free_address()
         app = MetadataApp()
         host, port = address.rsplit(":", 1)
         server = HttpServer(app.app(), host, int(port))
         await server.start()
-        client = PlatformStore(address)
+        await scenario(app, PlatformStore(address))
+        await server.abort()
+
+    asyncio.run(run())
+
+
+def test_the_client_reports_a_restored_store_and_orders_its_revisions() -> None:
+    async def scenario(app: MetadataApp, client: PlatformStore) -> None:
         app.put("op/config", b"1")
         saved = app.save()
         first = await client.put("k", b"1", if_revision=0)
@@ -176,6 +190,37 @@
         assert second > first
         assert await client.put("k", b"3", if_revision=second) is not None
         assert [item.revision for item in (await client.list("k")).items] > [second]
-        await server.abort()
 
-    asyncio.run(scenario())
+    _run_client(scenario)
+
+
+def test_a_lease_of_an_earlier_epoch_has_ended_although_its_number_is_used() -> None:
+    async def scenario(app: MetadataApp, client: PlatformStore) -> None:
+        saved = app.save()
+        lost = await client.grant_lease(9.0)
+        app.restore(saved)
+        current = await client.grant_lease(9.0)
+        assert current != lost
+        assert not await client.renew_lease(lost)
+        await client.end_lease(lost)
+        assert await client.renew_lease(current)
+        with pytest.raises(LeaseLostError):
+            await client.put("k", b"1", lease=lost)
+
+    _run_client(scenario)
+
+
+def test_responses_that_do_not_say_the_epoch_or_an_older_one_change_nothing() -> None:
+    async def scenario(app: MetadataApp, client: PlatformStore) -> None:
+        app.set_epoch(2)
+        app.put("op/config", b"1")
+        page = await client.list("")
+        app.set_epoch(None)
+        assert (await client.changes("", page.revision, 0.05, 1.0)).items == ()
+        app.set_epoch(1)
+        with pytest.raises(StoreUnansweredError):
+            await client.list("")
+        app.set_epoch(2)
+        assert (await client.list("")).revision == page.revision
+
+    _run_client(scenario)
