--- a/src/gooseberrydeal/_internal/lab/free_port.py
+++ b/src/gooseberrydeal/_internal/lab/free_port.py
@@ -1,5 +1,6 @@
 """Find free TCP ports on the loopback interface."""
 
+import itertools
 import random
 import socket
 from collections.abc import Iterator
@@ -14,27 +15,26 @@
 
 
 class _PortRange:
-    """Hand out the ports of a range in turn, beginning anywhere.
+    """Hand out the ports of a range in turn, from a random one on.
 
     A port is handed out again only after all others, so that a server that is down for
     a moment finds its port free when it starts again.
     """
 
-    def __init__(self, first: int, end: int) -> None:
-        self._ports = self._in_turn(first, end)
+    def __init__(self) -> None:
+        self.restrict(_FIRST_PORT, _END_PORT)
+
+    def restrict(self, first: int, end: int) -> None:
+        start = random.SystemRandom().randrange(first, end)
+        self._ports: Iterator[int] = itertools.cycle(
+            [*range(start, end), *range(first, start)]
+        )
 
     def next(self) -> int:
         return next(self._ports)
 
-    @staticmethod
-    def _in_turn(first: int, end: int) -> Iterator[int]:
-        port = random.SystemRandom().randrange(first, end)
-        while True:
-            yield port
-            port = port + 1 if port + 1 < end else first
-
 
-_range = _PortRange(_FIRST_PORT, _END_PORT)
+_ports = _PortRange()
 
 
 def use_part_of_ports(part: int, parts: int) -> None:
@@ -42,16 +42,15 @@
 
     Processes that run side by side with parts of their own never choose the same port.
     """
-    global _range  # noqa: PLW0603
     size = (_END_PORT - _FIRST_PORT) // parts
     first = _FIRST_PORT + part * size
-    _range = _PortRange(first, first + size)
+    _ports.restrict(first, first + size)
 
 
 def free_port() -> int:
     """Return a TCP port that is currently free; raise ``OSError`` if none is found."""
     for _ in range(_MAX_ATTEMPTS):
-        port = _range.next()
+        port = _ports.next()
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
--- a/tests/functional/test_store_restored.py
+++ b/tests/functional/test_store_restored.py
@@ -36,6 +36,7 @@
 # each), and calls to the store that was cut off have failed (1.5 s, before and after).
 _TAKEOVER_SECONDS = 18.0
 _REWRITE_SECONDS = 1.2
+_LEASE_SECONDS = 9.0
 # More seeds can be run by hand.
 _SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "8")))
 
@@ -111,6 +112,29 @@
     run_virtual(scenario())
 
 
+def test_an_owner_that_the_copy_names_waits_for_a_later_one_that_is_gone() -> None:
+    async def scenario() -> None:
+        data, engine = new_store_data(), new_engine()
+        hosts = [OwnerHost(f"h{n}", data, engine).start() for n in (1, 2)]
+        await _report_demand(hosts, 4.0, first=0)
+        first_owner = next(host for host in hosts if host.is_owner)
+        later_owner = next(host for host in hosts if host is not first_owner)
+        saved = data.copy()
+        first_owner.store.is_cut = True
+        await _report_demand(hosts, 40.0, first=20)
+        first_owner.store.is_cut = False
+        await _report_demand(hosts, 3.0, first=300)
+        await later_owner.kill()
+        now = asyncio.get_running_loop().time()
+        data.restore(saved, leases_until=now + _LEASE_SECONDS)
+        _write_platform_entries(data, engine)
+        await _report_demand([first_owner], 40.0, first=400)
+        assert engine.log[-1][1].holder == first_owner.name
+        _check_orders(engine)
+
+    run_virtual(scenario())
+
+
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_fencing_numbers_rise_under_random_restorations(seed: int) -> None:
     async def scenario() -> None:
@@ -122,7 +146,8 @@
             await _report_demand(hosts, rng.uniform(0.5, 9.0), first=50 * step)
             action = rng.random()
             if action < 0.4:
-                data.restore(saved)
+                now = asyncio.get_running_loop().time()
+                data.restore(saved, now + rng.choice([0.0, _LEASE_SECONDS]))
                 await asyncio.sleep(rng.uniform(0.0, _REWRITE_SECONDS))
                 _write_platform_entries(data, engine)
             elif action < 0.7:
--- a/tests/lib/fake_metadata_store.py
+++ b/tests/lib/fake_metadata_store.py
@@ -76,13 +76,18 @@
             lease_keys=dict(self.lease_keys),
         )
 
-    def restore(self, saved: "StoreData") -> None:
-        """Replace all data by those of a copy; later writes are lost."""
+    def restore(self, saved: "StoreData", leases_until: float = 0.0) -> None:
+        """Replace all data by those of a copy; later writes are lost.
+
+        The leases of the copy last until ``leases_until`` if that is later than their
+        end.
+        """
         found = saved.copy()
         self.epoch += 1
         self.revision = found.revision
         self.items, self.history = found.items, found.history
-        self.leases, self.lease_keys = found.leases, found.lease_keys
+        self.leases = {k: max(t, leases_until) for k, t in found.leases.items()}
+        self.lease_keys = found.lease_keys
         self.last_lease_number = found.last_lease_number
 
     def ordered(self, item: StoreItem) -> StoreItem:
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -66,6 +66,7 @@
         number: int = 1,
     ) -> None:
         clock: Callable[[], float] = asyncio.get_running_loop().time
+        self.name = name
         member = membership(name, number=number)
         self.store = FakeMetadataStore(data)
         self.orders = FakeEngineOrders(engine, clock)
