--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -32,8 +32,8 @@
 def final_refusal_status(codec: RelayCodec, route: Route, cause: RequestFeature) -> int:
     """Return the status, which is final, of a request that is refused for crashes.
 
-    A request that crashes servers is its caller's error. One that shares a part with
-    such requests may be sound, so its status blames the servers.
+    A request that crashes servers is its caller's error. One that shares a part of its
+    prompt with such requests may be valid, so the status reports a failed server.
     """
     if cause.is_prompt_part:
         return HTTPStatus.BAD_GATEWAY
