Check again that clearing protects a frequent request

When parts of prompts came in, the guard of cleared requests was given a unit test, since the play of a frequent request no longer failed without it: it passes with either the clearing or the memory of cleared requests disabled, and fails with both. That left the play without a guard. One that disables the report of served requests, and so both, is back; the play fails without it.

--- a/tests/unit/test_router_guards.py
+++ b/tests/unit/test_router_guards.py
@@ -45,6 +45,13 @@
 
 
 _GUARDS: list[Guard] = [
+    Guard(
+        "requests that are served all the time are not refused",
+        CrashGuard,
+        "note_served",
+        _ignore,
+        test_crash_sharing.test_a_frequent_innocent_request_is_never_refused,
+    ),
     Guard(
         "requests that were served are cleared",
         CrashHistory,
