--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -131,14 +131,19 @@
         await self.nodes.pop(name).abort()
 
     async def call(
-        self, host: str, body: bytes, path: str = "/safe/a", **fields: str
+        self,
+        host: str,
+        body: bytes,
+        path: str = "/safe/a",
+        method: str = "POST",
+        **fields: str,
     ) -> tuple[int, dict[str, str]]:
         """Send one request on a new connection; return the status and the fields.
 
         The status is 0 if the connection ends without a response.
         """
         lines = [
-            f"POST {path} HTTP/1.1",
+            f"{method} {path} HTTP/1.1",
             f"Host: {_CALLER_HOST}",
             f"X-Request-Id: {random.getrandbits(64):016x}",
             "X-Deadline-Ms: 3000",
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -21,7 +21,9 @@
     A request with one of ``bad_parts`` among the parts of its prompt, of which the last
     does not count, crashes the server after the head of its response was sent. Paths
     under ``/stream/`` are answered with events. ``stated_limit`` is the limit on
-    requests that all responses state.
+    requests that all responses state. The mark may begin the body or the query; the
+    server then crashes ``crash_delay_seconds`` after it began to run the request, with
+    all others that run there.
 
     A crash resets all connections and closes the listening socket. The server starts
     again with a new id at the same address ``down_seconds`` later. ``on_start`` is
@@ -45,6 +47,10 @@
         self.arrival_times: list[float] = []
         self.crash_times: list[float] = []
         self.bad_part_times: list[float] = []
+        self.crash_delay_seconds = 0.0
+        self.bad_arrivals: list[tuple[str, float]] = []
+        self.bad_crashes: list[tuple[str, float]] = []
+        self._bad_running: set[str] = set()
         self.answered: list[str] = []
         self._on_start = on_start
         self._on_end = on_end
@@ -89,7 +95,10 @@
         """End the server at once and start it again later."""
         if not self.is_running:
             return
-        self.crash_times.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.crash_times.append(now)
+        self.bad_crashes += [(name, now) for name in self._bad_running]
+        self._bad_running.clear()
         self._end()
         self._on_end(self)
         self._tasks.start(self._restart(), f"restart of {self.name}")
@@ -112,8 +121,9 @@
                     writer.write(response(b"", "421 Misdirected Request"))
                     continue
                 self.arrival_times.append(asyncio.get_running_loop().time())
-                if request.body.startswith(CRASH_MARK):
-                    self.crash()
+                bad_name = _crashing_name(request)
+                if bad_name is not None:
+                    await self._run_crashing(bad_name)
                     return
                 has_bad_part = not self.bad_parts.isdisjoint(_shared_parts(request))
                 if has_bad_part:
@@ -136,6 +146,15 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _run_crashing(self, name: str) -> None:
+        start = self._start_number
+        self.bad_arrivals.append((name, asyncio.get_running_loop().time()))
+        self._bad_running.add(name)
+        if self.crash_delay_seconds:
+            await asyncio.sleep(self.crash_delay_seconds)
+        if self._start_number == start:
+            self.crash()
+
     def _limit_fields(self) -> list[str]:
         if self.stated_limit is None:
             return []
@@ -160,6 +179,14 @@
         writer.write(b"0\r\n\r\n")
 
 
+def _crashing_name(request: ReceivedRequest) -> str | None:
+    """Return what names a request that crashes servers, ``None`` if it does not."""
+    query = request.head.split(b" ", 2)[1].partition(b"?")[2]
+    marked = (item for item in (request.body, query) if item.startswith(CRASH_MARK))
+    name = next(marked, None)
+    return None if name is None else name.decode()
+
+
 def _shared_parts(request: ReceivedRequest) -> list[str]:
     """Return the ids of all parts of the prompt but the last."""
     header = request.header("x-prompt-prefix") or ""
