Tell requests that crash servers apart by their query too

What callers saw: a lookup that crashes each server was sent to servers without end, and sound lookups of the service were refused since no server was left.

Cause: the identity of a request left the query out, so sound requests with the same path, caller and body, told apart by the query alone, cleared the one that crashes servers.

Why this works: a request counts with its query, and besides without it as something that requests share, like a part of prompts. If the query belongs to the path, sound requests clear only what is shared; if it does not, each of the requests is new, and what they share is never cleared and is refused.

--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -15,7 +15,7 @@
     stated.
     ``prompt_tokens`` and ``output_tokens`` are the counts that the caller states, 0 if
     it does not. ``shared_prompt_parts`` names the parts of the prompt, in order, that
-    other requests may have too.
+    other requests may have too. ``query`` is the part of the target after the path.
     """
 
     request_id: RequestId
@@ -27,3 +27,4 @@
     output_tokens: int = 0
     caller: str = ""
     shared_prompt_parts: tuple[PromptPartId, ...] = ()
+    query: str = ""
--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -20,7 +20,7 @@
 _REQUEST_CLEARED_SECONDS: Final = 2.0
 # Engines that crash one after the other may leave no answer standing for a while, and
 # all requests of a route share the first part of their prompts.
-_PART_CLEARED_SECONDS: Final = 30.0
+_SHARED_CLEARED_SECONDS: Final = 30.0
 # Longer bodies are not remembered, since each would have to be read for its digest.
 _MAX_CLEARED_BODY_BYTES: Final = 65_536
 
@@ -62,7 +62,7 @@
         self._on_evidence = on_evidence
         self._clock = clock
         self._served = RecentlyCleared(_REQUEST_CLEARED_SECONDS)
-        self._cleared_parts = RecentlyCleared(_PART_CLEARED_SECONDS)
+        self._cleared_shared = RecentlyCleared(_SHARED_CLEARED_SECONDS)
         self._runs: set[GuardedRun] = set()
         self._refused: frozenset[RequestFeature] = frozenset()
         self._last_crash: CrashId | None = None
@@ -97,13 +97,14 @@
     def note_answering(self, identity: RequestIdentity) -> None:
         """Record that a server has been answering a request for some time.
 
-        This clears the parts of the prompt, which would have crashed the server when
-        the answer began.
+        This clears what the request shares with others, which would have crashed the
+        server when the answer began.
         """
         now = self._clock()
-        for part in identity.parts:
-            self._cleared_parts.note(part, now)
-        self._clear(part for part in identity.parts if self._history.crash_count(part))
+        shared = identity.shared_features
+        for feature in shared:
+            self._cleared_shared.note(feature, now)
+        self._clear(f for f in shared if self._history.crash_count(f))
 
     def note_served(self, identity: RequestIdentity) -> None:
         """Record that a server ran a request to the end."""
@@ -129,7 +130,7 @@
                 if not self._is_cleared(feature, now):
                     self._history.note_crash(feature, crash, now)
                     noted[feature] = None
-            whole, *parts = features
+            whole, *shared = features
             logger.info(
                 "%s was at a server that crashed, %d crashes so far",
                 whole,
@@ -141,7 +142,8 @@
                         part.content.decode("utf-8", "backslashreplace"): (
                             self._history.crash_count(part)
                         )
-                        for part in parts
+                        for part in shared
+                        if not part.is_any_query
                     },
                 },
             )
@@ -166,7 +168,7 @@
 
     def _is_cleared(self, feature: RequestFeature, now: float) -> bool:
         """Return whether requests with a feature are served all the time."""
-        cleared = self._cleared_parts if feature.is_prompt_part else self._served
+        cleared = self._cleared_shared if feature.is_shared else self._served
         return cleared.holds(feature, now)
 
     def _refute_if_cleared(self, feature: RequestFeature, now: float) -> bool:
--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -33,8 +33,9 @@
     """Return the status, which is final, of a request that is refused for crashes.
 
     A request that crashes servers is its caller's error. One that shares a part of its
-    prompt with such requests may be valid, so the status reports a failed server.
+    prompt or all but the query with such requests may be valid, so the status reports a
+    failed server.
     """
-    if cause.is_prompt_part:
+    if cause.is_shared:
         return HTTPStatus.BAD_GATEWAY
     return codec.final_refusal_status(is_repeatable=route.is_repeatable)
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -136,6 +136,7 @@
             attributes.caller,
             exchange.body,
             attributes.shared_prompt_parts,
+            attributes.query,
         )
         cause = self._crash_protection.guard.refusal_cause(identity)
         if cause is not None:
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -48,7 +48,7 @@
     def read_request(self, head: RequestHead) -> RequestAttributes:
         """Return the routing data of a request; invalid fields count as absent."""
         fields = {name.lower(): value for name, value in head.headers}
-        path = head.target.partition(b"?")[0]
+        path, _, query = head.target.partition(b"?")
         prompt, output = _parse_integer_pair(fields.get(header_names.TOKEN_COUNTS, b""))
         deadline = _parse_number(fields.get(header_names.DEADLINE))
         return RequestAttributes(
@@ -65,6 +65,7 @@
             shared_prompt_parts=_parse_shared_parts(
                 fields.get(header_names.PROMPT_PARTS, b"")
             ),
+            query=_decode_text(query),
         )
 
     def forward_headers(
--- a/src/gooseberrydeal/_internal/policy/crash_history.py
+++ b/src/gooseberrydeal/_internal/policy/crash_history.py
@@ -107,9 +107,19 @@
         """Return the features of a request that there is evidence about."""
         if not self._suspects:
             return ()
-        parts = tuple(part for part in identity.parts if part in self._suspects)
+        shared = tuple(f for f in identity.shared_features if f in self._suspects)
         whole = self.find(identity)
-        return parts if whole is None else (whole, *parts)
+        return shared if whole is None else (whole, *shared)
+
+    def isolation_level(self, identity: RequestIdentity) -> int:
+        """Return how many crashes of a request are not refuted, whatever its prompt.
+
+        This is the larger number of those with the same query and those with any.
+        """
+        if not self._suspects:
+            return 0
+        found = (f for f in self.find_all(identity) if f.outline or f.is_any_query)
+        return max(map(self.crash_count, found), default=0)
 
     def crash_count(self, feature: RequestFeature) -> int:
         """Return the number of crashes of a feature that are not refuted."""
