Run requests that may crash servers alone, on servers they share with no other

What callers saw: requests under which three servers had ended were sent to servers up to 7 times more (3 allowed), and 15% of the sound requests of the service were served.

Cause: a crash was attributed to the one request that was at most crashes, so of several requests at the same crashes each but one needed crashes of its own, and which one was refused changed from crash to crash. Nothing saw to it that one had a server to itself.

Evidence: test_requests_that_crash_servers_at_once_are_all_refused_in_time[8] failed before (6 to 7 late sends each, 9 to 10 crashes each, 27 in all).

Why this works: a request that was at a crash runs alone. Hosts announce such runs to each other and take turns, so a crash shows its cause, and a request is refused after two servers; at most a third of a service's servers is down or at risk for it.

--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -30,6 +30,7 @@
     SERVER_FAILED = "server_failed"
     STREAM_CUT = "stream_cut"
     CRASH_SUSPECT = "crash_suspect"
+    SUSPECT_WAITS = "suspect_waits"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     KEY_MALFORMED = "key_malformed"
     KEY_EXPIRED = "key_expired"
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -18,6 +18,7 @@
     CopyStatus,
     EngineStatus,
 )
+from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
 from gooseberrydeal._internal.models.routing.usage_report import (
     CopyLoadRequest,
@@ -30,12 +31,16 @@
     crash_report_fields,
     parse_crash_report,
 )
+from gooseberrydeal._internal.network.isolation_codec import (
+    isolation_notice_fields,
+    parse_isolation_notice,
+)
 from gooseberrydeal._internal.network.limit_codec import (
     limit_report_fields,
     parse_limit_report,
 )
 
-Report = UsageReport | EngineStatus | CrashReport | LimitReport
+Report = UsageReport | EngineStatus | CrashReport | LimitReport | IsolationNotice
 
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
@@ -47,6 +52,7 @@
     STATUS = 2
     CRASHES = 3
     LIMITS = 4
+    ISOLATION = 5
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -111,6 +117,12 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.LIMITS), *fields])
 
 
+def encode_isolation_notice(notice: IsolationNotice) -> bytes:
+    """Encode a notice about a request that runs in isolation."""
+    fields = isolation_notice_fields(notice)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.ISOLATION), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -128,6 +140,8 @@
             return parse_crash_report(fields)
         if kind == _ReportKind.LIMITS:
             return parse_limit_report(fields)
+        if kind == _ReportKind.ISOLATION:
+            return parse_isolation_notice(fields)
     except DECODE_ERRORS as error:
         raise PeerProtocolError(
             f"report has invalid encoding or fields: {error!r}"
--- a/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_gossip.py
@@ -9,8 +9,12 @@
 from gooseberrydeal._internal.models.routing.crash_evidence import CrashEvidence
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
-from gooseberrydeal._internal.network.report_codec import encode_crash_report
+from gooseberrydeal._internal.network.report_codec import (
+    encode_crash_report,
+    encode_isolation_notice,
+)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.policy.crash_history import CrashHistory
 
@@ -61,6 +65,12 @@
             asyncio.get_running_loop().call_soon(self._announce_pending)
         self._pending.update(dict.fromkeys(features))
 
+    def announce_isolation(self, notice: IsolationNotice) -> None:
+        """Send a notice about an isolated run to all hosts."""
+        data = encode_isolation_notice(notice)
+        for host in self._other_hosts():
+            self._send_datagram(data, host.address)
+
     async def run(self) -> None:
         """Repeat what is known to a few hosts periodically, until cancelled."""
         while True:
--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -10,6 +10,9 @@
 from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.suspect_isolation import (
+    SuspectIsolation,
+)
 from gooseberrydeal._internal.policy.crash_history import CrashHistory
 from gooseberrydeal._internal.policy.recently_cleared import RecentlyCleared
 from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
@@ -49,6 +52,7 @@
     def __init__(
         self,
         history: CrashHistory,
+        isolation: SuspectIsolation,
         trials: RefusalTrials,
         metrics: RouterMetrics,
         hosts: Callable[[], Iterable[HostId]],
@@ -56,6 +60,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._history = history
+        self._isolation = isolation
         self._trials = trials
         self._metrics = metrics
         self._hosts = hosts
@@ -130,6 +135,10 @@
                 if not self._is_cleared(feature, now):
                     self._history.note_crash(feature, crash, now)
                     noted[feature] = None
+            for feature in self._isolation.isolated_features(request_id, crash.server):
+                if feature in noted:
+                    self._history.note_crash(feature, crash.isolated, now)
+            self._isolation.note_crash(request_id)
             whole, *shared = features
             logger.info(
                 "%s was at a server that crashed, %d crashes so far",
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
@@ -15,7 +16,11 @@
 from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.suspect_isolation import (
+    SuspectIsolation,
+)
 from gooseberrydeal._internal.policy.crash_history import CrashHistory
+from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
 from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -35,8 +40,20 @@
         rng: random.Random,
     ) -> None:
         history = CrashHistory()
+        self._turns = IsolationTurns()
+        self._gossip = CrashGossip(membership, view, history, send, clock, rng)
+        self._isolation = SuspectIsolation(
+            membership,
+            self._turns,
+            history,
+            servers,
+            self._gossip.announce_isolation,
+            clock,
+            rng,
+        )
         self._guard = CrashGuard(
             history,
+            self._isolation,
             RefusalTrials(membership.host),
             metrics,
             lambda: view.hosts,
@@ -44,7 +61,6 @@
             clock,
         )
         self._detector = CrashDetector(servers, self._guard.note_crash, clock)
-        self._gossip = CrashGossip(membership, view, history, send, clock, rng)
         self._records = CrashRecords(
             store, membership, view, history, self._guard.merge, clock
         )
@@ -56,6 +72,16 @@
         """Return the part that decides which requests are refused."""
         return self._guard
 
+    @property
+    def isolation(self) -> SuspectIsolation:
+        """Return the part that runs suspects alone."""
+        return self._isolation
+
+    @property
+    def turns(self) -> IsolationTurns:
+        """Return the isolated runs of all hosts."""
+        return self._turns
+
     @property
     def detector(self) -> CrashDetector:
         """Return the part that detects crashes."""
@@ -65,6 +91,7 @@
         """Start sharing evidence with the other hosts."""
         self._tasks.start(self._gossip.run(), "crash gossip")
         self._tasks.start(self._records.run(), "crash records")
+        self._tasks.start(self._isolation.run(), "suspect isolation")
 
     async def stop(self) -> None:
         """Stop sharing evidence."""
@@ -74,6 +101,10 @@
         """Take in the evidence that another host sent."""
         self._guard.merge(report.evidence)
 
+    def isolation_notice_received(self, notice: IsolationNotice) -> None:
+        """Take in a notice that another host sent."""
+        self._isolation.received(notice)
+
     def record_read(self, item: StoreItem) -> None:
         """Take in a record of the metadata store."""
         self._records.apply(item)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -35,6 +35,7 @@
     RequestSize,
     choose_engine,
 )
+from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
 from gooseberrydeal._internal.policy.plain_server_choice import (
     PlainCandidate,
     choose_plain_server,
@@ -70,6 +71,7 @@
         servers: ServerTable,
         view: MetadataView,
         limits: ServerLimits,
+        turns: IsolationTurns,
         domain: DomainName,
         version_bound: float,
         signal: ChangeSignal,
@@ -86,6 +88,7 @@
         self._clock = clock
         self._rng = rng
         self._limits = limits
+        self._turns = turns
         self._demand = AdapterDemand()
 
     @property
@@ -272,8 +275,17 @@
         return NoAssignment(RefusalReason.SERVER_LIMITED, seconds)
 
     def _eligible_servers(self, request: RoutedRequest) -> list[ServerRecord]:
-        return [
+        """Return the servers to choose from.
+
+        Servers on which a suspect of crashes runs alone are left out, unless there are
+        no others.
+        """
+        eligible = [
             record
             for record in self._servers.of_service(request.service)
             if record.id not in request.excluded
         ]
+        busy = self._turns.busy_servers(request.service, self._clock())
+        if not busy:
+            return eligible
+        return [record for record in eligible if record.id not in busy] or eligible
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -2,13 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Any, Final, TypeVar
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
-from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
-from gooseberrydeal._internal.models.routing.limit_report import LimitReport
 from gooseberrydeal._internal.models.routing.usage_report import (
     EngineUsage,
     UsageReport,
@@ -25,6 +23,8 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 
+_ReportT = TypeVar("_ReportT", bound=Report)
+
 # Engines to be reported soon are collected for this long, then reported together.
 _BATCH_DELAY_SECONDS: Final = 0.002
 # A change by more than this in the prompt tokens of this host that await prefill on an
@@ -58,8 +58,7 @@
         self._signal = signal
         self._clock = clock
         self._ownership: EngineOwnership | None = None
-        self._on_crash_report: Callable[[CrashReport], None] | None = None
-        self._on_limit_report: Callable[[LimitReport], None] | None = None
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._socket = DatagramSocket(self._on_report)
         self._sequence = 0
         self._pending: set[ServerRecord] = set()
@@ -71,13 +70,14 @@
         """Set the object that receives usage reports on engines owned by this host."""
         self._ownership = ownership
 
-    def set_crash_handler(self, on_crash_report: Callable[[CrashReport], None]) -> None:
-        """Set the function that receives evidence about requests that crash servers."""
-        self._on_crash_report = on_crash_report
+    def set_handler(
+        self, kind: type[_ReportT], handler: Callable[[_ReportT], None]
+    ) -> None:
+        """Set the function that receives the reports of a kind.
 
-    def set_limit_handler(self, on_limit_report: Callable[[LimitReport], None]) -> None:
-        """Set the function that receives what servers stated about their limits."""
-        self._on_limit_report = on_limit_report
+        Usage reports and engine statuses are handled here.
+        """
+        self._handlers[kind] = handler
 
     async def open(self) -> None:
         """Bind the socket; raise ``OSError`` if that fails."""
@@ -173,13 +173,10 @@
         if isinstance(report, EngineStatus):
             self._apply_status(report)
             return
-        if isinstance(report, CrashReport):
-            if self._on_crash_report is not None:
-                self._on_crash_report(report)
-            return
-        if isinstance(report, LimitReport):
-            if self._on_limit_report is not None:
-                self._on_limit_report(report)
+        if not isinstance(report, UsageReport):
+            handler = self._handlers.get(type(report))
+            if handler is not None:
+                handler(report)
             return
         known = self._last_sequences.get(report.host)
         current = (report.incarnation, report.sequence)
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -96,7 +96,9 @@
         self._server: ServerId | None = None
         self._log = RequestLog(request, metrics)
         self._failure = FailedReply(request, exchange, codec, self._log)
-        self._screening = CrashScreening(identity, crash_protection, self._failure)
+        self._screening = CrashScreening(
+            request, identity, crash_protection, self._failure
+        )
         self._times = ServeTimes(request.arrived_at)
 
     @property
@@ -131,25 +133,31 @@
             self._log.cancelled(waited, self._server)
             raise
         finally:
+            self._screening.end_isolation()
             self._guard.leave(self)
 
     async def _serve(self) -> None:
         while True:
+            if not await self._screening.wait_for_turn():
+                return
             assignment = await self._dispatcher.assign(self._request)
             if isinstance(assignment, NoAssignment):
                 self._failure.reject(assignment.reason, assignment.retry_after)
                 return
             if self._screening.refuse_if_crashing():
                 return
+            if not await self._screening.claim_server(assignment.record):
+                continue
             outcome = await self._attempt(assignment)
+            if self._lost_connection and outcome is not None:
+                await self._screening.connection_lost(
+                    assignment.record,
+                    self._on_unreachable,
+                    can_run_again=self._can_run_again(pending=1),
+                )
+            self._screening.end_isolation()
             if outcome is None:
                 continue
-            if self._lost_connection:
-                self._screening.connection_lost(assignment.record)
-                self._on_unreachable(assignment.record)
-                await self._screening.wait_for_verdict(
-                    assignment.record, can_run_again=self._can_run_again(pending=1)
-                )
             if not self._handle_outcome(assignment, outcome):
                 return
 
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -6,8 +6,11 @@
 from http import HTTPStatus
 from typing import Final
 
+from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
+from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
+from gooseberrydeal._internal.models.routing.limit_report import LimitReport
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
@@ -96,14 +99,19 @@
             now,
             rng,
         )
-        self._report_exchange.set_crash_handler(self._crash_protection.report_received)
+        self._report_exchange.set_handler(
+            CrashReport, self._crash_protection.report_received
+        )
+        self._report_exchange.set_handler(
+            IsolationNotice, self._crash_protection.isolation_notice_received
+        )
         limits = ServerLimits(
             self._servers, settings.host, lambda: self._view.hosts, now
         )
         self._limit_exchange = LimitExchange(
             membership, self._view, limits, self._report_exchange.send, rng
         )
-        self._report_exchange.set_limit_handler(limits.merge)
+        self._report_exchange.set_handler(LimitReport, limits.merge)
         self._lease_keeper = LeaseKeeper(
             store, membership, clock.seconds_since_boot, self._on_metadata_change
         )
@@ -138,6 +146,7 @@
             self._servers,
             self._view,
             limits,
+            self._crash_protection.turns,
             settings.domain,
             settings.bounds.adapter_version,
             signal,
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -25,6 +25,7 @@
 from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
 from tests.lib.routing_builders import (
     LANGUAGE,
     MODEL,
@@ -53,10 +54,12 @@
         self.limits = ServerLimits(
             self.servers, HostId("h1"), lambda: self.view.hosts, self.now
         )
+        self.turns = IsolationTurns()
         self.dispatcher = Dispatcher(
             self.servers,
             self.view,
             self.limits,
+            self.turns,
             DomainName("d1"),
             VERSION_BOUND_SECONDS,
             self.signal,
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -124,10 +124,21 @@
             self.servers, HostId("h1"), lambda: self.view.hosts, clock
         )
         self.load_requests: list[ServerRecord] = []
+        self.crash_protection = CrashProtection(
+            membership(),
+            FakeMetadataStore(StoreData()),
+            self.view,
+            self.servers,
+            self.metrics,
+            lambda data, address: None,
+            clock,
+            random.Random(3),
+        )
         dispatcher = Dispatcher(
             self.servers,
             self.view,
             self.limits,
+            self.crash_protection.turns,
             DomainName("d1"),
             5.0,
             signal,
@@ -135,16 +146,6 @@
             clock,
             random.Random(1),
         )
-        self.crash_protection = CrashProtection(
-            membership(),
-            FakeMetadataStore(StoreData()),
-            self.view,
-            self.servers,
-            self.metrics,
-            lambda data, address: None,
-            clock,
-            random.Random(3),
-        )
         self.reachability = ReachabilityProber(
             self.servers, DomainName("d1"), self.crash_protection.detector.probed
         )
--- a/tests/lib/routing_builders.py
+++ b/tests/lib/routing_builders.py
@@ -32,6 +32,7 @@
     ServerEntry,
     ServerState,
 )
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.policy.engine_choice import EngineCandidate
 
 MODEL = "base"
@@ -126,6 +127,16 @@
     return RequestAttributes(**{**values, **changes})
 
 
+def routed_request(
+    kind: RequestKind = RequestKind.STREAMING, **changes: Any
+) -> RoutedRequest:
+    """Return a request of a route of this kind that arrived at the start."""
+    found = route(kind=kind)
+    return RoutedRequest(
+        request_facts(**changes), found, found.services[0].service, 0.0, 10.0
+    )
+
+
 def platform_configuration(**changes: Any) -> bytes:
     """Encode a configuration in the platform's JSON format.
 
