--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -24,8 +24,14 @@
 from gooseberrydeal._internal.utils.clock import SystemClock
 from tests.lib.crashing_server import CrashingServer
 
-_KINDS = (("safe", "safe"), ("unsafe", "once"), ("streaming", "stream"))
-_CALLER_HOST = "desk.example"
+_ROUTES = (
+    ("safe", "safe", {}),
+    ("unsafe", "once", {}),
+    ("streaming", "stream", {}),
+    ("streaming", "resumable", {"resumable": True, "maxAttempts": 1}),
+    ("streaming", "onward", {"resumable": True, "maxAttempts": 2}),
+)
+CALLER_HOST = "desk.example"
 _SERVICE = "desk"
 _DOMAIN = "d1"
 _CALL_TIMEOUT_SECONDS = 5.0
@@ -37,7 +43,8 @@
     """Run hosts, plain servers and a metadata store in one process.
 
     Requests under ``/safe/`` may be repeated, those under ``/once/`` and the streams
-    under ``/stream/`` may not.
+    under ``/stream/`` may not. Streams under ``/resumable/`` may be taken up by their
+    callers, those under ``/onward/`` by the hosts too.
     """
 
     def __init__(
@@ -144,15 +151,14 @@
         """
         lines = [
             f"{method} {path} HTTP/1.1",
-            f"Host: {_CALLER_HOST}",
+            f"Host: {CALLER_HOST}",
             f"X-Request-Id: {random.getrandbits(64):016x}",
             "X-Deadline-Ms: 3000",
             f"Content-Length: {len(body)}",
             "Connection: close",
             *(f"{key.replace('_', '-')}: {value}" for key, value in fields.items()),
         ]
-        address, port = self._addresses[host].rsplit(":", 1)
-        reader, writer = await asyncio.open_connection(address, int(port))
+        reader, writer = await asyncio.open_connection(*self.address_of(host))
         try:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             async with asyncio.timeout(_CALL_TIMEOUT_SECONDS):
@@ -168,6 +174,11 @@
         headers = {key.lower(): value.strip() for key, value in split}
         return int(status_line.split()[1]), headers
 
+    def address_of(self, host: str) -> tuple[str, int]:
+        """Return where a host listens for callers."""
+        address, port = self._addresses[host].rsplit(":", 1)
+        return address, int(port)
+
     async def call_steadily(
         self, calls: int, interval: float, prefix: bytes
     ) -> Counter[int]:
@@ -186,6 +197,7 @@
             "service": _SERVICE,
             "address": server.address,
             "zone": _DOMAIN,
+            "version": server.version,
             "slots": 6,
             "state": "ready",
             "sequence": 1,
@@ -203,16 +215,17 @@
 def _configuration() -> bytes:
     routes = [
         {
-            "name": kind,
-            "host": _CALLER_HOST,
+            "name": prefix,
+            "host": CALLER_HOST,
             "pathPrefix": f"/{prefix}/",
             "kind": kind,
             "timeoutMs": 3000,
             "targetLatencyMs": 400,
             "service": _SERVICE,
             "maxAttempts": 3,
+            **options,
         }
-        for kind, prefix in _KINDS
+        for kind, prefix, options in _ROUTES
     ]
     service = {"name": _SERVICE, "maxConnections": 100}
     data = {"version": 1, "routes": routes, "services": [service], "limits": {}}
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -10,6 +10,7 @@
 
 CRASH_MARK = b"crash"
 BAD_PART = "bad"
+_STREAM_PATHS = (b"POST /stream/", b"POST /resumable/", b"POST /onward/")
 # Events of a stream, and the time between two of them.
 _EVENTS = 4
 _EVENT_INTERVAL_SECONDS = 0.1
@@ -25,6 +26,9 @@
     server then crashes ``crash_delay_seconds`` after it began to run the request, with
     all others that run there.
 
+    Events hold ``version``, and go on after the last event that the request names. With
+    ``resets_streams``, the connection of each new stream is reset midway.
+
     A crash resets all connections and closes the listening socket. The server starts
     again with a new id at the same address ``down_seconds`` later. ``on_start`` is
     called with the id at each start, ``on_end`` when the server has ended.
@@ -43,6 +47,8 @@
         self.down_seconds = down_seconds
         self.service_seconds = service_seconds
         self.bad_parts = {BAD_PART}
+        self.version: object = "v1"
+        self.resets_streams = False
         self.stated_limit: str | None = None
         self.arrival_times: list[float] = []
         self.crash_times: list[float] = []
@@ -131,8 +137,9 @@
                     self.bad_part_times.append(now)
                 await asyncio.sleep(self.service_seconds)
                 request_id = request.header("x-request-id") or ""
-                if request.head.startswith(b"POST /stream/"):
-                    await self._write_stream(request_id, writer, has_bad_part)
+                if request.head.startswith(_STREAM_PATHS):
+                    last = int(request.header("last-event-id") or 0)
+                    await self._write_stream(request_id, writer, has_bad_part, last)
                 elif has_bad_part:
                     self.crash()
                     return
@@ -161,7 +168,11 @@
         return [f"Server-Limit: {self.stated_limit}"]
 
     async def _write_stream(
-        self, request_id: str, writer: asyncio.StreamWriter, has_bad_part: bool
+        self,
+        request_id: str,
+        writer: asyncio.StreamWriter,
+        has_bad_part: bool,
+        last_event: int,
     ) -> None:
         fields = f"Content-Type: text/event-stream\r\nX-Request-Id: {request_id}"
         head = f"HTTP/1.1 200 OK\r\n{fields}\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -171,8 +182,12 @@
         if has_bad_part:
             self.crash()
             return
-        for number in range(1, _EVENTS + 1):
-            event = b"id: %d\ndata: e%d\n\n" % (number, number)
+        for number in range(last_event + 1, _EVENTS + 1):
+            if self.resets_streams and not last_event and number > _EVENTS // 2:
+                self._writers.discard(writer)
+                reset_connection(writer)
+                return
+            event = f"id: {number}\ndata: {self.version}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(_EVENT_INTERVAL_SECONDS)
