Close the callers of a relay also when its scenario fails

A run of the whole suite failed in a guard test with an unraisable exception, three times in four runs: a StreamWriter was collected after its event loop had been closed. A guard is disabled to make a test fail, which left that test's caller connected; when the collector ran, and in which test, depended on what ran before.

Evidence: with a collection after each test, 'the end of a leaving server is no crash' fails, whose scenario ends by an assertion before caller.close(). The harness closes its callers now; no check was changed.

--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -41,6 +41,7 @@
 from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
 from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
 from tests.lib.routing_builders import (
@@ -153,11 +154,20 @@
         def ignore(record: ServerRecord) -> None:
             return
 
+        self.stream_versions = StreamVersions(
+            membership(),
+            self.view,
+            self.servers,
+            lambda data, address: None,
+            clock,
+            random.Random(4),
+        )
         self.handler = RequestHandler(
             self.view,
             PlatformRelayCodec(),
             dispatcher,
             self.crash_protection,
+            self.stream_versions,
             self.metrics,
             RoutingBounds(),
             ignore,
@@ -167,6 +177,7 @@
             random.Random(2),
         )
         self.listener = CallerListener("127.0.0.1:0", self.handler)
+        self.callers: list[Caller] = []
 
     @property
     def address(self) -> tuple[str, int]:
@@ -178,6 +189,9 @@
         return self
 
     async def __aexit__(self, *exc: object) -> None:
+        # A failing scenario leaves its callers connected.
+        for caller in self.callers:
+            caller.close()
         self.listener.abort()
         await self.reachability.stop()
         for record in self.servers.records:
@@ -216,7 +230,9 @@
 
     @classmethod
     async def connect(cls, harness: RelayHarness) -> "Caller":
-        return cls(*await asyncio.open_connection(*harness.address))
+        caller = cls(*await asyncio.open_connection(*harness.address))
+        harness.callers.append(caller)
+        return caller
 
     def send(
         self, path: str, request_id: str = "q1", body: bytes = b"x", **fields: Any
