Let streams go on only at the software version that began them

Cause: the version in a server's entry and the caller's Resumes were read nowhere, and where a stream began was forgotten with the request that began it.

Why this works: before the first event is passed on, a host tells a few hosts, in its own and in other failure domains, at which server and version the stream began. A stream that goes on may use only servers of that version; a host that does not know it asks those hosts. If none knows, the stream goes on only if the service had one version for longer than streams last and the store was read just now; otherwise its caller gets 503 at once, which is true, and may find a host that knows. A server that may have started again under its id is told late and corrected when it registers.

--- a/src/gooseberrydeal/_internal/models/http_status.py
+++ b/src/gooseberrydeal/_internal/models/http_status.py
@@ -29,6 +29,8 @@
     RefusalReason.SERVER_FAILED: 502,
     RefusalReason.STREAM_CUT: 502,
     RefusalReason.CRASH_SUSPECT: 422,
+    RefusalReason.STREAM_ORIGIN_UNKNOWN: 503,
+    RefusalReason.STREAM_VERSION_GONE: 503,
     RefusalReason.SUSPECT_WAITS: 503,
     RefusalReason.CLAIMS_UNAVAILABLE: 503,
     RefusalReason.KEY_MALFORMED: 400,
--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -30,6 +30,8 @@
     SERVER_FAILED = "server_failed"
     STREAM_CUT = "stream_cut"
     CRASH_SUSPECT = "crash_suspect"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     SUSPECT_WAITS = "suspect_waits"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     KEY_MALFORMED = "key_malformed"
--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -16,6 +16,8 @@
     ``prompt_tokens`` and ``output_tokens`` are the counts that the caller states, 0 if
     it does not. ``shared_prompt_parts`` names the parts of the prompt, in order, that
     other requests may have too. ``query`` is the part of the target after the path.
+    ``resumes`` is the id of the request that began the stream, ``None`` if not stated,
+    and ``last_event_id`` the id of the last event that the caller has.
     """
 
     request_id: RequestId
@@ -28,3 +30,10 @@
     caller: str = ""
     shared_prompt_parts: tuple[PromptPartId, ...] = ()
     query: str = ""
+    resumes: RequestId | None = None
+    last_event_id: str = ""
+
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller has a part of the stream already."""
+        return bool(self.resumes or self.last_event_id)
--- a/src/gooseberrydeal/_internal/models/routing/server_entry.py
+++ b/src/gooseberrydeal/_internal/models/routing/server_entry.py
@@ -3,8 +3,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from gooseberrydeal._internal.models.ids import DomainName, ServerId, ServiceName
+from gooseberrydeal._internal.models.ids import (
+    DomainName,
+    ServerId,
+    ServiceName,
+    SoftwareVersion,
+)
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
 
 
 class ServerState(Enum):
@@ -29,6 +35,7 @@
     ``slots`` is how many requests it can run at once. ``started_at`` is the Unix time
     of its start in milliseconds; a server that restarts under the same id has lost all
     loaded models. ``order_count`` is the number of orders accepted since that start.
+    ``software_version`` is ``None`` if the entry does not say it.
     """
 
     id: ServerId
@@ -40,3 +47,12 @@
     started_at: int = 0
     order_count: int = 0
     held: HeldModels | None = None
+    software_version: SoftwareVersion | None = None
+
+    def can_continue(self, origin: StreamOrigin) -> bool:
+        """Return whether the server may go on with a stream that began elsewhere."""
+        if self.service != origin.service:
+            return False
+        if origin.version is not None:
+            return self.software_version == origin.version
+        return (self.id, self.started_at) == (origin.server, origin.started_at)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/models/routing/stream_origin.py
@@ -0,0 +1,19 @@
+"""Define where a stream began."""
+
+from dataclasses import dataclass
+
+from gooseberrydeal._internal.models.ids import ServerId, ServiceName, SoftwareVersion
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Hold the service, the software version and the server that began a stream.
+
+    ``version`` is ``None`` if it is not known; then only the same start of the same
+    server can go on. ``started_at`` is the start time in the server's entry.
+    """
+
+    service: ServiceName
+    version: SoftwareVersion | None
+    server: ServerId
+    started_at: int
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -4,6 +4,7 @@
 before it, so that a lost datagram only delays the update until the next report.
 """
 
+from collections.abc import Callable
 from enum import IntEnum
 from typing import Any, Final
 
@@ -20,6 +21,10 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.stream_notice import (
+    StreamNotice,
+    StreamQuery,
+)
 from gooseberrydeal._internal.models.routing.usage_report import (
     CopyLoadRequest,
     CopyUse,
@@ -39,8 +44,22 @@
     limit_report_fields,
     parse_limit_report,
 )
+from gooseberrydeal._internal.network.stream_codec import (
+    parse_stream_notice,
+    parse_stream_query,
+    stream_notice_fields,
+    stream_query_fields,
+)
 
-Report = UsageReport | EngineStatus | CrashReport | LimitReport | IsolationNotice
+Report = (
+    UsageReport
+    | EngineStatus
+    | CrashReport
+    | LimitReport
+    | IsolationNotice
+    | StreamNotice
+    | StreamQuery
+)
 
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
@@ -53,6 +72,8 @@
     CRASHES = 3
     LIMITS = 4
     ISOLATION = 5
+    STREAM = 6
+    STREAM_QUERY = 7
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -123,6 +144,18 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.ISOLATION), *fields])
 
 
+def encode_stream_notice(notice: StreamNotice) -> bytes:
+    """Encode where a stream began."""
+    fields = stream_notice_fields(notice)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STREAM), *fields])
+
+
+def encode_stream_query(query: StreamQuery) -> bytes:
+    """Encode the question where a stream began."""
+    fields = stream_query_fields(query)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STREAM_QUERY), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -132,16 +165,9 @@
         version, kind, *fields = cbor2.loads(data)
         if version != PROTOCOL_VERSION:
             raise PeerProtocolError(f"report version {version!r} is not supported")
-        if kind == _ReportKind.USAGE:
-            return _parse_usage(fields)
-        if kind == _ReportKind.STATUS:
-            return _parse_status(fields)
-        if kind == _ReportKind.CRASHES:
-            return parse_crash_report(fields)
-        if kind == _ReportKind.LIMITS:
-            return parse_limit_report(fields)
-        if kind == _ReportKind.ISOLATION:
-            return parse_isolation_notice(fields)
+        parse = _PARSERS.get(kind)
+        if parse is not None:
+            return parse(fields)
     except DECODE_ERRORS as error:
         raise PeerProtocolError(
             f"report has invalid encoding or fields: {error!r}"
@@ -215,3 +241,14 @@
 
 def _parse_key(fields: list[Any]) -> AdapterCopyKey:
     return AdapterCopyKey(str(fields[0]), str(fields[1]), int(fields[2]))
+
+
+_PARSERS: Final[dict[int, Callable[[list[Any]], Report]]] = {
+    _ReportKind.USAGE: _parse_usage,
+    _ReportKind.STATUS: _parse_status,
+    _ReportKind.CRASHES: parse_crash_report,
+    _ReportKind.LIMITS: parse_limit_report,
+    _ReportKind.ISOLATION: parse_isolation_notice,
+    _ReportKind.STREAM: parse_stream_notice,
+    _ReportKind.STREAM_QUERY: parse_stream_query,
+}
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -128,7 +128,7 @@
         ]
         best = choose_plain_server(candidates, self._rng)
         if best is None:
-            return self._no_server(eligible)
+            return self._no_server(request, eligible)
         self._limits.take(records[best.server])
         return Assignment(records[best.server])
 
@@ -155,7 +155,7 @@
                     )
                     return Assignment(record, copy, now - requested_at)
                 if decision.action is EngineAction.NO_ENGINE:
-                    return self._no_server(self._eligible_servers(request))
+                    return self._no_server(request, self._eligible_servers(request))
                 if now >= wait_until:
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
@@ -266,10 +266,15 @@
     def _may_send(self, record: ServerRecord) -> bool:
         return self._limits.seconds_until_free(record) <= 0.0
 
-    def _no_server(self, eligible: Sequence[ServerRecord]) -> NoAssignment:
+    def _no_server(
+        self, request: RoutedRequest, eligible: Sequence[ServerRecord]
+    ) -> NoAssignment:
         """Refuse a request for lack of a server, or for the limits of all servers."""
         if not eligible:
-            return NoAssignment(RefusalReason.NO_SERVER, _RETRY_AFTER_SECONDS)
+            reason = RefusalReason.NO_SERVER
+            if request.origin is not None:
+                reason = RefusalReason.STREAM_VERSION_GONE
+            return NoAssignment(reason, _RETRY_AFTER_SECONDS)
         seconds = min(self._limits.seconds_until_free(record) for record in eligible)
         seconds = min(max(seconds, _RETRY_AFTER_SECONDS), _OVERLOAD_RETRY_AFTER_SECONDS)
         return NoAssignment(RefusalReason.SERVER_LIMITED, seconds)
@@ -284,6 +289,7 @@
             record
             for record in self._servers.of_service(request.service)
             if record.id not in request.excluded
+            and (request.origin is None or record.entry.can_continue(request.origin))
         ]
         busy = self._turns.busy_servers(request.service, self._clock())
         if not busy:
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -3,17 +3,20 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import ServiceName
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     CallerLimits,
     RoutingConfiguration,
 )
+from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
@@ -29,6 +32,7 @@
 from gooseberrydeal._internal.operations.router.request_run import RequestRun
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 from gooseberrydeal._internal.policy.retry_window import RetryWindow
 from gooseberrydeal._internal.policy.route_table import RouteTable
@@ -38,6 +42,8 @@
 _UNCONFIGURED_RETRY_AFTER_SECONDS: Final = 1.0
 # Short, since the load balancer routes the caller's retry to another host.
 _SHUTDOWN_RETRY_AFTER_SECONDS: Final = 0.05
+# Another host may know where a stream began.
+_ORIGIN_RETRY_AFTER_SECONDS: Final = 0.05
 
 
 class RequestHandler:
@@ -54,6 +60,7 @@
         codec: RelayCodec,
         dispatcher: Dispatcher,
         crash_protection: CrashProtection,
+        stream_versions: StreamVersions,
         metrics: RouterMetrics,
         bounds: RoutingBounds,
         on_usage_changed: Callable[[ServerRecord], None],
@@ -66,6 +73,7 @@
         self._codec = codec
         self._dispatcher = dispatcher
         self._crash_protection = crash_protection
+        self._stream_versions = stream_versions
         self._metrics = metrics
         self._bounds = bounds
         self._on_usage_changed = on_usage_changed
@@ -152,6 +160,16 @@
             arrived_at,
             arrived_at + time_limit,
         )
+        if attributes.is_resumption and route.is_resumable:
+            origin = await self._find_origin(attributes, route)
+            if origin is None:
+                refuse(
+                    exchange,
+                    RefusalReason.STREAM_ORIGIN_UNKNOWN,
+                    _ORIGIN_RETRY_AFTER_SECONDS,
+                )
+                return
+            request = replace(request, service=origin.service, origin=origin)
         self._retry_window(request.service).note_first_attempt(arrived_at)
         self._in_progress += 1
         try:
@@ -162,6 +180,7 @@
                 self._codec,
                 self._dispatcher,
                 self._crash_protection,
+                self._stream_versions,
                 self._metrics,
                 self._consume_retry,
                 self._on_usage_changed,
@@ -172,6 +191,27 @@
         finally:
             self._in_progress -= 1
 
+    async def _find_origin(
+        self, attributes: RequestAttributes, route: Route
+    ) -> StreamOrigin | None:
+        """Return where the stream began that a request goes on with.
+
+        Returns ``None`` if that is not known, or if it began in a service that the
+        route does not lead to any more.
+        """
+        services = [item.service for item in route.services]
+        origin = await self._stream_versions.find(
+            attributes.resumes, services, route.timeout
+        )
+        if origin is not None and origin.service in services:
+            return origin
+        self._metrics.count_refusal(RefusalReason.STREAM_ORIGIN_UNKNOWN)
+        logger.info(
+            "not resumed: it is not known which software version began the stream",
+            extra={"request_id": attributes.request_id},
+        )
+        return None
+
     def _refuse_crashing(
         self,
         exchange: CallerExchange,
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final
 
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.models.ids import ServerId
@@ -34,22 +33,18 @@
     encode_forwarded_request,
 )
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
+from gooseberrydeal._internal.operations.router.retry_limits import (
+    RetryBudget,
+    wait_for_outcome,
+    wait_for_retry_budget,
+)
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.operations.router.unread_prompt import PendingPrefill
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 
-# An exhausted retry budget allows retries again as its window slides.
-_BUDGET_RECHECK_SECONDS: Final = 0.1
-# An attempt is aborted if the server sends nothing for this multiple of the route's
-# target latency, though no sooner than the minimum, and another server may run the
-# request.
-_IDLE_TIMEOUT_TARGET_LATENCIES: Final = 2.0
-_MIN_IDLE_TIMEOUT_SECONDS: Final = 0.3
-
-RetryBudget = Callable[[RoutedRequest], bool]
-
 
 class RequestRun:
     """Serve one request from its arrival to the end of its reply.
@@ -67,6 +62,7 @@
         codec: RelayCodec,
         dispatcher: Dispatcher,
         crash_protection: CrashProtection,
+        stream_versions: StreamVersions,
         metrics: RouterMetrics,
         consume_retry: RetryBudget,
         on_usage_changed: Callable[[ServerRecord], None],
@@ -80,6 +76,7 @@
         self._codec = codec
         self._dispatcher = dispatcher
         self._guard = crash_protection.guard
+        self._stream_versions = stream_versions
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._on_usage_changed = on_usage_changed
@@ -134,6 +131,8 @@
             raise
         finally:
             self._screening.end_isolation()
+            if self._request.origin is not None:
+                self._stream_versions.stream_ends(self._request.attributes.request_id)
             self._guard.leave(self)
 
     async def _serve(self) -> None:
@@ -169,7 +168,9 @@
         request, record = self._request, assignment.record
         self._server = record.id
         self._lost_connection = False
-        if request.send_count and not await self._wait_for_retry_budget():
+        if request.send_count and not await wait_for_retry_budget(
+            request, self._consume_retry, self._clock
+        ):
             self._failure.reject(RefusalReason.OVERLOADED, RETRY_AFTER_SECONDS)
             return AttemptOutcome.SERVED
         prompt_tokens = request.attributes.prompt_tokens
@@ -194,6 +195,7 @@
                 self._metrics.observe_wait(times.sent_at - request.arrived_at)
 
             def on_head(status: int, attributes: ResponseAttributes) -> None:
+                self._note_origin(status, record)
                 self._has_response_begun = True
                 pending_prefill.end()
                 times.head_at = self._clock()
@@ -226,18 +228,14 @@
                     attempt,
                     is_head_request=self._exchange.head.method == b"HEAD",
                 )
-                outcome = await self._wait_for_outcome(attempt)
+                outcome = await wait_for_outcome(
+                    attempt, request.route, can_run_again=self._can_run_again(pending=1)
+                )
             except BaseException:
                 pool.discard(connection)
                 raise
             pool.release(connection)
-            self._last_status = attempt.status
-            self._last_ending = attempt.ending
-            self._lost_connection = attempt.lost_connection
-            if attempt.sent_excess_bytes:
-                record.health.note_failure(self._clock())
-            self._has_response_begun = False
-            times.longest_pause = max(times.longest_pause, attempt.longest_pause)
+            self._note_ended(attempt, record)
             self._metrics.count_attempt(outcome.value)
             return outcome
         finally:
@@ -245,26 +243,24 @@
             if record.end(assignment.copy, request.tokens):
                 self._on_copy_released(record)
 
-    async def _wait_for_outcome(self, attempt: Attempt) -> AttemptOutcome:
-        """Wait for the outcome, with an idle timeout if another server may run it."""
-        if not self._can_run_again(pending=1):
-            return await attempt.outcome()
-        route = self._request.route
-        idle_timeout = max(
-            _MIN_IDLE_TIMEOUT_SECONDS,
-            _IDLE_TIMEOUT_TARGET_LATENCIES * route.target_latency,
-        )
-        return await attempt.outcome_with_idle_timeout(idle_timeout)
+    def _note_ended(self, attempt: Attempt, record: ServerRecord) -> None:
+        self._last_status = attempt.status
+        self._last_ending = attempt.ending
+        self._lost_connection = attempt.lost_connection
+        if attempt.sent_excess_bytes:
+            record.health.note_failure(self._clock())
+        self._has_response_begun = False
+        times = self._times
+        times.longest_pause = max(times.longest_pause, attempt.longest_pause)
 
-    async def _wait_for_retry_budget(self) -> bool:
-        """Wait for retry budget; return false if the target latency passes before."""
+    def _note_origin(self, status: int, record: ServerRecord) -> None:
+        """Record where the stream begins, before its first event is passed on."""
         request = self._request
-        retry_until = request.arrived_at + request.route.target_latency
-        while not self._consume_retry(request):
-            if self._clock() >= retry_until:
-                return False
-            await asyncio.sleep(_BUDGET_RECHECK_SECONDS)
-        return True
+        is_new = status == HTTPStatus.OK and not self._exchange.is_started
+        if is_new and request.route.is_resumable:
+            stream = request.attributes.request_id
+            origin = self._stream_versions.stream_begins(stream, record)
+            request.origin = request.origin or origin
 
     def _handle_outcome(self, assignment: Assignment, outcome: AttemptOutcome) -> bool:
         """Record the outcome of an attempt; return whether to try again."""
@@ -300,9 +296,5 @@
 
     def _can_run_again(self, *, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
-        request = self._request
-        if not request.route.is_repeatable:
-            return False
-        if self._exchange.is_started and self._events.last_event_id is None:
-            return False
-        return len(request.started_on) + pending < request.route.max_servers
+        is_cut = self._exchange.is_started and self._events.last_event_id is None
+        return not is_cut and self._request.can_run_again(pending)
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -6,6 +6,7 @@
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.route import Route
+from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
 
 
 @dataclass(slots=True)
@@ -16,7 +17,8 @@
     tried again, since they were unreachable, refused the request or failed it;
     ``started_on`` those that may have started to run it. ``denials`` counts, for each
     server, how often it stated that it did not run the request. ``send_count`` is the
-    number of attempts in which the request was sent.
+    number of attempts in which the request was sent. ``origin`` is where the stream
+    began that the request goes on with, ``None`` if it begins one.
     """
 
     attributes: RequestAttributes
@@ -28,6 +30,12 @@
     started_on: set[ServerId] = field(default_factory=set)
     denials: Counter[ServerId] = field(default_factory=Counter)
     send_count: int = 0
+    origin: StreamOrigin | None = None
+
+    def can_run_again(self, pending: int = 0) -> bool:
+        """Return whether a server may run the request besides ``pending`` others."""
+        is_allowed = len(self.started_on) + pending < self.route.max_servers
+        return self.route.is_repeatable and is_allowed
 
     @property
     def tokens(self) -> int:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -11,6 +11,10 @@
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.stream_notice import (
+    StreamNotice,
+    StreamQuery,
+)
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
@@ -46,6 +50,7 @@
 from gooseberrydeal._internal.operations.router.status_endpoint import (
     StatusEndpoint,
 )
+from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -105,6 +110,15 @@
         self._report_exchange.set_handler(
             IsolationNotice, self._crash_protection.isolation_notice_received
         )
+        self._stream_versions = StreamVersions(
+            membership, self._view, self._servers, self._report_exchange.send, now, rng
+        )
+        self._report_exchange.set_handler(
+            StreamNotice, self._stream_versions.notice_received
+        )
+        self._report_exchange.set_handler(
+            StreamQuery, self._stream_versions.query_received
+        )
         limits = ServerLimits(
             self._servers, settings.host, lambda: self._view.hosts, now
         )
@@ -162,6 +176,7 @@
             codec,
             self._dispatcher,
             self._crash_protection,
+            self._stream_versions,
             self._metrics,
             settings.bounds,
             self._report_exchange.usage_changed,
@@ -194,6 +209,7 @@
         self._tasks.start(self._limit_exchange.run(), "limit exchange")
         self._tasks.start(self._known_state_writer.run(), "known state")
         self._crash_protection.start()
+        self._stream_versions.start()
         logger.info("started", extra={"host": self._settings.host})
 
     def apply(self, settings: HostSettings) -> None:
@@ -236,6 +252,7 @@
         await self._reachability.stop()
         await self._ownership.stop()
         await self._crash_protection.stop()
+        await self._stream_versions.stop()
         await self._tasks.stop()
         self._report_exchange.close()
         for record in self._servers.records:
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -12,6 +12,8 @@
 # belongs to the request itself or to its session.
 PROMPT_PARTS: Final = b"x-prompt-prefix"
 LAST_EVENT_ID: Final = b"last-event-id"
+# The id of the caller's attempt that brought the first event of the stream.
+RESUMES: Final = b"resumes"
 EXPECT_INSTANCE: Final = b"x-expect-instance"
 # The adapter's version if the request names an adapter, else that of the base model.
 EXPECT_VERSION: Final = b"x-expect-version"
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -51,6 +51,7 @@
         path, _, query = head.target.partition(b"?")
         prompt, output = _parse_integer_pair(fields.get(header_names.TOKEN_COUNTS, b""))
         deadline = _parse_number(fields.get(header_names.DEADLINE))
+        resumes = fields.get(header_names.RESUMES)
         return RequestAttributes(
             request_id=RequestId(
                 _decode_text(fields.get(header_names.REQUEST_ID, b""))
@@ -66,6 +67,8 @@
                 fields.get(header_names.PROMPT_PARTS, b"")
             ),
             query=_decode_text(query),
+            resumes=None if resumes is None else RequestId(_decode_text(resumes)),
+            last_event_id=_decode_text(fields.get(header_names.LAST_EVENT_ID, b"")),
         )
 
     def forward_headers(
--- a/src/gooseberrydeal/_internal/platform/server_codec.py
+++ b/src/gooseberrydeal/_internal/platform/server_codec.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import DeclarationError
-from gooseberrydeal._internal.models.ids import DomainName, ServerId, ServiceName
+from gooseberrydeal._internal.models.ids import (
+    DomainName,
+    ServerId,
+    ServiceName,
+    SoftwareVersion,
+)
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.engine_report import EngineReport
 from gooseberrydeal._internal.models.routing.server_entry import (
@@ -15,6 +20,8 @@
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
 
+# Longer texts are no version; those of all streams are sent between hosts.
+_MAX_VERSION_LENGTH: Final = 64
 _SERVER_STATES: Final = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -39,6 +46,7 @@
             started_at=_require_integer(data.get("born", 0)),
             order_count=_require_integer(data.get("sequence", 0)),
             held=_decode_held_models(data["models"]) if "models" in data else None,
+            software_version=_decode_version(data.get("version")),
         )
     except DECODE_ERRORS as error:
         raise DeclarationError(
@@ -84,6 +92,12 @@
     return AdapterCopyKey(model, adapter, int(version) if version else 0)
 
 
+def _decode_version(value: object) -> SoftwareVersion | None:
+    """Return a software version, ``None`` if it is missing or malformed."""
+    is_valid = isinstance(value, str) and 0 < len(value) <= _MAX_VERSION_LENGTH
+    return SoftwareVersion(str(value)) if is_valid else None
+
+
 def _require_integer(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
--- a/src/gooseberrydeal/_internal/policy/server_health.py
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self._is_unreachable = False
+        self._unanswered_at: float | None = None
         self._failure_rate = 0.0
         self._updated_at = 0.0
 
@@ -25,6 +26,11 @@
         """Return whether the server is to be avoided until a connection succeeds."""
         return self._is_unreachable
 
+    @property
+    def unanswered_at(self) -> float | None:
+        """Return when it last accepted no connection, ``None`` if it always did."""
+        return self._unanswered_at
+
     def failure_rate(self, now: float) -> float:
         """Return the recent fraction of failed responses, between 0 and 1."""
         age = max(0.0, now - self._updated_at)
@@ -43,6 +49,11 @@
         """Record that a connection failed or was lost."""
         self._is_unreachable = True
 
+    def note_unanswered(self, now: float) -> None:
+        """Record that the server accepted no connection."""
+        self._is_unreachable = True
+        self._unanswered_at = now
+
     def note_reachable(self) -> None:
         """Record that a connection succeeded."""
         self._is_unreachable = False
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -53,3 +53,83 @@
         assert sum(caller.last_event == 4 for caller in callers) >= _STREAMS / 2
 
     _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+
+
+def test_a_chain_of_resumes_names_any_attempt_that_brought_events() -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        for number in range(8):
+            first = await _begin(cluster, number, "/resumable/a")
+            first.last_event = 1
+            for later in range(1, 4):
+                root = first.begun_as
+                assert await first.attempt(f"host-{(number + later) % 4}")
+                assert first.begun_as == root
+                first.last_event = later
+                first.begun_as = first.last_request if number % 2 else root
+            assert not first.is_mixed
+
+    _run(scenario, "v1", "v2", "v1", "v2")
+
+
+def test_streams_go_on_when_the_host_that_began_them_is_killed() -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        for server in cluster.servers:
+            server.resets_streams = False
+        callers = [StreamCaller(cluster) for _ in range(20)]
+        attempts = [asyncio.create_task(c.attempt("host-0")) for c in callers]
+        await asyncio.sleep(0.25)
+        await cluster.kill_host("host-0")
+        await asyncio.gather(*attempts)
+        assert all(0 < caller.last_event < 4 for caller in callers)
+        for number, caller in enumerate(callers):
+            await caller.attempt(f"host-{number % 3 + 1}")
+        assert not any(caller.is_mixed for caller in callers)
+        assert all(caller.last_event == 4 for caller in callers)
+
+    _run(scenario, "v1", "v2", "v1", "v2")
+
+
+def test_a_stream_is_refused_at_once_if_no_host_knows_where_it_began() -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        caller = StreamCaller(cluster, last_event=2, begun_as="0123456789abcdef")
+        for names_first in (True, False):
+            assert not await caller.attempt("host-1", names_first=names_first)
+            assert caller.statuses[-1] == 503
+            assert caller.bodies[-1] == b"stream_origin_unknown\n"
+
+    _run(scenario, "v1", "v2")
+
+
+def test_a_stream_goes_on_at_the_last_server_of_its_version_and_no_other() -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        first, last = cluster.servers
+        callers = [await _begin(cluster, number, "/resumable/a") for number in range(6)]
+        cluster.servers[0].version = "v3"
+        begun = [caller for caller in callers if caller.versions[0] == last.version]
+        assert begun
+        for number, caller in enumerate(begun):
+            assert await _take_up(caller, number)
+        others = [caller for caller in callers if caller not in begun]
+        first.crash()
+        while not first.is_running:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.5)
+        for number, caller in enumerate(others):
+            assert not await _take_up(caller, number)
+            assert caller.statuses[-1] == 503
+            assert caller.bodies[-1] == b"stream_version_gone\n"
+        assert not any(caller.is_mixed for caller in callers)
+
+    _run(scenario, "v1", "v2")
+
+
+@pytest.mark.parametrize("version", [None, 7, "", {"a": 1}])
+def test_a_server_without_a_valid_version_serves_new_streams(version: object) -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        for number in range(8):
+            caller = await _begin(cluster, number, "/resumable/a")
+            assert caller.statuses == [200]
+            await _take_up(caller, number)
+            assert not caller.is_mixed
+
+    _run(scenario, version, version, "v1")
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections import Counter
+from typing import Any
 
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.metadata_app import (
@@ -24,7 +25,7 @@
 from gooseberrydeal._internal.utils.clock import SystemClock
 from tests.lib.crashing_server import CrashingServer
 
-_ROUTES = (
+_ROUTES: tuple[tuple[str, str, dict[str, Any]], ...] = (
     ("safe", "safe", {}),
     ("unsafe", "once", {}),
     ("streaming", "stream", {}),
--- a/tests/lib/routing_builders.py
+++ b/tests/lib/routing_builders.py
@@ -9,6 +9,7 @@
     RequestId,
     ServerId,
     ServiceName,
+    SoftwareVersion,
 )
 from gooseberrydeal._internal.models.routing.adapter_key import (
     AdapterCopyKey,
@@ -89,6 +90,7 @@
         "state": ServerState.READY,
         "started_at": 1,
         "held": HeldModels(base_models=((MODEL, 1),)),
+        "software_version": SoftwareVersion("v1"),
     }
     return ServerEntry(**{**values, **changes})
 
--- a/tests/lib/stream_caller.py
+++ b/tests/lib/stream_caller.py
@@ -15,7 +15,8 @@
 class StreamCaller:
     """Receive one stream in several attempts, each at a host of its own.
 
-    ``begun_as`` is the id of the attempt that brought the first event.
+    ``begun_as`` is the id of the attempt that brought the first event, ``last_request``
+    that of the last attempt.
     """
 
     cluster: CrashCluster
@@ -24,6 +25,7 @@
     statuses: list[int] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     begun_as: str = ""
+    last_request: str = ""
     last_event: int = 0
 
     @property
@@ -33,7 +35,7 @@
 
     async def attempt(self, host: str, *, names_first: bool = True) -> bool:
         """Send the stream's request to a host; return whether events were received."""
-        request_id = f"{random.getrandbits(64):016x}"
+        request_id = self.last_request = f"{random.getrandbits(64):016x}"
         lines = [
             f"POST {self.path} HTTP/1.1",
             f"Host: {CALLER_HOST}",
--- /dev/null
+++ b/tests/unit/test_stream_guards.py
@@ -0,0 +1,86 @@
+"""Disable each guard of suspects and streams in turn; a test must then fail."""
+
+from typing import Any
+
+import pytest
+
+from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
+from gooseberrydeal._internal.operations.router import stream_versions
+from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
+from gooseberrydeal._internal.operations.router.suspect_isolation import (
+    SuspectIsolation,
+)
+from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
+from gooseberrydeal._internal.policy.version_history import VersionHistory
+from tests.functional import test_crashing_at_once, test_stream_origins
+from tests.lib.guards import Guard, check_is_detected
+from tests.unit import test_isolation_turns
+
+
+def _ignore(self: Any, *arguments: Any, **options: Any) -> None:
+    return
+
+
+_GUARDS: list[Guard] = [
+    Guard(
+        "a crash of a server that a suspect had for itself counts twice",
+        SuspectIsolation,
+        "isolated_features",
+        lambda self, request, server: (),
+        test_crashing_at_once.test_a_suspect_whose_crash_is_seen_late_is_not_sent_again_meanwhile,
+    ),
+    Guard(
+        "a suspect is held until it is known whether its server crashed",
+        SuspectIsolation,
+        "finish",
+        _ignore,
+        test_crashing_at_once.test_a_suspect_whose_crash_is_seen_late_is_not_sent_again_meanwhile,
+    ),
+    Guard(
+        "suspects take turns",
+        IsolationTurns,
+        "note",
+        _ignore,
+        test_isolation_turns.test_one_suspect_at_a_time_runs_in_a_small_service,
+    ),
+    Guard(
+        "a stream goes on only at its version",
+        ServerEntry,
+        "can_continue",
+        lambda self, origin: True,
+        test_stream_origins.test_servers_without_a_version_are_not_taken_for_the_same,
+    ),
+    Guard(
+        "other hosts are told before the first event",
+        stream_versions,
+        "hosts_to_tell",
+        lambda stream, own, hosts: [],
+        test_stream_origins.test_the_version_is_known_when_the_first_host_ends_right_after_the_event,
+    ),
+    Guard(
+        "versions that ended are remembered",
+        VersionHistory,
+        "sole_version",
+        lambda self, *arguments: "v1",
+        test_stream_origins.test_a_version_that_ended_a_moment_ago_is_not_forgotten,
+    ),
+    Guard(
+        "streams of a restarted server are corrected",
+        StreamVersions,
+        "_server_started",
+        _ignore,
+        test_stream_origins.test_a_stream_is_corrected_when_its_server_turns_out_to_have_restarted,
+    ),
+    Guard(
+        "a version is not told while the server may have restarted",
+        StreamVersions,
+        "_is_entry_current",
+        lambda self, record: True,
+        test_stream_origins.test_a_stream_of_a_server_that_may_have_restarted_is_not_told_yet,
+    ),
+]
+
+
+@pytest.mark.parametrize("guard", _GUARDS, ids=lambda guard: guard.description)
+def test_each_disabled_guard_is_detected_by_a_test(guard: Guard) -> None:
+    check_is_detected(guard)
