Do not go on with streams at servers that may have restarted under their id

Cause, two places of one class, an entry taken for the server's present start: a stream that goes on was sent to a server that had just come back, by its entry of before; and a stream that went on elsewhere within one answer was still corrected when the server that began it registered again.

--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -285,13 +285,13 @@
         Servers on which a suspect of crashes runs alone are left out, unless there are
         no others.
         """
+        now = self._clock()
         eligible = [
             record
             for record in self._servers.of_service(request.service)
-            if record.id not in request.excluded
-            and (request.origin is None or record.entry.can_continue(request.origin))
+            if request.may_use(record, now)
         ]
-        busy = self._turns.busy_servers(request.service, self._clock())
+        busy = self._turns.busy_servers(request.service, now)
         if not busy:
             return eligible
         return [record for record in eligible if record.id not in busy] or eligible
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -131,8 +131,6 @@
             raise
         finally:
             self._screening.end_isolation()
-            if self._request.origin is not None:
-                self._stream_versions.stream_ends(self._request.attributes.request_id)
             self._guard.leave(self)
 
     async def _serve(self) -> None:
@@ -240,6 +238,8 @@
             return outcome
         finally:
             pending_prefill.end()
+            if request.origin is not None:
+                self._stream_versions.stream_ends(request.attributes.request_id)
             if record.end(assignment.copy, request.tokens):
                 self._on_copy_released(record)
 
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -7,6 +7,7 @@
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 
 
 @dataclass(slots=True)
@@ -32,6 +33,19 @@
     send_count: int = 0
     origin: StreamOrigin | None = None
 
+    def may_use(self, record: ServerRecord, now: float) -> bool:
+        """Return whether the request may be sent to a server.
+
+        A stream goes on only at the version that began it, and not at a server whose
+        entry may be of an earlier start.
+        """
+        if record.id in self.excluded:
+            return False
+        if self.origin is None:
+            return True
+        is_certain = not record.health.may_have_restarted(now)
+        return is_certain and record.entry.can_continue(self.origin)
+
     def can_run_again(self, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
         is_allowed = len(self.started_on) + pending < self.route.max_servers
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -21,6 +21,7 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.server_health import REGISTRATION_SECONDS
 from gooseberrydeal._internal.policy.stream_origins import (
     StreamOrigins,
     hosts_to_ask,
@@ -36,9 +37,6 @@
 _QUERY_SECONDS: Final = 0.1
 _QUERY_BITS: Final = 62
 _NOTE_INTERVAL_SECONDS: Final = 0.5
-# A server that starts again registers, and hosts read that, within this time. Until
-# then its entry may be that of its start before.
-_ENTRY_SECONDS: Final = 3.0
 # Callers send what is left of a stream at most this long after it broke off.
 _TAKE_UP_SECONDS: Final = 5.0
 
@@ -89,15 +87,16 @@
         """
         stream = stream_key(request)
         self._active[stream] = record
-        origin = self._origin(record, is_certain=self._is_entry_current(record))
+        is_certain = not record.health.may_have_restarted(self._clock())
+        origin = self._origin(record, is_certain=is_certain)
         self._tell(stream, origin)
         if origin.version is None and record.entry.software_version is not None:
             loop = asyncio.get_running_loop()
-            loop.call_later(_ENTRY_SECONDS, self._correct, stream, record)
+            loop.call_later(REGISTRATION_SECONDS, self._correct, stream, record)
         return origin
 
     def stream_ends(self, request: RequestId) -> None:
-        """Record that a stream ends or is broken off at this host."""
+        """Record that the server that began a stream does not run it any more."""
         self._active.pop(stream_key(request), None)
 
     async def find(
@@ -185,10 +184,6 @@
         version = entry.software_version if is_certain else None
         return StreamOrigin(entry.service, version, entry.id, entry.started_at)
 
-    def _is_entry_current(self, record: ServerRecord) -> bool:
-        unanswered_at = record.health.unanswered_at
-        return unanswered_at is None or self._clock() - unanswered_at >= _ENTRY_SECONDS
-
     def _correct(self, stream: bytes, record: ServerRecord) -> None:
         """Tell where a stream began whose server may have started again before."""
         if self._active.get(stream) is record:
--- a/src/gooseberrydeal/_internal/policy/server_health.py
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -10,6 +10,8 @@
 # Half-life of the failure rate without new outcomes, so that a server that was avoided
 # for its failures is tried again.
 _HALF_LIFE_SECONDS: Final = 3.0
+# A server that starts again registers, and hosts read that, within this time.
+REGISTRATION_SECONDS: Final = 3.0
 
 
 class ServerHealth:
@@ -17,7 +19,7 @@
 
     def __init__(self) -> None:
         self._is_unreachable = False
-        self._unanswered_at: float | None = None
+        self._unanswered_at = float("-inf")
         self._failure_rate = 0.0
         self._updated_at = 0.0
 
@@ -26,10 +28,12 @@
         """Return whether the server is to be avoided until a connection succeeds."""
         return self._is_unreachable
 
-    @property
-    def unanswered_at(self) -> float | None:
-        """Return when it last accepted no connection, ``None`` if it always did."""
-        return self._unanswered_at
+    def may_have_restarted(self, now: float) -> bool:
+        """Return whether its entry may be of an earlier start.
+
+        That is so for a while after it accepted no connection.
+        """
+        return now - self._unanswered_at < REGISTRATION_SECONDS
 
     def failure_rate(self, now: float) -> float:
         """Return the recent fraction of failed responses, between 0 and 1."""
@@ -54,6 +58,10 @@
         self._is_unreachable = True
         self._unanswered_at = now
 
+    def note_ended(self, now: float) -> None:
+        """Record that another host found that the server has ended."""
+        self._unanswered_at = now
+
     def note_reachable(self) -> None:
         """Record that a connection succeeded."""
         self._is_unreachable = False
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -1,16 +1,20 @@
 """Check that streams go on only at the software version that began them."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
 
 from tests.lib.crash_cluster import CrashCluster
+from tests.lib.crashing_server import EVENTS as LAST_EVENT
 from tests.lib.stream_caller import StreamCaller
 
 # The platform's bound on streams with events of two versions.
 _MAX_MIXED = 2
 _STREAMS = 60
+_DISTURBED_STREAMS = 120
+_ATTEMPTS = 4
 
 Scenario = Callable[[CrashCluster], Awaitable[None]]
 
@@ -55,6 +59,77 @@
     _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
 
 
+async def _kill_hosts(cluster: CrashCluster) -> None:
+    for name in ("host-0", "host-2", "host-1"):
+        await asyncio.sleep(0.7)
+        await cluster.kill_host(name)
+        await asyncio.sleep(0.2)
+        await cluster.start_host(name)
+
+
+async def _restart_three_hosts(cluster: CrashCluster) -> None:
+    await asyncio.sleep(1.0)
+    for name in ("host-0", "host-1", "host-2"):
+        await cluster.kill_host(name)
+    for name in ("host-0", "host-1", "host-2"):
+        await cluster.start_host(name)
+
+
+async def _crash_servers(cluster: CrashCluster) -> None:
+    for server in cluster.servers:
+        await asyncio.sleep(0.4)
+        server.crash()
+
+
+async def _release(cluster: CrashCluster) -> None:
+    for server in cluster.servers[::2]:
+        await asyncio.sleep(0.6)
+        server.version = "v2"
+        server.crash()
+
+
+async def _change_versions_under_their_ids(cluster: CrashCluster) -> None:
+    for server in cluster.servers:
+        server.keeps_id = True
+    for server in cluster.servers[:4]:
+        await asyncio.sleep(0.6)
+        server.version = "v1.1" if server.version == "v1" else "v1"
+        server.crash()
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        _kill_hosts,
+        _restart_three_hosts,
+        _crash_servers,
+        _release,
+        _change_versions_under_their_ids,
+    ],
+)
+@pytest.mark.parametrize("path", ["/resumable/a", "/onward/a"])
+def test_streams_are_not_mixed_while_hosts_and_servers_end(
+    path: str, disturb: Scenario
+) -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        rng = random.Random(path)
+        callers = [StreamCaller(cluster, path) for _ in range(_DISTURBED_STREAMS)]
+
+        async def call(caller: StreamCaller, number: int) -> None:
+            await asyncio.sleep(number * 0.025)
+            for _ in range(_ATTEMPTS):
+                if caller.last_event < LAST_EVENT:
+                    await caller.attempt(rng.choice(cluster.host_names))
+
+        calls = (call(caller, number) for number, caller in enumerate(callers))
+        await asyncio.gather(disturb(cluster), *calls)
+        assert sum(caller.is_mixed for caller in callers) <= _MAX_MIXED
+        whole = sum(caller.last_event == LAST_EVENT for caller in callers)
+        assert whole >= len(callers) / 2
+
+    _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+
+
 def test_a_chain_of_resumes_names_any_attempt_that_brought_events() -> None:
     async def scenario(cluster: CrashCluster) -> None:
         for number in range(8):
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -68,7 +68,7 @@
             )
             for number in range(servers)
         ]
-        self._host_names = [f"host-{number}" for number in range(hosts)]
+        self.host_names = [f"host-{number}" for number in range(hosts)]
         self.nodes: dict[str, RouterNode] = {}
         self._addresses: dict[str, str] = {}
         self._peers: dict[str, str] = {}
@@ -89,9 +89,9 @@
         self.store.put("op/config", _configuration())
         for server in self.servers:
             await server.start()
-        for name in self._host_names:
+        for name in self.host_names:
             await self.start_host(name)
-        for name in self._host_names:
+        for name in self.host_names:
             while (await self.call(name, b"ready?"))[0] != 200:
                 await asyncio.sleep(0.05)
         while any(len(n._view.hosts) < len(self.nodes) for n in self.nodes.values()):
@@ -186,7 +186,7 @@
         """Send distinct requests to the hosts in turn; return how often each status."""
         running: list[asyncio.Task[tuple[int, dict[str, str]]]] = []
         for number in range(calls):
-            host = self._host_names[number % len(self._host_names)]
+            host = self.host_names[number % len(self.host_names)]
             body = prefix + b" %d" % number
             path = "/once/a" if number % 2 else "/safe/a"
             running.append(asyncio.create_task(self.call(host, body, path)))
@@ -207,6 +207,8 @@
         self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
 
     def _expire_later(self, server: CrashingServer) -> None:
+        if server.keeps_id:
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(
             _ENTRY_EXPIRY_SECONDS, self.store.remove, f"servers/{server.id}"
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -12,7 +12,7 @@
 BAD_PART = "bad"
 _STREAM_PATHS = (b"POST /stream/", b"POST /resumable/", b"POST /onward/")
 # Events of a stream, and the time between two of them.
-_EVENTS = 4
+EVENTS = 4
 _EVENT_INTERVAL_SECONDS = 0.1
 
 
@@ -27,7 +27,8 @@
     all others that run there.
 
     Events hold ``version``, and go on after the last event that the request names. With
-    ``resets_streams``, the connection of each new stream is reset midway.
+    ``resets_streams``, the connection of each new stream is reset midway. With
+    ``keeps_id``, each start has the id of the first.
 
     A crash resets all connections and closes the listening socket. The server starts
     again with a new id at the same address ``down_seconds`` later. ``on_start`` is
@@ -49,6 +50,7 @@
         self.bad_parts = {BAD_PART}
         self.version: object = "v1"
         self.resets_streams = False
+        self.keeps_id = False
         self.stated_limit: str | None = None
         self.arrival_times: list[float] = []
         self.crash_times: list[float] = []
@@ -73,7 +75,8 @@
     @property
     def id(self) -> str:
         """Return the id of the current start."""
-        return f"{self.name}-{self._start_number}"
+        number = 1 if self.keeps_id else self._start_number
+        return f"{self.name}-{number}"
 
     @property
     def is_running(self) -> bool:
@@ -182,8 +185,8 @@
         if has_bad_part:
             self.crash()
             return
-        for number in range(last_event + 1, _EVENTS + 1):
-            if self.resets_streams and not last_event and number > _EVENTS // 2:
+        for number in range(last_event + 1, EVENTS + 1):
+            if self.resets_streams and not last_event and number > EVENTS // 2:
                 self._writers.discard(writer)
                 reset_connection(writer)
                 return
--- a/tests/lib/stream_caller.py
+++ b/tests/lib/stream_caller.py
@@ -48,7 +48,12 @@
             lines.append(f"Last-Event-Id: {self.last_event}")
         if self.last_event and names_first:
             lines.append(f"Resumes: {self.begun_as}")
-        reader, writer = await asyncio.open_connection(*self.cluster.address_of(host))
+        try:
+            address = self.cluster.address_of(host)
+            reader, writer = await asyncio.open_connection(*address)
+        except ConnectionError:
+            self.statuses.append(0)
+            return False
         data = b""
         try:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
--- a/tests/unit/test_stream_guards.py
+++ b/tests/unit/test_stream_guards.py
@@ -11,6 +11,7 @@
     SuspectIsolation,
 )
 from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
+from gooseberrydeal._internal.policy.server_health import ServerHealth
 from gooseberrydeal._internal.policy.version_history import VersionHistory
 from tests.functional import test_crashing_at_once, test_stream_origins
 from tests.lib.guards import Guard, check_is_detected
@@ -73,9 +74,9 @@
     ),
     Guard(
         "a version is not told while the server may have restarted",
-        StreamVersions,
-        "_is_entry_current",
-        lambda self, record: True,
+        ServerHealth,
+        "may_have_restarted",
+        lambda self, now: False,
         test_stream_origins.test_a_stream_of_a_server_that_may_have_restarted_is_not_told_yet,
     ),
 ]
