--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/gooseberry-lab demo $(if $(filter 1,$(KEEP)),--keep,)
 
 test: lint check-types
-	$(BIN)/pytest -n 6
+	$(BIN)/pytest -n 6 --dist worksteal
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff check src tests examples
