Wait for the request at the server in the test of withdrawn attempts

The last whole run of the tests failed in one of them: a refused attempt was withdrawn as it should be, with 400 to its caller, but no server had received it. The test gave the attempt 50 ms to get there. Where the event loop stands still for 60 ms right after the caller sends, all four cases fail in the same way (0 == 1), since the timer that ends the wait is then due before the request has been read and passed on. So the wait was too weak a condition, and the program is not at fault.

The server's script now says that the request is there, and the test waits for that. No check and no bound changed.

--- a/tests/functional/test_withdrawn_requests.py
+++ b/tests/functional/test_withdrawn_requests.py
@@ -32,11 +32,11 @@
 def test_an_attempt_under_way_is_withdrawn_when_its_request_is_refused(
     path: str,
 ) -> None:
-    servers: list[ScriptedServer] = []
+    is_at_server = asyncio.Event()
 
     async def scenario(harness: RelayHarness, caller: Caller) -> None:
         caller.send(path)
-        await asyncio.sleep(_PROBE_SECONDS)
+        await is_at_server.wait()
         for number in range(3):
             harness.crash_protection.guard.note_crash(
                 crash_id(number), [_lost_request(path)]
@@ -48,6 +48,7 @@
         assert not harness.handler.in_progress
 
     async def wait(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        is_at_server.set()
         await asyncio.sleep(0.2)
 
     servers = run_relay(scenario, [wait], [wait])
