Confirm a server's entry before a stream goes on that may be of another start

Cause: whether an entry may be of an earlier start was judged by signs of an end: a refused connection, or a report of another host, both forgotten after 3 s. A host that had just started, or had only idle connections there, got no sign, and 3 s say nothing while the store is away. Traces show both: a stream on a new connection to a server that had been back for 55 ms, at a host that was up for 0.2 s; streams on a server that was back 0.1 s after it ended during an outage.

Fix: go by what shows that a process is that of the entry instead. Only one process listens at an address, so connections of which one was in use after the other was opened lead to the same process (ServerProcess). If it runs since a time before which all starts are known, which is 3 s before the last response of a store that has been answering for 3 s, the entry is its own. Else the stream is told as not certain, and the entry is read from the store when the stream is taken up, which few are: the origin holds if the server is still at the same start. The same is done before a stream is sent to a server on a connection that may lead to another start. The signs of an end, and the late corrections, are gone.

A server whose entry changes its version, but not its start, counts as restarted too.

--- a/src/gooseberrydeal/_internal/models/routing/server_entry.py
+++ b/src/gooseberrydeal/_internal/models/routing/server_entry.py
@@ -49,6 +49,19 @@
     held: HeldModels | None = None
     software_version: SoftwareVersion | None = None
 
+    def is_other_start(self, known: "ServerEntry") -> bool:
+        """Return whether the server has started again since a known entry."""
+        versions = {self.software_version, known.software_version} - {None}
+        return self.started_at != known.started_at or len(versions) > 1
+
+    def began(self, origin: StreamOrigin) -> bool:
+        """Return whether this entry, read after a stream began, is of its origin."""
+        return (self.id, self.started_at, self.software_version) == (
+            origin.server,
+            origin.started_at,
+            origin.version,
+        )
+
     def can_continue(self, origin: StreamOrigin) -> bool:
         """Return whether the server may go on with a stream that began elsewhere."""
         if self.service != origin.service:
--- a/src/gooseberrydeal/_internal/models/routing/stream_origin.py
+++ b/src/gooseberrydeal/_internal/models/routing/stream_origin.py
@@ -9,11 +9,14 @@
 class StreamOrigin:
     """Hold the service, the software version and the server that began a stream.
 
-    ``version`` is ``None`` if it is not known; then only the same start of the same
-    server can go on. ``started_at`` is the start time in the server's entry.
+    ``version`` is ``None`` if the server's entry says none; then only the same start of
+    the same server can go on. ``started_at`` is the start time in that entry. Unless
+    ``is_certain``, the server may have started again before the stream began, so that
+    the entry may be of its earlier start.
     """
 
     service: ServiceName
     version: SoftwareVersion | None
     server: ServerId
     started_at: int
+    is_certain: bool = True
--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -11,6 +11,7 @@
     ServerUnreachableError,
 )
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
+from gooseberrydeal._internal.network.http1.server_process import ServerProcess
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 
 logger = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
         self._max_connections = max_connections
         self._idle: list[ServerConnection] = []
         self._in_use = 0
+        self._process = ServerProcess()
 
     def set_limit(self, max_connections: int) -> None:
         """Change the maximum number of connections in use."""
@@ -86,6 +88,11 @@
         self._in_use -= 1
         connection.abort()
 
+    def server_restarted(self, now: float) -> None:
+        """Close the idle connections, which lead to a process that has ended."""
+        self.close()
+        self._process.reset(now)
+
     def retire(self) -> None:
         """Close idle connections now and the others on release; open no new ones."""
         self._max_connections = 0
@@ -103,7 +110,9 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    partial(ServerConnection, self._on_unsolicited), host, port
+                    partial(ServerConnection, self._on_unsolicited, self._process),
+                    host,
+                    port,
                 )
         except ConnectionRefusedError as error:
             raise ServerNotListeningError(
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
@@ -10,23 +11,22 @@
 
 from gooseberrydeal._internal.models.routing.http_heads import Header, ResponseHead
 from gooseberrydeal._internal.network.http1.framing import is_bodiless
+from gooseberrydeal._internal.network.http1.keep_alive import (
+    DEFAULT_IDLE_TIMEOUT_SECONDS,
+    parse_idle_timeout,
+)
 from gooseberrydeal._internal.network.http1.response_budget import ResponseBudget
 from gooseberrydeal._internal.network.http1.response_sink import (
     ResponseEnd,
     ResponseSink,
 )
+from gooseberrydeal._internal.network.http1.server_process import ServerProcess
 from gooseberrydeal._internal.network.http1.socket_options import (
     enable_dead_peer_detection,
 )
 
 logger = logging.getLogger(__name__)
 
-# How long a connection may be idle if the server announces no keep-alive timeout.
-_DEFAULT_IDLE_TIMEOUT_SECONDS: Final = 4.0
-# Connections are not reused this close to the server's own idle timeout, since the
-# server could close them just as a request is sent.
-_IDLE_MARGIN_SECONDS: Final = 0.7
-_MAX_TIMEOUT_DIGITS: Final = 9
 # The limits of a response's head are checked after each piece of this size.
 _HEAD_PIECE_BYTES: Final = 4_096
 
@@ -36,11 +36,15 @@
 
     The connection is reused only if no bytes followed the end of the response, since
     those could be mistaken for the response to the next request. ``on_unsolicited`` is
-    called when bytes arrive while no request waits for a response.
+    called when bytes arrive while no request waits for a response. ``process`` is told
+    when the server shows that it runs.
     """
 
-    def __init__(self, on_unsolicited: Callable[[], None]) -> None:
+    def __init__(
+        self, on_unsolicited: Callable[[], None], process: ServerProcess
+    ) -> None:
         self._on_unsolicited = on_unsolicited
+        self._process = process
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -57,8 +61,21 @@
         self._has_received_eof = False
         self._body: list[bytes] = []
         self._budget = ResponseBudget()
-        self._idle_timeout = _DEFAULT_IDLE_TIMEOUT_SECONDS
+        self._idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
         self._idle_deadline = 0.0
+        self._opened_at = 0.0
+        self._running_since = math.inf
+        self._was_paused = False
+
+    @property
+    def running_since(self) -> float:
+        """Return since when the server's process is known to run.
+
+        The time is on the loop's clock, in seconds. It is infinity if the process may
+        have ended, since the server has registered after another start.
+        """
+        latest = self._process.running_since(self._opened_at)
+        return latest if latest == math.inf else min(latest, self._running_since)
 
     @property
     def is_open(self) -> bool:
@@ -87,6 +104,7 @@
         """Pause reading, which makes the server wait while the caller reads slowly."""
         if self.is_open and self._transport is not None:
             self._transport.pause_reading()
+            self._was_paused = True
 
     def resume(self) -> None:
         """Resume reading."""
@@ -103,11 +121,14 @@
         """Start the idle time of the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._idle_deadline = self._loop.time() + self._idle_timeout
+        self._opened_at = self._loop.time()
+        self._running_since = self._process.running_since(self._opened_at)
+        self._idle_deadline = self._opened_at + self._idle_timeout
         enable_dead_peer_detection(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and pass the response on to the sink."""
+        self._note_alive()
         sink = self._sink
         if sink is None or self._parser is None:
             logger.info("closing a connection: server sent bytes without a request")
@@ -128,10 +149,13 @@
     def eof_received(self) -> bool:
         """Note that the server closed its side cleanly, not by a reset."""
         self._has_received_eof = True
+        self._note_alive()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response, which is whole only if it is delimited by the close."""
+        if isinstance(exc, ConnectionResetError):
+            self._note_alive()
         if self._sink is None:
             return
         is_delimited_by_close = (
@@ -176,7 +200,7 @@
             if lower in (b"content-length", b"transfer-encoding"):
                 self._is_self_delimited = True
             elif lower == b"keep-alive":
-                self._idle_timeout = _parse_keep_alive_timeout(value)
+                self._idle_timeout = parse_idle_timeout(value)
         head = ResponseHead(self._status, self._reason, tuple(self._headers))
         self._sink.head_received(head)
         if self._is_head_request:
@@ -224,6 +248,13 @@
             self._has_unexpected_data = True
         return None
 
+    def _note_alive(self) -> None:
+        """Tell the process that it runs, unless what was received may be old."""
+        if not self._was_paused:
+            self._running_since = self._process.note_alive(
+                self._opened_at, self._running_since, self._loop.time()
+            )
+
     def _reset_message(self) -> None:
         self._status = 0
         self._reason = b""
@@ -264,16 +295,3 @@
             self._transport.abort()
         if sink is not None:
             sink.response_ended(end)
-
-
-def _parse_keep_alive_timeout(value: bytes) -> float:
-    """Return how long a connection may be idle, in seconds.
-
-    This is the timeout that a Keep-Alive field announces, less a margin.
-    """
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        is_number = number.isdigit() and len(number) <= _MAX_TIMEOUT_DIGITS
-        if name.lower() == b"timeout" and is_number:
-            return max(0.0, int(number) - _IDLE_MARGIN_SECONDS)
-    return _DEFAULT_IDLE_TIMEOUT_SECONDS
--- a/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
@@ -26,6 +26,10 @@
         """Return the server whose entry a key holds, ``None`` for other keys."""
         ...
 
+    def server_key(self, server: ServerId) -> str:
+        """Return the key of a server's entry."""
+        ...
+
     def server(self, server: ServerId, value: bytes) -> ServerEntry:
         """Decode the entry of a server."""
         ...
--- a/src/gooseberrydeal/_internal/network/stream_codec.py
+++ b/src/gooseberrydeal/_internal/network/stream_codec.py
@@ -21,7 +21,13 @@
     origin = notice.origin
     fields = None
     if origin is not None:
-        fields = [origin.service, origin.version, origin.server, origin.started_at]
+        fields = [
+            origin.service,
+            origin.version,
+            origin.server,
+            origin.started_at,
+            origin.is_certain,
+        ]
     return [notice.host, notice.stream, notice.query, fields]
 
 
@@ -55,10 +61,11 @@
 
 
 def _parse_origin(fields: list[Any]) -> StreamOrigin:
-    service, version, server, started_at = fields[:4]
+    service, version, server, started_at, is_certain = fields[:5]
     return StreamOrigin(
         ServiceName(str(service)),
         None if version is None else SoftwareVersion(str(version)),
         ServerId(str(server)),
         int(started_at),
+        bool(is_certain),
     )
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -1,10 +1,8 @@
 """Protect the backend servers from requests that crash them."""
 
 import random
-from collections.abc import Callable, Iterable, Sequence
-from typing import Final
+from collections.abc import Callable, Sequence
 
-from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
@@ -26,8 +24,6 @@
 from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
-_RECENT_CRASH_SECONDS: Final = 1.0
-
 
 class CrashProtection:
     """Connect the parts that detect crashes, share them and refuse their cause."""
@@ -44,8 +40,6 @@
         rng: random.Random,
     ) -> None:
         history = CrashHistory()
-        self._servers = servers
-        self._clock = clock
         self._turns = IsolationTurns()
         self._gossip = CrashGossip(membership, view, history, send, clock, rng)
         self._isolation = SuspectIsolation(
@@ -71,7 +65,7 @@
             store, membership, view, history, self._guard.merge, clock
         )
         self._tasks = TaskOwner()
-        servers.add_start_listener(self._detector.server_started)
+        servers.set_start_listener(self._detector.server_started)
 
     @property
     def guard(self) -> CrashGuard:
@@ -104,22 +98,9 @@
         await self._tasks.stop()
 
     def report_received(self, report: CrashReport) -> None:
-        """Take in the evidence that another host sent.
-
-        A server that crashed a moment ago may have started again before its entry says
-        so.
-        """
-        for evidence in report.evidence:
-            if evidence.seconds_ago < _RECENT_CRASH_SECONDS:
-                self._note_ended(evidence.crashes)
+        """Take in the evidence that another host sent."""
         self._guard.merge(report.evidence)
 
-    def _note_ended(self, crashes: Iterable[CrashId]) -> None:
-        for crash in crashes:
-            record = self._servers.get(crash.server)
-            if record is not None and record.entry.started_at == crash.started_at:
-                record.health.note_ended(self._clock())
-
     def isolation_notice_received(self, notice: IsolationNotice) -> None:
         """Take in a notice that another host sent."""
         self._isolation.received(notice)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -289,7 +289,7 @@
         eligible = [
             record
             for record in self._servers.of_service(request.service)
-            if request.may_use(record, now)
+            if request.may_use(record)
         ]
         busy = self._turns.busy_servers(request.service, now)
         if not busy:
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -48,6 +49,8 @@
 # stays within the 2 s allowed for adopting a new configuration.
 _WATCH_GRACE_SECONDS: Final = 1.2
 _RETRY_DELAY_SECONDS: Final = 0.3
+# A server that starts registers, and a watch shows it, within this time.
+_REGISTRATION_SECONDS: Final = 3.0
 # Servers update their entries more often than this, so a longer gap between responses
 # means that the store was unavailable.
 _MAX_RESPONSE_GAP_SECONDS: Final = 2.5
@@ -94,6 +97,7 @@
         self._is_first_start = is_first_start
         self._seen_servers: set[ServerId] = set()
         self._grace_until = 0.0
+        self._responding_since = math.inf
         self._may_miss_owners_until = 0.0
 
     async def run(self) -> None:
@@ -184,6 +188,8 @@
             self._view.last_response_at
             and now - self._view.last_response_at > _MAX_RESPONSE_GAP_SECONDS
         )
+        if self._is_store_down or had_gap or not self._view.last_response_at:
+            self._responding_since = now
         if self._is_store_down or had_gap:
             logger.info("metadata store available again")
             self._is_store_down = False
@@ -191,6 +197,8 @@
             self._removals.resume(self._grace_until)
             self._host_removals.resume(self._grace_until)
         self._view.last_response_at = now
+        if now - self._responding_since >= _REGISTRATION_SECONDS:
+            self._view.starts_known_until = now - _REGISTRATION_SECONDS
 
     def _remove_unlisted(self, present: set[str]) -> None:
         """Remove owners that are no longer listed, and servers and hosts after a delay.
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -1,5 +1,6 @@
 """Hold the state last read from the metadata store."""
 
+import math
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -41,7 +42,8 @@
     ``trusts_store`` whether other hosts had time to add what the store may have lost;
     there is no configuration before. ``known_state`` is their record and
     ``known_state_revision`` its revision, 0 if there is none.
-    ``last_response_at`` is the time of the store's last response on the
+    All starts of servers before ``starts_known_until`` were read, unless a later start
+    followed. ``last_response_at`` is the time of the store's last response on the
     monotonic clock in seconds, 0 before the first.
     """
 
@@ -56,6 +58,7 @@
     known_state: KnownState | None = None
     known_state_revision: int = 0
     last_response_at: float = 0.0
+    starts_known_until: float = -math.inf
 
     @property
     def is_settled(self) -> bool:
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -78,7 +78,7 @@
                             error,
                             extra={"server": record.id},
                         )
-                    record.health.note_unanswered(asyncio.get_running_loop().time())
+                    record.health.note_unreachable()
                     is_closed = isinstance(error, ServerNotListeningError)
                     self._on_probed(
                         record,
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -41,6 +41,9 @@
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.stream_continuation import (
+    StreamContinuation,
+)
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.operations.router.unread_prompt import PendingPrefill
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
@@ -76,7 +79,6 @@
         self._codec = codec
         self._dispatcher = dispatcher
         self._guard = crash_protection.guard
-        self._stream_versions = stream_versions
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._on_usage_changed = on_usage_changed
@@ -93,6 +95,7 @@
         self._server: ServerId | None = None
         self._log = RequestLog(request, metrics)
         self._failure = FailedReply(request, exchange, codec, self._log)
+        self._continuation = StreamContinuation(request, exchange, stream_versions)
         self._screening = CrashScreening(
             request, identity, crash_protection, self._failure
         )
@@ -137,6 +140,9 @@
         while True:
             if not await self._screening.wait_for_turn():
                 return
+            if not await self._continuation.confirm_origin():
+                self._failure.server_failed()
+                return
             assignment = await self._dispatcher.assign(self._request)
             if isinstance(assignment, NoAssignment):
                 self._failure.reject(assignment.reason, assignment.retry_after)
@@ -185,6 +191,10 @@
                 request.excluded.add(record.id)
                 self._log.not_sent(record.id, error)
                 return None
+            if not await self._continuation.may_send(record, connection):
+                pool.release(connection)
+                request.excluded.add(record.id)
+                return None
             request.send_count += 1
             times = self._times
             times.note_sent(self._clock())
@@ -193,10 +203,10 @@
                 self._metrics.observe_wait(times.sent_at - request.arrived_at)
 
             def on_head(status: int, attributes: ResponseAttributes) -> None:
-                self._note_origin(status, record)
+                times.head_at = self._clock()
+                self._continuation.note_response(status, record, connection)
                 self._has_response_begun = True
                 pending_prefill.end()
-                times.head_at = self._clock()
                 self._dispatcher.limits.response_received(
                     record, status, attributes, times.sent_at
                 )
@@ -238,8 +248,6 @@
             return outcome
         finally:
             pending_prefill.end()
-            if request.origin is not None:
-                self._stream_versions.stream_ends(request.attributes.request_id)
             if record.end(assignment.copy, request.tokens):
                 self._on_copy_released(record)
 
@@ -253,15 +261,6 @@
         times = self._times
         times.longest_pause = max(times.longest_pause, attempt.longest_pause)
 
-    def _note_origin(self, status: int, record: ServerRecord) -> None:
-        """Record where the stream begins, before its first event is passed on."""
-        request = self._request
-        is_new = status == HTTPStatus.OK and not self._exchange.is_started
-        if is_new and request.route.is_resumable:
-            stream = request.attributes.request_id
-            origin = self._stream_versions.stream_begins(stream, record)
-            request.origin = request.origin or origin
-
     def _handle_outcome(self, assignment: Assignment, outcome: AttemptOutcome) -> bool:
         """Record the outcome of an attempt; return whether to try again."""
         now = self._clock()
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -33,18 +33,14 @@
     send_count: int = 0
     origin: StreamOrigin | None = None
 
-    def may_use(self, record: ServerRecord, now: float) -> bool:
-        """Return whether the request may be sent to a server.
+    def may_use(self, record: ServerRecord) -> bool:
+        """Return whether the request may be sent to a server, going by its entry.
 
-        A stream goes on only at the version that began it, and not at a server whose
-        entry may be of an earlier start.
+        A stream goes on only at the version that began it.
         """
         if record.id in self.excluded:
             return False
-        if self.origin is None:
-            return True
-        is_certain = not record.health.may_have_restarted(now)
-        return is_certain and record.entry.can_continue(self.origin)
+        return self.origin is None or record.entry.can_continue(self.origin)
 
     def can_run_again(self, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -29,6 +29,7 @@
 )
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
+from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
 )
@@ -111,7 +112,13 @@
             IsolationNotice, self._crash_protection.isolation_notice_received
         )
         self._stream_versions = StreamVersions(
-            membership, self._view, self._servers, self._report_exchange.send, now, rng
+            membership,
+            self._view,
+            self._servers,
+            EntryReader(store, decoder),
+            self._report_exchange.send,
+            now,
+            rng,
         )
         self._report_exchange.set_handler(
             StreamNotice, self._stream_versions.notice_received
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -102,14 +102,15 @@
         now: float,
     ) -> None:
         """Apply a newer entry; a restart drops connections, copies and status."""
-        is_restart = entry.started_at != self._entry.started_at
-        if entry.address != self._entry.address:
+        is_restart = entry.is_other_start(self._entry)
+        has_moved = entry.address != self._entry.address
+        if is_restart or has_moved:
+            self._pool.server_restarted(now)
+        if has_moved:
             self._pool.retire()
             self._pool = self._new_pool(entry.address, max_connections)
         else:
             self._pool.set_limit(max_connections)
-            if is_restart:
-                self._pool.close()
         self._entry = entry
         self._service = service
         if is_restart:
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -4,24 +4,28 @@
 import logging
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import RequestId, ServiceName
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
-from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
 )
 from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.report_codec import (
     encode_stream_notice,
     encode_stream_query,
 )
+from gooseberrydeal._internal.operations.router.entry_reader import (
+    READ_ERRORS,
+    EntryReader,
+)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
-from gooseberrydeal._internal.policy.server_health import REGISTRATION_SECONDS
 from gooseberrydeal._internal.policy.stream_origins import (
     StreamOrigins,
     hosts_to_ask,
@@ -47,6 +51,11 @@
     Before the first event of a stream is passed on, a few hosts are told where it
     began. A host to which the caller comes later asks these hosts. If none of them
     knows, the stream may go on only if the service had one version all the time.
+
+    The version is that of a server's entry. A server may start again under its id and
+    run a stream before its new entry is read, so it is kept whether the process that
+    runs a stream is that of the entry. Where it may be another one, the entry is read
+    again, but only when the stream is taken up, which few are.
     """
 
     def __init__(
@@ -54,6 +63,7 @@
         membership: HostMembership,
         view: MetadataView,
         servers: ServerTable,
+        entries: EntryReader,
         send: Callable[[bytes, str], None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -61,15 +71,14 @@
         self._membership = membership
         self._view = view
         self._servers = servers
+        self._entries = entries
         self._send = send
         self._clock = clock
         self._rng = rng
         self._origins = StreamOrigins()
         self._history = VersionHistory()
-        self._active: dict[bytes, ServerRecord] = {}
         self._queries: dict[int, tuple[asyncio.Future[StreamOrigin | None], int]] = {}
         self._tasks = TaskOwner()
-        servers.add_start_listener(self._server_started)
 
     def start(self) -> None:
         """Start to record the versions that are there."""
@@ -78,26 +87,77 @@
     async def stop(self) -> None:
         """Stop recording."""
         await self._tasks.stop()
+        await self._entries.stop()
 
-    def stream_begins(self, request: RequestId, record: ServerRecord) -> StreamOrigin:
-        """Record that a server begins a stream; return where it begins.
+    def stream_begins(
+        self, request: RequestId, record: ServerRecord, *, is_certain: bool
+    ) -> StreamOrigin:
+        """Tell other hosts that a server begins a stream; return where it begins.
 
-        The version is not known if the server may have started again, since then its
-        entry may not be that of its present start. It is told once it is.
+        With ``is_certain``, the server's entry is that of the process that runs it.
         """
+        entry = record.entry
         stream = stream_key(request)
-        self._active[stream] = record
-        is_certain = not record.health.may_have_restarted(self._clock())
-        origin = self._origin(record, is_certain=is_certain)
-        self._tell(stream, origin)
-        if origin.version is None and record.entry.software_version is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(REGISTRATION_SECONDS, self._correct, stream, record)
+        origin = StreamOrigin(
+            entry.service,
+            entry.software_version,
+            entry.id,
+            entry.started_at,
+            is_certain,
+        )
+        self._origins.put(stream, origin, self._clock())
+        data = self._notice(stream, 0, origin)
+        hosts = self._view.hosts.values()
+        for host in hosts_to_tell(stream, self._membership, hosts):
+            self._send(data, host.address)
         return origin
 
-    def stream_ends(self, request: RequestId) -> None:
-        """Record that the server that began a stream does not run it any more."""
-        self._active.pop(stream_key(request), None)
+    def is_registered(self, connection: ServerConnection) -> bool:
+        """Return whether the server's entry is that of the process of a connection."""
+        return connection.running_since <= self._view.starts_known_until
+
+    async def can_continue(
+        self, record: ServerRecord, connection: ServerConnection, origin: StreamOrigin
+    ) -> bool:
+        """Return whether the process of a connection may go on with a stream.
+
+        The server's entry is read again if it may be of an earlier start.
+        """
+        if self.is_registered(connection):
+            return record.entry.can_continue(origin)
+        try:
+            entry = await self._entries.read(record.id)
+        except READ_ERRORS as error:
+            logger.info(
+                "not resumed there: the server may have started again: %s",
+                error,
+                extra={"server": record.id},
+            )
+            return False
+        return entry is not None and entry.can_continue(origin)
+
+    async def confirm(self, origin: StreamOrigin) -> StreamOrigin | None:
+        """Return where a stream began for certain, ``None`` if that is not known."""
+        if origin.is_certain:
+            return origin
+        try:
+            entry = await self._entries.read(origin.server)
+        except READ_ERRORS as error:
+            logger.info(
+                "the server may have started again when a stream began: %s",
+                error,
+                extra={"server": origin.server},
+            )
+            return None
+        # Had a server that left started again before, it would have registered again.
+        entry = entry or self._history.last_entry(origin.server)
+        if entry is not None and entry.began(origin):
+            return replace(origin, is_certain=True)
+        logger.info(
+            "the server started again about when a stream began there",
+            extra={"server": origin.server},
+        )
+        return None
 
     async def find(
         self, request: RequestId | None, services: Sequence[ServiceName], timeout: float
@@ -110,8 +170,10 @@
         if request is not None:
             stream = stream_key(request)
             origin = self._origins.find(stream) or await self._ask(stream)
-        if origin is not None or len(services) != 1:
-            return origin
+        if origin is not None:
+            return await self.confirm(origin)
+        if len(services) != 1:
+            return None
         version = self._history.sole_version(
             services[0],
             timeout + _TAKE_UP_SECONDS,
@@ -126,11 +188,8 @@
         return StreamOrigin(services[0], version, record.id, record.entry.started_at)
 
     def notice_received(self, notice: StreamNotice) -> None:
-        """Take in what another host knows about a stream.
-
-        Answers are not kept, since this host is not told of corrections.
-        """
-        if notice.origin is not None and not notice.query:
+        """Take in what another host knows about a stream."""
+        if notice.origin is not None:
             self._origins.put(notice.stream, notice.origin, self._clock())
         found = self._queries.get(notice.query)
         if found is None:
@@ -167,42 +226,15 @@
         finally:
             del self._queries[number]
 
-    def _tell(self, stream: bytes, origin: StreamOrigin) -> None:
-        self._origins.put(stream, origin, self._clock())
-        data = self._notice(stream, 0, origin)
-        hosts = self._view.hosts.values()
-        for host in hosts_to_tell(stream, self._membership, hosts):
-            self._send(data, host.address)
-
     def _notice(self, stream: bytes, query: int, origin: StreamOrigin | None) -> bytes:
         return encode_stream_notice(
             StreamNotice(self._membership.host, stream, query, origin)
         )
 
-    def _origin(self, record: ServerRecord, *, is_certain: bool) -> StreamOrigin:
-        entry = record.entry
-        version = entry.software_version if is_certain else None
-        return StreamOrigin(entry.service, version, entry.id, entry.started_at)
-
-    def _correct(self, stream: bytes, record: ServerRecord) -> None:
-        """Tell where a stream began whose server may have started again before."""
-        if self._active.get(stream) is record:
-            self._tell(stream, self._origin(record, is_certain=True))
-
-    def _server_started(self, entry: ServerEntry) -> None:
-        """Correct the streams that a server began after a start that is known now."""
-        for stream, record in list(self._active.items()):
-            if record.id == entry.id:
-                self._correct(stream, record)
-
     async def _note_versions(self) -> None:
         while True:
             if self._view.is_complete:
                 self._history.note(
-                    (
-                        (record.entry.service, record.entry.software_version)
-                        for record in self._servers.records
-                    ),
-                    self._clock(),
+                    (record.entry for record in self._servers.records), self._clock()
                 )
             await asyncio.sleep(_NOTE_INTERVAL_SECONDS)
--- a/src/gooseberrydeal/_internal/platform/metadata_names.py
+++ b/src/gooseberrydeal/_internal/platform/metadata_names.py
@@ -47,6 +47,10 @@
             return None
         return ServerId(key.removeprefix(_SERVER_PREFIX))
 
+    def server_key(self, server: ServerId) -> str:
+        """Return the key under which a server registers."""
+        return _SERVER_PREFIX + server
+
     def server(self, server: ServerId, value: bytes) -> ServerEntry:
         """Return a server's registration, or raise :class:`DeclarationError`."""
         return decode_server(server, value)
--- a/src/gooseberrydeal/_internal/policy/server_health.py
+++ b/src/gooseberrydeal/_internal/policy/server_health.py
@@ -10,8 +10,6 @@
 # Half-life of the failure rate without new outcomes, so that a server that was avoided
 # for its failures is tried again.
 _HALF_LIFE_SECONDS: Final = 3.0
-# A server that starts again registers, and hosts read that, within this time.
-REGISTRATION_SECONDS: Final = 3.0
 
 
 class ServerHealth:
@@ -19,7 +17,6 @@
 
     def __init__(self) -> None:
         self._is_unreachable = False
-        self._unanswered_at = float("-inf")
         self._failure_rate = 0.0
         self._updated_at = 0.0
 
@@ -28,13 +25,6 @@
         """Return whether the server is to be avoided until a connection succeeds."""
         return self._is_unreachable
 
-    def may_have_restarted(self, now: float) -> bool:
-        """Return whether its entry may be of an earlier start.
-
-        That is so for a while after it accepted no connection.
-        """
-        return now - self._unanswered_at < REGISTRATION_SECONDS
-
     def failure_rate(self, now: float) -> float:
         """Return the recent fraction of failed responses, between 0 and 1."""
         age = max(0.0, now - self._updated_at)
@@ -53,15 +43,6 @@
         """Record that a connection failed or was lost."""
         self._is_unreachable = True
 
-    def note_unanswered(self, now: float) -> None:
-        """Record that the server accepted no connection."""
-        self._is_unreachable = True
-        self._unanswered_at = now
-
-    def note_ended(self, now: float) -> None:
-        """Record that another host found that the server has ended."""
-        self._unanswered_at = now
-
     def note_reachable(self) -> None:
         """Record that a connection succeeded."""
         self._is_unreachable = False
--- a/src/gooseberrydeal/_internal/policy/stream_origins.py
+++ b/src/gooseberrydeal/_internal/policy/stream_origins.py
@@ -50,14 +50,7 @@
         return None if found is None else found[0]
 
     def put(self, stream: bytes, origin: StreamOrigin, now: float) -> None:
-        """Remember where a stream began.
-
-        A later start of the server corrects an earlier one, and a version corrects an
-        unknown one, in whichever order they are told.
-        """
-        known = self.find(stream)
-        if known is not None and _certainty(known) > _certainty(origin):
-            return
+        """Remember where a stream began."""
         self._origins[stream] = (origin, now)
         self._origins.move_to_end(stream)
         while self._origins:
@@ -68,10 +61,6 @@
             del self._origins[oldest]
 
 
-def _certainty(origin: StreamOrigin) -> tuple[int, bool]:
-    return origin.started_at, origin.version is not None
-
-
 def hosts_to_tell(
     stream: bytes, own: HostMembership, hosts: Iterable[HostMembership]
 ) -> list[HostMembership]:
--- a/tests/functional/test_metadata_follower.py
+++ b/tests/functional/test_metadata_follower.py
@@ -44,6 +44,9 @@
     def server_id(self, key: str) -> ServerId | None:
         return ServerId(key[8:]) if key.startswith("servers/") else None
 
+    def server_key(self, server: ServerId) -> str:
+        return f"servers/{server}"
+
     def server(self, server: ServerId, value: bytes) -> ServerEntry:
         if not value.isdigit():
             raise DeclarationError([f"{server} is unreadable"])
@@ -258,3 +261,24 @@
         assert not host.view.hosts
 
     run_virtual(scenario())
+
+
+def test_the_starts_of_servers_are_known_once_the_store_answers_for_a_while() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        host = await _start_host("i-1")
+        assert host.view.starts_known_until < started_at
+        await host.rewrite_entries(3.0)
+        assert host.view.starts_known_until > started_at
+        host.store.is_cut = True
+        await asyncio.sleep(6.0)
+        known_until = host.view.starts_known_until
+        host.store.is_cut = False
+        await host.rewrite_entries(2.0)
+        assert host.view.starts_known_until == known_until
+        returned_at = loop.time()
+        await host.rewrite_entries(5.0)
+        assert host.view.starts_known_until > returned_at
+
+    run_virtual(scenario())
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -15,6 +15,8 @@
 _STREAMS = 60
 _DISTURBED_STREAMS = 120
 _ATTEMPTS = 4
+# Longer than servers take to register, as hosts see it.
+_STEADY_SECONDS = 5.0
 
 Scenario = Callable[[CrashCluster], Awaitable[None]]
 
@@ -97,6 +99,12 @@
         server.crash()
 
 
+async def _change_versions_and_kill_hosts(cluster: CrashCluster) -> None:
+    await asyncio.gather(
+        _change_versions_under_their_ids(cluster), _kill_hosts(cluster)
+    )
+
+
 @pytest.mark.parametrize(
     "disturb",
     [
@@ -105,6 +113,7 @@
         _crash_servers,
         _release,
         _change_versions_under_their_ids,
+        _change_versions_and_kill_hosts,
     ],
 )
 @pytest.mark.parametrize("path", ["/resumable/a", "/onward/a"])
@@ -130,6 +139,55 @@
     _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
 
 
+@pytest.mark.parametrize("path", ["/resumable/a", "/onward/a"])
+def test_streams_are_not_mixed_if_servers_restart_while_the_store_is_away(
+    path: str,
+) -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        await cluster.call_steadily(100, _STEADY_SECONDS / 100, b"sound")
+        cluster.store.set_unavailable(is_unavailable=True)
+        for server in cluster.servers[:4:2]:
+            server.keeps_id = True
+            server.version = "v1.1"
+            server.crash()
+        while not all(server.is_running for server in cluster.servers):
+            await asyncio.sleep(0.05)
+
+        async def call(number: int) -> StreamCaller:
+            caller = await _begin(cluster, number, path)
+            if caller.last_event < LAST_EVENT:
+                await _take_up(caller, number)
+            return caller
+
+        callers = await asyncio.gather(*map(call, range(_STREAMS)))
+        assert sum(caller.is_mixed for caller in callers) <= _MAX_MIXED
+        assert sum(caller.last_event > 0 for caller in callers) >= _STREAMS / 2
+
+    _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+
+
+@pytest.mark.parametrize("path", ["/resumable/a", "/onward/a"])
+def test_streams_go_on_while_the_store_is_away(path: str) -> None:
+    async def scenario(cluster: CrashCluster) -> None:
+        await cluster.call_steadily(100, _STEADY_SECONDS / 100, b"sound")
+        cluster.store.set_unavailable(is_unavailable=True)
+
+        async def call(number: int) -> StreamCaller:
+            await asyncio.sleep(number * 0.03)
+            caller = await _begin(cluster, number, path)
+            if caller.last_event < LAST_EVENT:
+                await _take_up(caller, number)
+            return caller
+
+        callers = await asyncio.gather(*map(call, range(_STREAMS)))
+        assert not any(caller.is_mixed for caller in callers)
+        assert sum(caller.last_event == LAST_EVENT for caller in callers) >= (
+            sum(caller.last_event > 0 for caller in callers) / 2
+        )
+
+    _run(scenario, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+
+
 def test_a_chain_of_resumes_names_any_attempt_that_brought_events() -> None:
     async def scenario(cluster: CrashCluster) -> None:
         for number in range(8):
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -59,6 +59,9 @@
     def server_id(self, key: str) -> ServerId | None:
         return ServerId(key[8:]) if key.startswith("servers/") else None
 
+    def server_key(self, server: ServerId) -> str:
+        return f"servers/{server}"
+
     def server(self, server: ServerId, value: bytes) -> ServerEntry:
         return server_entry(server, started_at=int(value), held=None)
 
--- a/tests/lib/restored_world.py
+++ b/tests/lib/restored_world.py
@@ -52,6 +52,9 @@
             return None
         return ServerId(key.removeprefix(SERVER_PREFIX))
 
+    def server_key(self, server: ServerId) -> str:
+        return SERVER_PREFIX + server
+
     def server(self, server: ServerId, value: bytes) -> ServerEntry:
         if not value.isdigit():
             raise DeclarationError([f"{server} is unreadable"])
