Do not pass on events of a resumed stream that its caller already has

What callers would see: events twice (ORDER), if a server that is asked to go on after an event begins the stream again.

Now the first event of a resumed stream must be later than the one after which it was to go on, whether the host or the caller takes it up. If it is not, nothing of the response is passed on, the connection is closed, and another server is tried or the caller's stream ends as broken off.

Both new tests fail on the code before: events 1 and 2 came twice.

--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -67,6 +67,9 @@
         self._expects_events = request.route.kind is RequestKind.STREAMING
         self._is_retryable = is_retryable
         self._events = events
+        last_event = events.last_event_id or request.attributes.last_event_id
+        if last_event and request.route.is_resumable:
+            events.resume_after(last_event)
         self._is_resuming = exchange.is_started
         self._is_relaying = False
         self._is_event_stream = False
@@ -164,6 +167,9 @@
         self._check_answering(now)
         if self._is_event_stream:
             data = self._events.feed(data)
+            if self._events.repeats_events:
+                self._stop("a resumed stream repeats events", AttemptOutcome.CUT)
+                return
             self._has_relayed_event |= bool(data.strip())
             if self._events.is_overfull:
                 self._stop("an event of the stream has no end", AttemptOutcome.CUT)
--- a/tests/functional/test_relay_streams.py
+++ b/tests/functional/test_relay_streams.py
@@ -102,6 +102,41 @@
     assert {r.header("last-event-id") for r in resumed} == {"2"}
 
 
+async def _stream_from_the_start(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = request.head.replace(b"Last-Event-Id", b"X-Ignored")
+    await _stream(ReceivedRequest(head, request.body), writer)
+
+
+def test_a_stream_that_a_server_begins_again_brings_no_event_twice() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        for number in range(4):
+            again = await Caller.connect(harness)
+            again.send("/resumable/a", f"q{number}", Connection="close")
+            received = await again.read_to_end()
+            assert received.count(b"id: 1\n") == received.count(b"id: 2\n") == 1
+            assert received.endswith(b"0\r\n\r\n") is (b"id: 5\n" in received)
+
+    broken, restarting = run_relay(
+        scenario, engines=[broken_stream, _stream_from_the_start]
+    )
+    assert broken.requests
+    assert any(request.header("last-event-id") for request in restarting.requests)
+
+
+def test_a_stream_that_its_caller_takes_up_brings_no_event_twice() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a", "q1")
+        assert (await caller.read_response())[2] == _COMPLETE_STREAM
+        caller.send("/resumable/a", "q2", Last_Event_Id="2", Resumes="q1")
+        received = await caller.read_to_end()
+        assert b"id:" not in received
+        assert not received.endswith(b"0\r\n\r\n")
+
+    run_relay(scenario, engines=[_stream_from_the_start])
+
+
 _UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 
 
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -285,5 +285,15 @@
             if not size:
                 return body
 
+    async def read_to_end(self) -> bytes:
+        """Read until the connection ends, in order or by a reset."""
+        data = b""
+        try:
+            while received := await self.reader.read(65_536):
+                data += received
+        except ConnectionError:
+            pass
+        return data
+
     def close(self) -> None:
         self.writer.close()
