State once how many servers suspects of crashes may put at risk

IsolationTurns.turn computed the limit itself and limit_of once more, and the caller passed the latter back to goes_first. Now it is computed in one place, and no caller knows it.

--- a/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
+++ b/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
@@ -126,8 +126,7 @@
         self._own[identity.request_id] = _OwnRun(notice)
         self._tell(notice, IsolationState.CLAIMED)
         await asyncio.sleep(_CLAIM_SECONDS)
-        limit = self._turns.limit_of(request.service)
-        if self._turns.goes_first(notice.number, request.service, limit):
+        if self._turns.goes_first(notice.number, request.service):
             logger.info(
                 "running alone, since servers crashed while it was there",
                 extra={"request_id": identity.request_id, "server": server},
--- a/src/gooseberrydeal/_internal/policy/isolation_turns.py
+++ b/src/gooseberrydeal/_internal/policy/isolation_turns.py
@@ -120,27 +120,21 @@
         if any(not set(run.features).isdisjoint(features) for run in runs):
             return Turn.BUSY
         self.note_servers(service, available, now)
-        usual = self._usual_counts[service].servers
-        limit = max(1, usual // _SERVERS_PER_RUN)
+        limit = self._limit_of(service)
         is_calm = now - self._crashed_at.get(service, float("-inf")) > (
             _CRASH_MEMORY_SECONDS
         )
-        down = usual - available
+        down = self._usual_counts[service].servers - available
         if is_first_suspicion and is_calm and available:
             down = 0
         if down >= limit:
             return Turn.HELD
         return Turn.BUSY if down + len(runs) >= limit else Turn.FREE
 
-    def goes_first(self, number: int, service: ServiceName, limit: int) -> bool:
-        """Return whether a claimed run is among the ``limit`` first of its service."""
+    def goes_first(self, number: int, service: ServiceName) -> bool:
+        """Return whether a claimed run is one of those that may be in progress."""
         numbers = (n for n, run in self._runs.items() if run.service == service)
-        return number in sorted(numbers)[:limit]
-
-    def limit_of(self, service: ServiceName) -> int:
-        """Return how many isolated runs of a service may be in progress."""
-        usual = self._usual_counts.get(service)
-        return max(1, (usual.servers if usual else 0) // _SERVERS_PER_RUN)
+        return number in sorted(numbers)[: self._limit_of(service)]
 
     def _expire(self, now: float) -> None:
         for number, run in list(self._runs.items()):
@@ -149,3 +143,8 @@
         for feature, until in list(self._held.items()):
             if now >= until:
                 del self._held[feature]
+
+    def _limit_of(self, service: ServiceName) -> int:
+        """Return how many servers of a service may be down or at risk."""
+        usual = self._usual_counts.get(service)
+        return max(1, (usual.servers if usual else 0) // _SERVERS_PER_RUN)
--- a/tests/unit/test_isolation_turns.py
+++ b/tests/unit/test_isolation_turns.py
@@ -110,9 +110,8 @@
     turns.note_servers(_SERVICE, 3, 0.0)
     turns.note(_notice(2), 0.0)
     turns.note(_notice(1), 0.0)
-    limit = turns.limit_of(_SERVICE)
-    assert turns.goes_first(1, _SERVICE, limit)
-    assert not turns.goes_first(2, _SERVICE, limit)
+    assert turns.goes_first(1, _SERVICE)
+    assert not turns.goes_first(2, _SERVICE)
 
 
 def test_a_service_with_one_server_goes_on() -> None:
