--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -119,6 +119,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self.is_running:
+            # Accepted just before the crash, which reset all connections known then.
+            reset_connection(writer)
+            return
         self._writers.add(writer)
         try:
             while True:
