Count a server that another host saw crash as down when suspects take turns

At most a third of the servers may be down or at risk for suspects.

Cause: hosts count the servers that are available by the entries, and by what they could not reach themselves. A server that crashed keeps its entry until that expires, and a host that had no request there does not know.

Fix: a server counts as down for 4 s once a host hears of its crash, from its own detector, from another host's evidence or from the notice that ends the isolated run. That is checked again after a run was claimed, before it begins.

Evidence: test_suspects_wait_for_a_server_that_another_host_saw_crash fails on the code before (FREE instead of HELD).

--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -129,6 +129,7 @@
             self._metrics.count_crash()
             self._last_crash = crash
         now = self._clock()
+        self._isolation.server_crashed(crash.server)
         noted: dict[RequestFeature, None] = {}
         for request_id, features in requests:
             for feature in features:
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from typing import Final
 
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
@@ -24,6 +25,9 @@
 from gooseberrydeal._internal.policy.refusal_trials import RefusalTrials
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
+# Evidence is repeated later, when the server's entry shows what became of it.
+_RECENT_CRASH_SECONDS: Final = 1.0
+
 
 class CrashProtection:
     """Connect the parts that detect crashes, share them and refuse their cause."""
@@ -99,6 +103,10 @@
 
     def report_received(self, report: CrashReport) -> None:
         """Take in the evidence that another host sent."""
+        for evidence in report.evidence:
+            if evidence.seconds_ago < _RECENT_CRASH_SECONDS:
+                for crash in evidence.crashes:
+                    self._isolation.server_crashed(crash.server)
         self._guard.merge(report.evidence)
 
     def isolation_notice_received(self, notice: IsolationNotice) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
+++ b/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
@@ -77,7 +77,9 @@
             counts: dict[ServiceName, int] = {}
             for record in self._servers.records:
                 service = record.entry.service
-                counts[service] = counts.get(service, 0) + int(_is_available(record))
+                counts[service] = counts.get(service, 0) + int(
+                    self._is_available(record)
+                )
             for service, count in counts.items():
                 self._turns.note_servers(service, count, self._clock())
             await asyncio.sleep(_COUNT_INTERVAL_SECONDS)
@@ -101,9 +103,9 @@
             turn = self._turns.turn(
                 request.service,
                 identity.isolation_features,
-                self._available(request),
+                self._available(request.service),
                 self._clock(),
-                is_first_suspicion=self._history.isolation_level(identity) == 1,
+                is_first_suspicion=self._is_first_suspicion(identity),
             )
             if turn is not Turn.BUSY or self._clock() >= give_up_at:
                 return turn
@@ -126,7 +128,13 @@
         self._own[identity.request_id] = _OwnRun(notice)
         self._tell(notice, IsolationState.CLAIMED)
         await asyncio.sleep(_CLAIM_SECONDS)
-        if self._turns.goes_first(notice.number, request.service):
+        if self._turns.goes_first(
+            notice.number,
+            request.service,
+            self._available(request.service),
+            self._clock(),
+            is_first_suspicion=self._is_first_suspicion(identity),
+        ):
             logger.info(
                 "running alone, since servers crashed while it was there",
                 extra={"request_id": identity.request_id, "server": server},
@@ -147,6 +155,10 @@
             return ()
         return own.notice.features[:1]
 
+    def server_crashed(self, server: ServerId) -> None:
+        """Record that this or another host found that a server crashed."""
+        self._turns.note_crash(server, self._clock())
+
     def note_crash(self, request: RequestId) -> None:
         """Record that an isolated request crashed its server."""
         self._end(request, IsolationState.CRASHED)
@@ -187,10 +199,15 @@
         self._turns.note(told, self._clock())
         self._announce(told)
 
-    def _available(self, request: RoutedRequest) -> int:
-        records = self._servers.of_service(request.service)
-        return sum(_is_available(record) for record in records)
+    def _is_first_suspicion(self, identity: RequestIdentity) -> bool:
+        return self._history.isolation_level(identity) == 1
 
+    def _available(self, service: ServiceName) -> int:
+        return sum(map(self._is_available, self._servers.of_service(service)))
 
-def _is_available(record: ServerRecord) -> bool:
-    return record.accepts_requests and not record.health.is_unreachable
+    def _is_available(self, record: ServerRecord) -> bool:
+        return (
+            record.accepts_requests
+            and not record.health.is_unreachable
+            and not self._turns.has_crashed(record.id, self._clock())
+        )
--- a/src/gooseberrydeal/_internal/policy/isolation_turns.py
+++ b/src/gooseberrydeal/_internal/policy/isolation_turns.py
@@ -17,6 +17,9 @@
 _VERDICT_SECONDS: Final = 10.0
 # An isolated run that crashed its server shows that more of them may follow.
 _CRASH_MEMORY_SECONDS: Final = 10.0
+# The entry of a server that crashed is gone, or that of its next start is read, within
+# this time.
+_CRASHED_ENTRY_SECONDS: Final = 4.0
 # One server in this many, at least one, may be down or at risk at a time.
 _SERVERS_PER_RUN: Final = 3
 _USUAL_COUNT_SECONDS: Final = 30.0
@@ -61,6 +64,7 @@
         self._runs: dict[int, _Run] = {}
         self._held: dict[RequestFeature, float] = {}
         self._crashed_at: dict[ServiceName, float] = {}
+        self._crashed_servers: dict[ServerId, float] = {}
         self._usual_counts: dict[ServiceName, _UsualCount] = {}
 
     def note_servers(self, service: ServiceName, servers: int, now: float) -> None:
@@ -83,11 +87,21 @@
         self._runs.pop(notice.number, None)
         if notice.state is IsolationState.CRASHED:
             self._crashed_at[notice.service] = now
+            self.note_crash(notice.server, now)
         if notice.state is IsolationState.UNDECIDED:
             self._held.update(
                 dict.fromkeys(notice.features, now + _VERDICT_SECONDS),
             )
 
+    def note_crash(self, server: ServerId, now: float) -> None:
+        """Record that a server crashed, before its entry shows it."""
+        self._crashed_servers[server] = now
+
+    def has_crashed(self, server: ServerId, now: float) -> bool:
+        """Return whether a server crashed a moment ago, although it has an entry."""
+        crashed_at = self._crashed_servers.get(server, float("-inf"))
+        return now - crashed_at < _CRASHED_ENTRY_SECONDS
+
     def busy_servers(self, service: ServiceName, now: float) -> frozenset[ServerId]:
         """Return the servers of a service on which isolated runs are in progress."""
         if not self._runs:
@@ -120,21 +134,50 @@
         if any(not set(run.features).isdisjoint(features) for run in runs):
             return Turn.BUSY
         self.note_servers(service, available, now)
+        allowed = self._allowed_runs(
+            service, available, now, is_first_suspicion=is_first_suspicion
+        )
+        if allowed <= 0:
+            return Turn.HELD
+        return Turn.BUSY if len(runs) >= allowed else Turn.FREE
+
+    def goes_first(
+        self,
+        number: int,
+        service: ServiceName,
+        available: int,
+        now: float,
+        *,
+        is_first_suspicion: bool,
+    ) -> bool:
+        """Return whether a claimed run is one of those that may be in progress.
+
+        The arguments are those of :meth:`turn`.
+        """
+        allowed = self._allowed_runs(
+            service, available, now, is_first_suspicion=is_first_suspicion
+        )
+        numbers = (n for n, run in self._runs.items() if run.service == service)
+        return number in sorted(numbers)[: max(0, allowed)]
+
+    def _allowed_runs(
+        self,
+        service: ServiceName,
+        available: int,
+        now: float,
+        *,
+        is_first_suspicion: bool,
+    ) -> int:
+        """Return how many runs may be in progress besides the servers that are down."""
         limit = self._limit_of(service)
+        usual = self._usual_counts.get(service)
+        down = usual.servers - available if usual else 0
         is_calm = now - self._crashed_at.get(service, float("-inf")) > (
             _CRASH_MEMORY_SECONDS
         )
-        down = self._usual_counts[service].servers - available
         if is_first_suspicion and is_calm and available:
             down = 0
-        if down >= limit:
-            return Turn.HELD
-        return Turn.BUSY if down + len(runs) >= limit else Turn.FREE
-
-    def goes_first(self, number: int, service: ServiceName) -> bool:
-        """Return whether a claimed run is one of those that may be in progress."""
-        numbers = (n for n, run in self._runs.items() if run.service == service)
-        return number in sorted(numbers)[: self._limit_of(service)]
+        return limit - down
 
     def _expire(self, now: float) -> None:
         for number, run in list(self._runs.items()):
--- a/tests/functional/test_crashing_at_once.py
+++ b/tests/functional/test_crashing_at_once.py
@@ -85,6 +85,28 @@
     assert max(play.late_sends().values(), default=0) <= MAX_LATE_SENDS
 
 
+def test_suspects_wait_for_a_server_that_another_host_saw_crash() -> None:
+    async def scenario(
+        data: StoreData, network: CrashNetwork, hosts: list[CrashHost]
+    ) -> None:
+        data.write("configuration", b"1", None)
+        for number in range(3):
+            data.write(f"servers/s{number}", b"1", None)
+        await asyncio.sleep(5.0)
+        first, second = (host.protection for host in hosts[:2])
+        request = routed_request()
+        for number in (7, 8):
+            first.guard.note_crash(crash_id(number), [lost_request(b"other")])
+        await asyncio.sleep(0.1)
+        other = identity(b"other")
+        assert await second.isolation.wait_for_turn(request, other) is Turn.FREE
+        hosts[0].crash(2)
+        await asyncio.sleep(0.1)
+        assert await second.isolation.wait_for_turn(request, other) is Turn.HELD
+
+    run_hosts(scenario)
+
+
 def test_a_suspect_whose_crash_is_seen_late_is_not_sent_again_meanwhile() -> None:
     async def scenario(
         data: StoreData, network: CrashNetwork, hosts: list[CrashHost]
--- a/tests/unit/test_isolation_turns.py
+++ b/tests/unit/test_isolation_turns.py
@@ -110,8 +110,19 @@
     turns.note_servers(_SERVICE, 3, 0.0)
     turns.note(_notice(2), 0.0)
     turns.note(_notice(1), 0.0)
-    assert turns.goes_first(1, _SERVICE)
-    assert not turns.goes_first(2, _SERVICE)
+    assert turns.goes_first(1, _SERVICE, 3, 0.0, is_first_suspicion=False)
+    assert not turns.goes_first(2, _SERVICE, 3, 0.0, is_first_suspicion=False)
+
+
+def test_a_claimed_run_does_not_begin_if_a_server_crashed_meanwhile() -> None:
+    turns = IsolationTurns()
+    turns.note_servers(_SERVICE, 3, 0.0)
+    turns.note(_notice(1), 0.0)
+    turns.note_crash(ServerId("s9"), 0.0)
+    assert turns.has_crashed(ServerId("s9"), 1.0)
+    assert not turns.has_crashed(ServerId("s8"), 1.0)
+    assert not turns.has_crashed(ServerId("s9"), 5.0)
+    assert not turns.goes_first(1, _SERVICE, 2, 0.1, is_first_suspicion=False)
 
 
 def test_a_service_with_one_server_goes_on() -> None:
