Run the test that a server's entry confirms where a stream began

test_a_stream_of_a_server_that_may_have_restarted_is_confirmed_by_its_entry defined its scenario but never ran it: the call had ended up in the test below, which ran its own scenario twice. So nothing checked that an uncertain origin is confirmed; a host that refuses all of them would have passed.

--- a/tests/functional/test_stream_origins.py
+++ b/tests/functional/test_stream_origins.py
@@ -162,6 +162,8 @@
             assert await host.find("q0") == "v1"
             assert await host.find("q1") == "v2"
 
+    _run(scenario)
+
 
 def test_a_server_that_left_is_taken_to_have_been_the_last_that_registered() -> None:
     async def scenario(network: StreamNetwork, hosts: list[StreamHost]) -> None:
@@ -176,8 +178,6 @@
 
     _run(scenario)
 
-    _run(scenario)
-
 
 def test_a_stream_of_a_server_that_may_have_restarted_is_refused_at_once_if_cut() -> (
     None
