Read the servers again before a stream goes on at their only version

What callers would see: a stream goes on at another version (ORDER). A host that does not know where a stream began, and cannot reach those that do, took the only version that it had seen, if it had read the store within 3 s. A server of another version may have registered after the last poll, and hosts with a newer view begin streams there: that was a guess.

Cause: the versions were taken from the last poll, which is 0.8 to 1.4 s old, 3 s at most.

Fix: the entries of all servers are read from the store once more; if another version is there, or the store does not answer, the caller gets 503. Callers share such a read, and a host reads five times a second at most, so that resumes that no host knows do not use up the store's rate (340 hosts, two pages each: 3,400 of 6,000 reads a second, if all of them are asked for such streams all the time).

--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -172,20 +172,38 @@
             origin = self._origins.find(stream) or await self._ask(stream)
         if origin is not None:
             return await self.confirm(origin)
-        if len(services) != 1:
-            return None
+        return (
+            await self._sole_origin(services[0], timeout)
+            if len(services) == 1
+            else None
+        )
+
+    async def _sole_origin(
+        self, service: ServiceName, timeout: float
+    ) -> StreamOrigin | None:
+        """Return where a stream began if its service had one version all the time.
+
+        The servers are read again, since one of another version may have registered
+        after the last poll.
+        """
         version = self._history.sole_version(
-            services[0],
+            service,
             timeout + _TAKE_UP_SECONDS,
             self._view.last_response_at,
             self._clock(),
         )
-        if version is None:
+        record = next(self._servers.of_service(service), None)
+        if version is None or record is None:
+            return None
+        try:
+            entries = await self._entries.read_all()
+        except READ_ERRORS as error:
+            logger.info("a new software version may have been missed: %s", error)
             return None
-        record = next(self._servers.of_service(services[0]), None)
-        if record is None:
+        versions = {e.software_version for e in entries if e.service == service}
+        if versions - {version}:
             return None
-        return StreamOrigin(services[0], version, record.id, record.entry.started_at)
+        return StreamOrigin(service, version, record.id, record.entry.started_at)
 
     def notice_received(self, notice: StreamNotice) -> None:
         """Take in what another host knows about a stream."""
--- a/tests/functional/test_entry_reader.py
+++ b/tests/functional/test_entry_reader.py
@@ -77,3 +77,48 @@
         await reader.stop()
 
     run_virtual(run())
+
+
+def test_the_entries_of_all_servers_leave_out_invalid_ones() -> None:
+    async def run() -> None:
+        data = StoreData()
+        for number, value in enumerate((b"5", b"unreadable", b"7")):
+            data.write(f"{SERVER_PREFIX}i-{number}", value, None)
+        data.write("configuration", b"1", None)
+        reader = EntryReader(FakeMetadataStore(data), NumberDecoder())
+        entries = await reader.read_all()
+        started = {entry.id: entry.started_at for entry in entries}
+        assert started == {"i-0": 5, "i-2": 7}
+
+    run_virtual(run())
+
+
+def test_many_calls_for_all_servers_read_them_only_a_few_times_a_second() -> None:
+    async def run() -> None:
+        data = StoreData()
+        store = _SlowStore(data)
+        reader = EntryReader(store, NumberDecoder())
+        calls = []
+        for number in range(50):
+            data.write(f"{SERVER_PREFIX}i-{number}", b"5", None)
+            calls.append(asyncio.create_task(reader.read_all()))
+            await asyncio.sleep(0.02)
+        for number, entries in enumerate(await asyncio.gather(*calls)):
+            assert len(entries) > number
+        assert store.listings <= 6
+
+    run_virtual(run())
+
+
+def test_a_silent_store_is_an_error_soon() -> None:
+    async def run() -> None:
+        store = FakeMetadataStore(StoreData())
+        store.is_silent = True
+        reader = EntryReader(store, NumberDecoder())
+        started_at = asyncio.get_running_loop().time()
+        with pytest.raises(StoreUnansweredError):
+            await reader.read_all()
+        assert asyncio.get_running_loop().time() - started_at < 0.5
+        await reader.stop()
+
+    run_virtual(run())
