Do not overlook a version that was registered between two polls

A host takes the only version of a service for that of a stream that no host knows. Versions were sampled from the table of servers every 0.5 s, so one that registered and left in between had never been there; and if the history of the store was gone, so that all items had to be read again, what had happened meanwhile was missed without a trace.

Cause: what was not seen between two looks was taken not to have happened.

Fix: each start that the follower reads is recorded, and the only version counts only if all changes were read for longer than streams last, that is since the last listing of all items.

Evidence: test_a_version_that_was_registered_for_a_moment_only_is_not_forgotten and test_a_host_that_missed_changes_does_not_take_the_only_version fail on the code before (v1 instead of no answer).

--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -69,7 +69,7 @@
             store, membership, view, history, self._guard.merge, clock
         )
         self._tasks = TaskOwner()
-        servers.set_start_listener(self._detector.server_started)
+        servers.add_start_listener(self._detector.server_started)
 
     @property
     def guard(self) -> CrashGuard:
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -158,6 +158,7 @@
             self._view.never_owned |= unowned - self._view.owners.keys()
         self._remove_unlisted(present)
         self._revision = page.revision
+        self._view.listed_at = self._clock()
         self._view.is_complete = True
         self._on_change()
 
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -44,7 +44,8 @@
     ``known_state_revision`` its revision, 0 if there is none.
     All starts of servers before ``starts_known_until`` were read, unless a later start
     followed. ``last_response_at`` is the time of the store's last response on the
-    monotonic clock in seconds, 0 before the first.
+    monotonic clock in seconds, 0 before the first. All changes since ``listed_at`` were
+    read; some may have been missed before.
     """
 
     configuration: RoutingConfiguration | None = None
@@ -59,6 +60,7 @@
     known_state_revision: int = 0
     last_response_at: float = 0.0
     starts_known_until: float = -math.inf
+    listed_at: float = math.inf
 
     @property
     def is_settled(self) -> bool:
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -18,7 +18,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._on_start: Callable[[ServerEntry], None] | None = None
+        self._start_listeners: list[Callable[[ServerEntry], None]] = []
         self._records: dict[ServerId, ServerRecord] = {}
         self._entries: dict[ServerId, ServerEntry] = {}
         self._configuration: RoutingConfiguration | None = None
@@ -46,12 +46,12 @@
             if record.entry.service == service and record.accepts_requests:
                 yield record
 
-    def set_start_listener(self, on_start: Callable[[ServerEntry], None]) -> None:
+    def add_start_listener(self, on_start: Callable[[ServerEntry], None]) -> None:
         """Call a function with the entry of each server that registers after a start.
 
         The function is called after the entry was applied.
         """
-        self._on_start = on_start
+        self._start_listeners.append(on_start)
 
     def set_host_count(self, hosts: int) -> None:
         """Set the number of hosts.
@@ -76,9 +76,9 @@
         known = self._entries.get(entry.id)
         self._entries[entry.id] = entry
         self._apply_entry(entry)
-        is_start = known is None or known.started_at != entry.started_at
-        if is_start and self._on_start is not None:
-            self._on_start(entry)
+        if known is None or entry.is_other_start(known):
+            for on_start in self._start_listeners:
+                on_start(entry)
 
     def remove(self, server: ServerId) -> None:
         """Remove a server; requests in flight there are not interrupted."""
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -77,6 +77,9 @@
         self._rng = rng
         self._origins = StreamOrigins()
         self._history = VersionHistory()
+        servers.add_start_listener(
+            lambda entry: self._history.note((entry,), self._clock())
+        )
         self._queries: dict[int, tuple[asyncio.Future[StreamOrigin | None], int]] = {}
         self._tasks = TaskOwner()
 
@@ -187,6 +190,7 @@
         version = self._history.sole_version(
             service,
             timeout + _TAKE_UP_SECONDS,
+            self._view.listed_at,
             self._view.last_response_at,
             self._clock(),
         )
--- a/src/gooseberrydeal/_internal/policy/version_history.py
+++ b/src/gooseberrydeal/_internal/policy/version_history.py
@@ -19,25 +19,26 @@
 
     def __init__(self) -> None:
         self._seen_at: dict[ServiceName, dict[SoftwareVersion | None, float]] = {}
-        self._complete_since: float | None = None
 
-    def note(self, servers: Iterable[ServerEntry], now: float) -> None:
-        """Record the versions of all servers that are registered."""
-        if self._complete_since is None:
-            self._complete_since = now
-        for entry in servers:
-            versions = self._seen_at.setdefault(entry.service, {})
-            versions[entry.software_version] = now
+    def note(self, entries: Iterable[ServerEntry], now: float) -> None:
+        """Record the versions of servers that are registered."""
+        for entry in entries:
+            self._seen_at.setdefault(entry.service, {})[entry.software_version] = now
 
     def sole_version(
-        self, service: ServiceName, seconds: float, last_read_at: float, now: float
+        self,
+        service: ServiceName,
+        seconds: float,
+        complete_since: float,
+        last_read_at: float,
+        now: float,
     ) -> SoftwareVersion | None:
         """Return the only version of the last ``seconds``, ``None`` if not known.
 
+        All servers that registered after ``complete_since`` were recorded, and
         ``last_read_at`` is when the servers were last read from the store.
         """
-        since = self._complete_since
-        if since is None or now - since < seconds:
+        if now - complete_since < seconds:
             return None
         if now - last_read_at > _MAX_VIEW_AGE_SECONDS:
             return None
--- a/tests/functional/test_stream_origins.py
+++ b/tests/functional/test_stream_origins.py
@@ -202,6 +202,32 @@
     _run(scenario)
 
 
+def test_a_version_that_was_registered_for_a_moment_only_is_not_forgotten() -> None:
+    async def scenario(network: StreamNetwork, hosts: list[StreamHost]) -> None:
+        await asyncio.sleep(_LONG_SECONDS)
+        hosts[0].read_store()
+        assert await hosts[0].find("q1") == "v1"
+        hosts[0].put_server(2, "v2")
+        hosts[0].servers.remove(server_entry("i-2").id)
+        assert await hosts[0].find("q1") is None
+
+    _run(scenario, versions=("v1", "v1"))
+
+
+def test_a_host_that_missed_changes_does_not_take_the_only_version() -> None:
+    async def scenario(network: StreamNetwork, hosts: list[StreamHost]) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(_LONG_SECONDS)
+        hosts[0].read_store()
+        hosts[0].view.listed_at = loop.time()
+        assert await hosts[0].find("q1") is None
+        await asyncio.sleep(_LONG_SECONDS)
+        hosts[0].read_store()
+        assert await hosts[0].find("q1") == "v1"
+
+    _run(scenario, versions=("v1", "v1"))
+
+
 def test_a_stream_of_a_server_that_may_have_restarted_is_refused_at_once_if_cut() -> (
     None
 ):
--- a/tests/lib/stream_world.py
+++ b/tests/lib/stream_world.py
@@ -103,7 +103,7 @@
     ) -> None:
         clock = asyncio.get_running_loop().time
         self.address = f"10.0.{number // 250}.{number % 250}:7000"
-        self.view = MetadataView(is_complete=True)
+        self.view = MetadataView(is_complete=True, listed_at=clock())
         self.servers = ServerTable(clock)
         self.servers.configure(configuration())
         for index, version in enumerate(versions):
--- a/tests/unit/test_crash_detector.py
+++ b/tests/unit/test_crash_detector.py
@@ -29,7 +29,7 @@
             lambda crash, requests: self.crashes.append((crash, len(requests))),
             lambda: self.now,
         )
-        self.servers.set_start_listener(self.detector.server_started)
+        self.servers.add_start_listener(self.detector.server_started)
 
     @property
     def record(self) -> ServerRecord:
