--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -209,10 +209,14 @@
     def _expire_later(self, server: CrashingServer) -> None:
         if server.keeps_id:
             return
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            _ENTRY_EXPIRY_SECONDS, self.store.remove, f"servers/{server.id}"
-        )
+        ended = server.id
+
+        def expire() -> None:
+            # A later start may have registered under the same id.
+            if not (server.is_running and server.id == ended):
+                self.store.remove(f"servers/{ended}")
+
+        asyncio.get_running_loop().call_later(_ENTRY_EXPIRY_SECONDS, expire)
 
 
 def _configuration() -> bytes:
