--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -235,6 +235,7 @@
 
 def test_a_stream_goes_on_at_the_last_server_of_its_version_and_no_other() -> None:
     async def scenario(cluster: CrashCluster) -> None:
+        await cluster.call_steadily(100, _STEADY_SECONDS / 100, b"sound")
         first, last = cluster.servers
         callers = [await _begin(cluster, number, "/resumable/a") for number in range(6)]
         cluster.servers[0].version = "v3"
