Move what is known of the metadata store's outages out of its follower

MetadataFollower noted outages, gaps between responses and until when entries may be written again beside reading and applying changes. StoreAvailability does so now.

--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -37,6 +36,9 @@
     MetadataView,
 )
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.store_availability import (
+    StoreAvailability,
+)
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
 
 logger = logging.getLogger(__name__)
@@ -49,11 +51,6 @@
 # stays within the 2 s allowed for adopting a new configuration.
 _WATCH_GRACE_SECONDS: Final = 1.2
 _RETRY_DELAY_SECONDS: Final = 0.3
-# A server that starts registers, and a watch shows it, within this time.
-_REGISTRATION_SECONDS: Final = 3.0
-# Servers update their entries more often than this, so a longer gap between responses
-# means that the store was unavailable.
-_MAX_RESPONSE_GAP_SECONDS: Final = 2.5
 
 
 class MetadataFollower:
@@ -93,11 +90,11 @@
         self._revision = 0
         self._removals = DelayedRemovals(self._remove_overdue_server, clock)
         self._host_removals = DelayedRemovals(self._remove_host, clock)
-        self._is_store_down = False
+        self._availability = StoreAvailability(
+            view, (self._removals, self._host_removals), clock
+        )
         self._is_first_start = is_first_start
         self._seen_servers: set[ServerId] = set()
-        self._grace_until = 0.0
-        self._responding_since = math.inf
         self._may_miss_owners_until = 0.0
 
     async def run(self) -> None:
@@ -112,22 +109,13 @@
                 logger.info("rereading all metadata: %s", error)
                 self._revision = 0
             except StoreError as error:
-                self._note_outage(error)
+                self._availability.note_outage(error)
                 self._declared.use_newest()
                 await asyncio.sleep(_RETRY_DELAY_SECONDS * random.uniform(0.7, 1.3))
 
-    def _note_outage(self, error: StoreError) -> None:
-        if not self._is_store_down:
-            logger.warning(
-                "metadata store unavailable; keeping the last known state: %s", error
-            )
-        self._is_store_down = True
-        self._removals.suspend()
-        self._host_removals.suspend()
-
     async def _read_all(self) -> None:
         page = await self._store.list("")
-        self._record_response()
+        self._availability.note_response()
         present = {item.key for item in page.items}
         is_first = self._is_first_start and not self._view.is_complete
         epoch = epoch_of(page.revision)
@@ -167,7 +155,7 @@
         page = await self._store.changes(
             "", self._revision, _WATCH_WAIT_SECONDS, _WATCH_GRACE_SECONDS
         )
-        self._record_response()
+        self._availability.note_response()
         for item in page.items:
             server = self._decoder.server_id(item.key)
             if server is not None and item.value is not None:
@@ -183,24 +171,6 @@
         if pause > 0:
             await asyncio.sleep(pause)
 
-    def _record_response(self) -> None:
-        now = self._clock()
-        had_gap = (
-            self._view.last_response_at
-            and now - self._view.last_response_at > _MAX_RESPONSE_GAP_SECONDS
-        )
-        if self._is_store_down or had_gap or not self._view.last_response_at:
-            self._responding_since = now
-        if self._is_store_down or had_gap:
-            logger.info("metadata store available again")
-            self._is_store_down = False
-            self._grace_until = now + REREGISTRATION_SECONDS
-            self._removals.resume(self._grace_until)
-            self._host_removals.resume(self._grace_until)
-        self._view.last_response_at = now
-        if now - self._responding_since >= _REGISTRATION_SECONDS:
-            self._view.starts_known_until = now - _REGISTRATION_SECONDS
-
     def _remove_unlisted(self, present: set[str]) -> None:
         """Remove owners that are no longer listed, and servers and hosts after a delay.
 
@@ -244,8 +214,8 @@
 
     def _apply_host(self, host: HostId, item: StoreItem) -> None:
         if item.value is None:
-            if self._clock() < self._grace_until:
-                self._host_removals.schedule(host, self._grace_until)
+            if self._clock() < self._availability.grace_until:
+                self._host_removals.schedule(host, self._availability.grace_until)
             else:
                 self._remove_host(host)
             return
@@ -290,8 +260,8 @@
         self._on_change()
 
     def _remove_server(self, server: ServerId) -> None:
-        if self._clock() < self._grace_until:
-            self._removals.schedule(server, self._grace_until)
+        if self._clock() < self._availability.grace_until:
+            self._removals.schedule(server, self._availability.grace_until)
             return
         self._removals.cancel(server)
         self._departed.entry_deleted(server)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/store_availability.py
@@ -0,0 +1,75 @@
+"""Follow when the metadata store responds, and what may have been missed."""
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Any, Final
+
+from gooseberrydeal._internal.operations.router.delayed_removals import (
+    REREGISTRATION_SECONDS,
+    DelayedRemovals,
+)
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+
+logger = logging.getLogger(__name__)
+
+# A server that starts registers, and a watch shows it, within this time.
+_REGISTRATION_SECONDS: Final = 3.0
+# Servers update their entries more often than this, so a longer gap between responses
+# means that the store was unavailable.
+_MAX_RESPONSE_GAP_SECONDS: Final = 2.5
+
+
+class StoreAvailability:
+    """Note outages of the store, and suspend removals until a while after them.
+
+    Entries of servers and hosts that expired during an outage are written again once
+    the store is back.
+    """
+
+    def __init__(
+        self,
+        view: MetadataView,
+        removals: tuple[DelayedRemovals[Any], ...],
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._removals = removals
+        self._clock = clock
+        self._is_down = False
+        self._responding_since = math.inf
+        self._grace_until = 0.0
+
+    @property
+    def grace_until(self) -> float:
+        """Return until when entries that are gone may be written again."""
+        return self._grace_until
+
+    def note_outage(self, error: Exception) -> None:
+        """Record that a call failed."""
+        if not self._is_down:
+            logger.warning(
+                "metadata store unavailable; keeping the last known state: %s", error
+            )
+        self._is_down = True
+        for removals in self._removals:
+            removals.suspend()
+
+    def note_response(self) -> None:
+        """Record that the store answered a call that reads all changes."""
+        now = self._clock()
+        had_gap = (
+            self._view.last_response_at
+            and now - self._view.last_response_at > _MAX_RESPONSE_GAP_SECONDS
+        )
+        if self._is_down or had_gap or not self._view.last_response_at:
+            self._responding_since = now
+        if self._is_down or had_gap:
+            logger.info("metadata store available again")
+            self._is_down = False
+            self._grace_until = now + REREGISTRATION_SECONDS
+            for removals in self._removals:
+                removals.resume(self._grace_until)
+        self._view.last_response_at = now
+        if now - self._responding_since >= _REGISTRATION_SECONDS:
+            self._view.starts_known_until = now - _REGISTRATION_SECONDS
