Replace an owner record that cannot be read

What callers would see: adapters are loaded nowhere on an engine whose owner record is malformed, for as long as the engine runs.

Cause: a malformed record counted as none, but its revision was not kept, so that each host tried to create the record, which exists.

Fix: it counts as the record of no host, under its revision, which the preferred host replaces after the takeover delay, since the host that wrote it may still give orders.

--- a/src/gooseberrydeal/_internal/models/routing/owner_claim.py
+++ b/src/gooseberrydeal/_internal/models/routing/owner_claim.py
@@ -33,6 +33,11 @@
         """Serialize the record for the store."""
         return json.dumps([self.owner, self.lease, self.epoch]).encode()
 
+    @classmethod
+    def unreadable(cls, revision: int) -> "OwnerClaim":
+        """Return a stale claim of no host, for a record that cannot be read."""
+        return cls(HostId(""), LeaseId(""), revision, epoch=-1)
+
     @classmethod
     def decode(cls, data: bytes, revision: int) -> "OwnerClaim":
         """Parse a stored record; raise ``ValueError`` if it is malformed."""
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -233,7 +233,15 @@
         if item.value is None:
             self._view.owners.pop(server, None)
         else:
-            claim = OwnerClaim.decode(item.value, item.revision)
+            try:
+                claim = OwnerClaim.decode(item.value, item.revision)
+            except ValueError as error:
+                logger.warning(
+                    "engine has no owner until a host replaces its record: %s",
+                    error,
+                    extra={"server": server},
+                )
+                claim = OwnerClaim.unreadable(item.revision)
             self._view.owners[server] = claim
 
     def _apply_server(self, server: ServerId, item: StoreItem) -> None:
