Hand out only ports that are free for UDP too

Ports were probed for TCP only, and workers of two test runs side by side have the same parts of the ports. Now both are probed.

--- a/src/gooseberrydeal/_internal/lab/free_port.py
+++ b/src/gooseberrydeal/_internal/lab/free_port.py
@@ -1,4 +1,4 @@
-"""Find free TCP ports on the loopback interface."""
+"""Find free ports on the loopback interface."""
 
 import itertools
 import random
@@ -48,18 +48,26 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is currently free; raise ``OSError`` if none is found."""
+    """Return a port that is currently free for TCP and for UDP.
+
+    Raises ``OSError`` if none is found.
+    """
     for _ in range(_MAX_ATTEMPTS):
         port = _ports.next()
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
             return port
-    raise OSError("no free TCP port found on the loopback interface")
+    raise OSError("no free port found on the loopback interface")
 
 
 def free_address() -> str:
     """Return a free loopback address as ``IP:port``."""
     return f"{LOOPBACK}:{free_port()}"
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
