Run requests with a suspected prompt part alone before the part is refused

Cause: a part was refused because of its number of crashes alone. The first part is at each crash, whatever causes it, and parts that crash servers at the same time explain each other's crashes.

Fix: a request with a part that was at two crashes, and was not cleared since, runs alone, as suspected requests do; what is suspected is its last part with crashes, which the fewest requests have. A part that never crashed a server alone is no reason to refuse a request any more, only to run it alone, where an answer of 0.25 s clears it.

Evidence: test_parts_that_crash_servers_at_once_are_all_refused_in_time fails on the code before in both cases (7 crashes of a part, 5 allowed, in one; the other failed in the same run). Two guards are disabled in turn: a test fails for each. The tests of one and three parts, of sharing, of crashes and their random faults pass unchanged.

--- a/src/gooseberrydeal/_internal/operations/router/crash_guard.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_guard.py
@@ -1,7 +1,7 @@
 """Refuse requests that crash the servers they run on."""
 
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final, Protocol
 
 from gooseberrydeal._internal.models.ids import HostId
@@ -73,9 +73,18 @@
         self._last_crash: CrashId | None = None
 
     def refusal_cause(self, identity: RequestIdentity) -> RequestFeature | None:
-        """Return why a request must not be sent to a server, ``None`` if it may be."""
+        """Return why a request must not be sent, ``None`` if it may be."""
+        return next(self._refusing(identity), None)
+
+    def final_cause(self, identity: RequestIdentity) -> RequestFeature | None:
+        """Return why a request must not be sent even alone, ``None`` if it may be."""
+        causes = self._refusing(identity)
+        return next(filter(self._history.is_proven, causes), None)
+
+    def _refusing(self, identity: RequestIdentity) -> Iterator[RequestFeature]:
+        """Yield the features because of which a request is refused."""
         if not self._history.causes:
-            return None
+            return
         now = self._clock()
         for feature in self._history.find_all(identity):
             if feature in self._history.causes:
@@ -83,8 +92,7 @@
                 if seconds_since_end < 0 or not self._trials.admits(
                     feature, identity.request_id, seconds_since_end, self._hosts()
                 ):
-                    return feature
-        return None
+                    yield feature
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether a feature of the request was at a server when it crashed."""
@@ -195,7 +203,8 @@
 
     def _withdraw_refused(self) -> None:
         """Withdraw the requests that new evidence refuses from their servers."""
-        refused = self._history.refused(self._clock())
+        causes = self._history.refused(self._clock())
+        refused = frozenset(filter(self._history.is_proven, causes))
         new = refused - self._refused
         for feature in new:
             logger.warning(
--- a/src/gooseberrydeal/_internal/operations/router/crash_screening.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_screening.py
@@ -37,7 +37,7 @@
 
     def refuse_if_crashing(self) -> bool:
         """Refuse the request if servers crash because of it; return whether it was."""
-        cause = self._guard.refusal_cause(self._identity)
+        cause = self._guard.final_cause(self._identity)
         if cause is not None:
             self._failure.refuse_as_crashing(cause)
         return cause is not None
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -146,7 +146,7 @@
             attributes.shared_prompt_parts,
             attributes.query,
         )
-        cause = self._crash_protection.guard.refusal_cause(identity)
+        cause = self._crash_protection.guard.final_cause(identity)
         if cause is not None:
             self._refuse_crashing(exchange, identity, route, cause)
             return
--- a/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
+++ b/src/gooseberrydeal/_internal/operations/router/suspect_isolation.py
@@ -90,19 +90,29 @@
 
     def must_isolate(self, request: RoutedRequest, identity: RequestIdentity) -> bool:
         """Return whether a request may only run alone."""
+        return bool(self._suspected(request, identity))
+
+    def _suspected(
+        self, request: RoutedRequest, identity: RequestIdentity
+    ) -> tuple[RequestFeature, ...]:
+        """Return the features because of which a request may only run alone."""
         crashes = self._history.isolation_level(identity)
         is_stream = request.route.kind is RequestKind.STREAMING
-        return crashes >= (_MIN_STREAM_CRASHES if is_stream else 1)
+        if crashes >= (_MIN_STREAM_CRASHES if is_stream else 1):
+            known = identity.isolation_features
+            return tuple(item for item in known if self._history.crash_count(item))
+        part = self._history.suspected_part(identity)
+        return () if part is None else (part,)
 
     async def wait_for_turn(
         self, request: RoutedRequest, identity: RequestIdentity
     ) -> Turn:
         """Wait while other isolated runs end, for the target latency at most."""
         give_up_at = request.arrived_at + request.route.target_latency
-        while self.must_isolate(request, identity):
+        while features := self._suspected(request, identity):
             turn = self._turns.turn(
                 request.service,
-                identity.isolation_features,
+                features,
                 self._available(request.service),
                 self._clock(),
                 is_first_suspicion=self._is_first_suspicion(identity),
@@ -116,13 +126,12 @@
         self, request: RoutedRequest, identity: RequestIdentity, server: ServerId
     ) -> bool:
         """Announce an isolated run; return whether no other one goes first."""
-        known = identity.isolation_features
         notice = IsolationNotice(
             self._membership.host,
             self._rng.getrandbits(_NUMBER_BITS),
             request.service,
             server,
-            tuple(item for item in known if self._history.crash_count(item)) or known,
+            self._suspected(request, identity),
             IsolationState.CLAIMED,
         )
         self._own[identity.request_id] = _OwnRun(notice)
--- a/src/gooseberrydeal/_internal/policy/crash_history.py
+++ b/src/gooseberrydeal/_internal/policy/crash_history.py
@@ -26,6 +26,9 @@
 # Refuted evidence is kept while older messages about the same crashes may arrive.
 _REFUTED_RETENTION_SECONDS: Final = 60.0
 _MAX_FEATURES: Final = 4096
+# All requests of a route share the first part of their prompts, and most parts that
+# were at one crash are cleared by the next answer.
+_MIN_PART_CRASHES: Final = 2
 # Refuted crashes are kept too, since older messages may still tell of them as new.
 _MAX_CRASHES_PER_FEATURE: Final = 128
 _MAX_CRASHES: Final = 16_384
@@ -121,6 +124,18 @@
         found = (f for f in self.find_all(identity) if f.outline or f.is_any_query)
         return max(map(self.crash_count, found), default=0)
 
+    def suspected_part(self, identity: RequestIdentity) -> RequestFeature | None:
+        """Return the part because of which a request may only run alone, if any.
+
+        This is the last one with crashes, which the fewest requests have.
+        """
+        if not self._suspects:
+            return None
+        parts = [f for f in identity.prompt_parts if self.crash_count(f)]
+        counts = (self.crash_count(part) for part in parts)
+        is_suspected = max(counts, default=0) >= _MIN_PART_CRASHES
+        return parts[-1] if is_suspected else None
+
     def crash_count(self, feature: RequestFeature) -> int:
         """Return the number of crashes of a feature that are not refuted."""
         suspect = self._suspects.get(feature)
@@ -130,6 +145,17 @@
         """Return whether requests with a feature must not be sent to a server."""
         return feature in self.causes and now < self.refusal_end(feature)
 
+    def is_proven(self, feature: RequestFeature) -> bool:
+        """Return whether a cause was found beyond what requests have in common.
+
+        All requests of a route share parts of their prompts. Such a part is at each
+        crash, also if something else causes them, until a request crashes a server
+        alone because of it.
+        """
+        if not feature.is_shared or feature.is_any_query:
+            return True
+        return any(crash.is_isolated for crash in self._suspects[feature].open_crashes)
+
     def refusal_end(self, feature: RequestFeature) -> float:
         """Return until when a cause of crashes is refused."""
         suspect = self._suspects[feature]
--- a/src/gooseberrydeal/_internal/policy/request_identity.py
+++ b/src/gooseberrydeal/_internal/policy/request_identity.py
@@ -33,20 +33,24 @@
         self._caller = caller
         self._body = body
         self._query = query
-        self._prompt_parts = prompt_parts
+        self._part_ids = prompt_parts
 
     @property
     def request_id(self) -> RequestId:
         """Return the id of this attempt of the caller."""
         return self._request_id
 
+    @cached_property
+    def prompt_parts(self) -> tuple[RequestFeature, ...]:
+        """Return the parts of the prompt that other requests may have, in order."""
+        return tuple(map(RequestFeature.from_prompt_part, self._part_ids))
+
     @cached_property
     def shared_features(self) -> tuple[RequestFeature, ...]:
         """Return the features that requests that differ from this one may have too."""
-        parts = map(RequestFeature.from_prompt_part, self._prompt_parts)
         content = self._body_digest + _encode_fields(self._path, self._caller)
         digest = blake2b(content, digest_size=_BODY_DIGEST_BYTES).digest()
-        return (*parts, RequestFeature.from_any_query(digest))
+        return (*self.prompt_parts, RequestFeature.from_any_query(digest))
 
     @property
     def features(self) -> tuple[RequestFeature, ...]:
--- a/tests/functional/test_crashing_at_once.py
+++ b/tests/functional/test_crashing_at_once.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberrydeal._internal.models.routing.lost_request import LostRequest
 from gooseberrydeal._internal.models.routing.route import RequestKind
 from gooseberrydeal._internal.policy.isolation_turns import Turn
 from tests.lib.crash_cluster import CrashCluster
@@ -14,14 +15,17 @@
     CrashHost,
     CrashNetwork,
     crash_id,
+    distinct_identity,
     identity,
     lost_request,
+    prompt_part,
 )
 from tests.lib.crashing_server import CRASH_MARK
 from tests.lib.fake_metadata_store import StoreData
 from tests.lib.routing_builders import routed_request
 
 _SOUND = Call(b"sound")
+_FIRST_PART = "first"
 
 
 def _bad_calls(count: int) -> list[Call]:
@@ -125,3 +129,28 @@
         assert all(host.refuses() for host in hosts)
 
     run_hosts(scenario)
+
+
+def test_a_part_that_all_requests_share_is_not_refused_for_crashes_by_others() -> None:
+    async def scenario(
+        data: StoreData, network: CrashNetwork, hosts: list[CrashHost]
+    ) -> None:
+        for number in range(6):
+            hosts[number % 3].crash_with_parts(number, (_FIRST_PART, f"b{number}"))
+        await asyncio.sleep(0.1)
+        known = distinct_identity(1, _FIRST_PART, "sound")
+        guards = [host.protection.guard for host in hosts]
+        assert [guard.final_cause(known) for guard in guards] == [None, None, None]
+        request = routed_request(RequestKind.STREAMING)
+        isolation = hosts[0].protection.isolation
+        assert isolation.must_isolate(request, known)
+        assert await isolation.claim(request, known, crash_id(9).server)
+        lost = LostRequest(known.request_id, known.features)
+        guards[0].note_crash(crash_id(9), [lost])
+        await asyncio.sleep(0.1)
+        other = distinct_identity(2, _FIRST_PART, "other")
+        assert {guard.final_cause(other) for guard in guards} == {
+            prompt_part(_FIRST_PART)
+        }
+
+    run_hosts(scenario)
--- a/tests/functional/test_crashing_prompt_parts.py
+++ b/tests/functional/test_crashing_prompt_parts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.lib.crash_cluster import CrashCluster
+from tests.lib.crash_play import Call, CrashPlay
 from tests.lib.prompt_parts import PartTraffic
 
 # The platform's bounds: after the fifth crash and this time, at most three more sends.
@@ -114,3 +115,25 @@
         assert status == 200
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(("count", "servers"), [(3, 3), (8, 6)])
+def test_parts_that_crash_servers_at_once_are_all_refused_in_time(
+    count: int, servers: int
+) -> None:
+    cluster = CrashCluster(hosts=6, servers=servers, down_seconds=3.0)
+    parts = [f"bad{number}" for number in range(count)]
+    for server in cluster.servers:
+        server.bad_parts = set(parts)
+    bad = [Call(b"", "/stream/a", part=part) for part in parts]
+    sound = Call(b"sound", "/stream/a", part="good")
+    play = CrashPlay(cluster, bad, sound, seconds=24.0, sound_interval=0.1)
+
+    async def run() -> None:
+        async with cluster:
+            await play.run()
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
+    assert max(play.late_sends().values(), default=0) <= _MAX_LATE_SENDS
+    assert max(play.crash_counts().values()) <= _CRASHES
+    assert play.served_share >= _MIN_SOUND_FRACTION
--- a/tests/lib/crash_play.py
+++ b/tests/lib/crash_play.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from tests.lib.crash_cluster import CrashCluster
+from tests.lib.prompt_parts import FIRST_PART
 
 # The platform's bound: sends later than this after the third crash are counted.
 STABLE_WINDOW_SECONDS = 3.0
@@ -12,22 +13,34 @@
 _COUNTED_CRASHES = 3
 # What a single request may cost in all.
 MAX_CRASHES = _COUNTED_CRASHES + MAX_LATE_SENDS
+_SOUND_PARTS = 40
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
     """Describe one request of a caller.
 
-    With ``has_own_query``, its query differs each time that it is sent.
+    With ``has_own_query``, its query differs each time that it is sent. With ``part``,
+    it is another request each time, but with this part in its prompt, after one that
+    all requests share.
     """
 
     body: bytes
     path: str = "/safe/a"
     method: str = "POST"
     has_own_query: bool = False
+    part: str = ""
+
+    @property
+    def prompt(self) -> str:
+        """Return the parts of the prompt as they are sent."""
+        own = f"own{self.body.hex()}"
+        return f"{FIRST_PART}:100,{self.part}:50,{own}:5" if self.part else ""
 
     def numbered(self, number: int) -> "Call":
         """Return the request as it is sent for the time ``number``."""
+        if self.part:
+            return replace(self, body=b"%s %d" % (self.part.encode(), number))
         if not self.has_own_query:
             return self
         separator = "&" if "?" in self.path else "?"
@@ -101,6 +114,8 @@
         for number in range(int(self.seconds / self.sound_interval)):
             body = self.sound.body and self.sound.body + b" %d" % number
             call = replace(self.sound, body=body, has_own_query=not body)
+            if call.part:
+                call = replace(call, part=f"{call.part}{number % _SOUND_PARTS}")
             host = hosts[number % len(hosts)]
             calls.append(asyncio.create_task(self._call(host, call.numbered(number))))
             await asyncio.sleep(self.sound_interval)
@@ -108,7 +123,13 @@
 
     async def _call(self, host: str, call: Call) -> int:
         try:
-            found = await self.cluster.call(host, call.body, call.path, call.method)
+            found = await self.cluster.call(
+                host,
+                call.body,
+                call.path,
+                call.method,
+                **({"X_Prompt_Prefix": call.prompt} if call.part else {}),
+            )
         except (TimeoutError, ConnectionError):
             return 0
         return found[0]
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -138,10 +138,13 @@
                 if bad_name is not None:
                     await self._run_crashing(bad_name)
                     return
-                has_bad_part = not self.bad_parts.isdisjoint(_shared_parts(request))
-                if has_bad_part:
-                    now = asyncio.get_running_loop().time()
+                bad_parts = self.bad_parts.intersection(_shared_parts(request))
+                has_bad_part = bool(bad_parts)
+                now = asyncio.get_running_loop().time()
+                for part in bad_parts:
                     self.bad_part_times.append(now)
+                    self.bad_arrivals.append((part, now))
+                    self._bad_running.add(part)
                 await asyncio.sleep(self.service_seconds)
                 request_id = request.header("x-request-id") or ""
                 if request.head.startswith(_STREAM_PATHS):
--- a/tests/unit/test_stream_guards.py
+++ b/tests/unit/test_stream_guards.py
@@ -10,6 +10,7 @@
 from gooseberrydeal._internal.operations.router.suspect_isolation import (
     SuspectIsolation,
 )
+from gooseberrydeal._internal.policy.crash_history import CrashHistory
 from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
 from gooseberrydeal._internal.policy.version_history import VersionHistory
 from tests.functional import (
@@ -53,6 +54,20 @@
         _ignore,
         test_isolation_turns.test_one_suspect_at_a_time_runs_in_a_small_service,
     ),
+    Guard(
+        "a part is refused only after a request with it crashed a server alone",
+        CrashHistory,
+        "is_proven",
+        lambda self, feature: True,
+        test_crashing_at_once.test_a_part_that_all_requests_share_is_not_refused_for_crashes_by_others,
+    ),
+    Guard(
+        "requests with a suspected part run alone",
+        CrashHistory,
+        "suspected_part",
+        _ignore,
+        test_crashing_at_once.test_a_part_that_all_requests_share_is_not_refused_for_crashes_by_others,
+    ),
     Guard(
         "a stream goes on only at its version",
         ServerEntry,
