Log and count when a host reaches no server at all

The logs of the incident of partitioned hosts named single servers as unreachable, so that a host that is cut from all of them could be told from one with a few crashed servers only by putting its lines together. A host now says when the last server becomes unreachable and when one is back, and the gauge servers_unreachable counts them. No decision reads either.

--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -63,7 +63,10 @@
         configuration = self._view.configuration
         version = configuration.version if configuration is not None else 0
         self._metrics.set_state("configuration_version", version)
-        self._metrics.set_state("servers", len(list(self._servers.records)))
+        records = list(self._servers.records)
+        unreachable = sum(record.health.is_unreachable for record in records)
+        self._metrics.set_state("servers", len(records))
+        self._metrics.set_state("servers_unreachable", unreachable)
         self._metrics.set_state("hosts", len(self._view.hosts))
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -40,12 +40,19 @@
         self._own_domain = own_domain
         self._on_probed = on_probed
         self._probing: set[ServerId] = set()
+        self._is_isolated = False
         self._tasks = TaskOwner()
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no server at all can be reached from this host."""
+        return self._is_isolated
+
     def mark_unreachable(self, record: ServerRecord) -> None:
         """Mark a server unreachable until a connection to it can be opened."""
         record.pool.close()
         record.health.note_unreachable()
+        self._update_isolation()
         self._start_probe(record)
         domain = record.entry.domain
         if domain == self._own_domain:
@@ -79,6 +86,7 @@
                             extra={"server": record.id},
                         )
                     record.health.note_unreachable()
+                    self._update_isolation()
                     is_closed = isinstance(error, ServerNotListeningError)
                     self._on_probed(
                         record,
@@ -86,9 +94,23 @@
                     )
                 else:
                     record.health.note_reachable()
+                    self._update_isolation()
                     self._on_probed(record, ProbeResult.CONNECTED)
                     return
                 await asyncio.sleep(delay)
                 delay = min(_MAX_PROBE_DELAY_SECONDS, delay * 2)
         finally:
             self._probing.discard(record.id)
+
+    def _update_isolation(self) -> None:
+        """Log when the last server becomes unreachable, and when one is back."""
+        records = list(self._servers.records)
+        unreachable = sum(record.health.is_unreachable for record in records)
+        is_isolated = bool(records) and unreachable == len(records)
+        if is_isolated == self._is_isolated:
+            return
+        self._is_isolated = is_isolated
+        if is_isolated:
+            logger.warning("this host reaches none of %d servers", len(records))
+        else:
+            logger.warning("this host reaches servers again")
