--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -17,6 +17,9 @@
     StoreSettings,
 )
 from gooseberrydeal._internal.network.http_server import HttpServer
+from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
+    MetadataDecoder,
+)
 from gooseberrydeal._internal.operations.router.router_node import RouterNode
 from gooseberrydeal._internal.platform.engine_client import PlatformEngineClient
 from gooseberrydeal._internal.platform.metadata_names import PlatformMetadataCodec
@@ -127,13 +130,17 @@
             PlatformStore(self._store_address),
             PlatformEngineClient(),
             PlatformRelayCodec(),
-            PlatformMetadataCodec(),
+            await self._decoder(name),
             SystemClock(),
             random.Random(),
         )
         await node.start()
         self.nodes[name] = node
 
+    async def _decoder(self, host: str) -> MetadataDecoder:
+        """Return what a host decodes the platform's entries with."""
+        return PlatformMetadataCodec()
+
     async def kill_host(self, name: str) -> None:
         """End a host without draining its connections."""
         await self.nodes.pop(name).abort()
--- /dev/null
+++ b/tests/lib/link_proxy.py
@@ -0,0 +1,119 @@
+"""Stand between a host and a server, and cut the path between them."""
+
+import asyncio
+import socket
+from enum import Enum
+
+from gooseberrydeal._internal.lab.free_port import free_address
+from tests.lib.scripted_server import reset_connection
+
+_CHUNK_BYTES = 65_536
+# With a backlog of 0 the kernel completes one connection and drops further requests.
+_FILLER_CONNECTIONS = 2
+
+
+class LinkState(Enum):
+    """List what becomes of a link's connections."""
+
+    OPEN = "open"
+    SILENT = "silent"
+    RESET_AND_SILENT = "reset, new ones hang"
+    RESET_AND_REFUSED = "reset, new ones refused"
+    NEW_REFUSED = "live, new ones refused"
+
+
+class LinkProxy:
+    """Forward connections to one server, as long as the link is open."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self.address = free_address()
+        self.state = LinkState.OPEN
+        self._listener: asyncio.Server | None = None
+        self._full: list[socket.socket] = []
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._is_flowing = asyncio.Event()
+        self._is_flowing.set()
+
+    async def start(self) -> None:
+        await self._listen()
+
+    async def stop(self) -> None:
+        self._stop_listening()
+        self._reset_connections()
+        self._is_flowing.set()
+
+    async def cut(self, state: LinkState) -> None:
+        """Cut the link in one of the ways, or heal it."""
+        self.state = state
+        self._stop_listening()
+        if state is LinkState.OPEN:
+            self._is_flowing.set()
+            await self._listen()
+            return
+        if state is LinkState.SILENT:
+            self._is_flowing.clear()
+        elif state is not LinkState.NEW_REFUSED:
+            self._reset_connections()
+        if state in (LinkState.SILENT, LinkState.RESET_AND_SILENT):
+            self._listen_without_accepting()
+
+    async def _listen(self) -> None:
+        host, port = self.address.rsplit(":", 1)
+        self._listener = await asyncio.start_server(self._serve, host, int(port))
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for item in self._full:
+            item.close()
+        self._full.clear()
+
+    def _listen_without_accepting(self) -> None:
+        host, port = self.address.rsplit(":", 1)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        self._full.append(listener)
+        for _ in range(_FILLER_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self._full.append(filler)
+
+    def _reset_connections(self) -> None:
+        for writer in list(self._writers):
+            reset_connection(writer)
+        self._writers.clear()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            server = await asyncio.open_connection(*self._target.rsplit(":", 1))
+        except OSError:
+            reset_connection(writer)
+            return
+        self._writers.add(server[1])
+        await asyncio.gather(
+            self._pump(reader, server[1]), self._pump(server[0], writer)
+        )
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._is_flowing.wait()
+                writer.write(data)
+                await writer.drain()
+            await self._is_flowing.wait()
+            writer.close()
+        except ConnectionError:
+            if writer in self._writers:
+                reset_connection(writer)
+        finally:
+            self._writers.discard(writer)
