Notice within a second that a server's connections have fallen silent, and keep live ones

What callers saw: hosts whose links to all servers fell silent went on to send requests on them for seconds, until TCP_USER_TIMEOUT ended each connection by itself; requests that may not be repeated were lost. Where only new connections failed, the first failure closed all idle connections to the server, which still worked.

Cause: a server counted as unreachable only once a connection to it failed, and one failed attempt to connect was taken to speak for all connections. A pool whose connections were all in use counted as a failed attempt too.

Idle connections are closed only if new ones hang and nothing was received meanwhile. A server that is silent for a second but takes connections stays in use.

--- a/src/gooseberrydeal/_internal/exceptions.py
+++ b/src/gooseberrydeal/_internal/exceptions.py
@@ -68,6 +68,10 @@
     """Raised when no connection to a server could be opened; nothing was sent."""
 
 
+class ConnectionLimitError(ServerUnreachableError):
+    """Raised when all connections to a server are in use; nothing was sent."""
+
+
 class ServerLimitedError(ServerError):
     """Raised when a server's limit on requests is used up; nothing was sent."""
 
--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import (
+    ConnectionLimitError,
     ServerNotListeningError,
     ServerUnreachableError,
 )
@@ -40,6 +41,19 @@
         self._in_use = 0
         self._process = ServerProcess()
 
+    @property
+    def heard_at(self) -> float:
+        """Return when the server was last heard of, on the loop's clock in seconds.
+
+        That is minus infinity if it was not since it started.
+        """
+        return self._process.heard_at
+
+    @property
+    def has_idle(self) -> bool:
+        """Return whether a request can be sent without opening a connection."""
+        return any(connection.is_reusable() for connection in self._idle)
+
     def set_limit(self, max_connections: int) -> None:
         """Change the maximum number of connections in use."""
         self._max_connections = max_connections
@@ -49,8 +63,9 @@
     ) -> ServerConnection:
         """Return an idle connection that is not to be avoided, or a new one.
 
-        Raises :class:`ServerUnreachableError` if all connections are in use or no
-        connection can be made; nothing has been sent to the server then.
+        Raises :class:`ConnectionLimitError` if all connections are in use and
+        :class:`ServerUnreachableError` if no connection can be made; nothing has been
+        sent to the server then.
         """
         kept: list[ServerConnection] = []
         found: ServerConnection | None = None
@@ -67,7 +82,7 @@
             self._in_use += 1
             return found
         if self._in_use >= self._max_connections:
-            raise ServerUnreachableError(
+            raise ConnectionLimitError(
                 f"all {self._max_connections} connections to {self._address} are in use"
             )
         self._in_use += 1
--- a/src/gooseberrydeal/_internal/network/http1/server_process.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_process.py
@@ -20,6 +20,11 @@
         self._alive_at = -math.inf
         self._reset_at = -math.inf
 
+    @property
+    def heard_at(self) -> float:
+        """Return when something was last received, minus infinity if nothing was."""
+        return self._alive_at
+
     def note_alive(self, opened_at: float, running_since: float, now: float) -> float:
         """Record that something was received on a connection, or that it ended.
 
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -120,7 +120,7 @@
                 slowdown=record.load.slowdown,
                 is_local=record.entry.domain == self._domain,
                 failure_rate=record.health.failure_rate(now),
-                is_avoided=record.health.is_unreachable,
+                is_avoided=not record.is_reachable,
             )
             for record in records.values()
         ]
--- a/src/gooseberrydeal/_internal/operations/router/engine_candidate.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_candidate.py
@@ -45,5 +45,5 @@
             pause_limit, event_tokens, record.load.slowdown
         ),
         failure_rate=record.health.failure_rate(now),
-        is_avoided=record.health.is_unreachable,
+        is_avoided=not record.is_reachable,
     )
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -27,6 +27,7 @@
 
     A network partition usually affects a whole failure domain: when a server of
     another domain becomes unreachable, all servers of that domain are probed at once.
+    If a server does not answer, those are probed too that were not heard of since.
     ``on_probed`` is called with the result of each attempt.
     """
 
@@ -48,9 +49,30 @@
         """Return whether no server at all can be reached from this host."""
         return self._is_isolated
 
+    def connect_failed(
+        self, record: ServerRecord, error: ServerUnreachableError, began_at: float
+    ) -> None:
+        """Mark a server to which no connection could be opened since ``began_at``.
+
+        Its open connections stay in use if they are not silent as well.
+        """
+        self._close_silent(record, error, began_at)
+        self._mark(record)
+
     def mark_unreachable(self, record: ServerRecord) -> None:
         """Mark a server unreachable until a connection to it can be opened."""
         record.pool.close()
+        self._mark(record)
+
+    def probe_silent(self, record: ServerRecord) -> None:
+        """Probe a server that has not answered for a while; it may be slow only."""
+        self._start_probe(record)
+
+    async def stop(self) -> None:
+        """Cancel all probes."""
+        await self._tasks.stop()
+
+    def _mark(self, record: ServerRecord) -> None:
         record.health.note_unreachable()
         self._update_isolation()
         self._start_probe(record)
@@ -61,9 +83,16 @@
             if other.entry.domain == domain and not other.health.is_unreachable:
                 self._start_probe(other)
 
-    async def stop(self) -> None:
-        """Cancel all probes."""
-        await self._tasks.stop()
+    def _close_silent(
+        self, record: ServerRecord, error: ServerUnreachableError, since: float
+    ) -> None:
+        """Close the idle connections to a server that was not heard of.
+
+        If the process had ended, its machine would have reset them.
+        """
+        is_refused = isinstance(error, ServerNotListeningError)
+        if not is_refused and record.pool.heard_at < since:
+            record.pool.close()
 
     def _start_probe(self, record: ServerRecord) -> None:
         if record.id not in self._probing:
@@ -74,24 +103,14 @@
 
     async def _probe_until_reachable(self, record: ServerRecord) -> None:
         delay = _MIN_PROBE_DELAY_SECONDS
+        loop = asyncio.get_running_loop()
         try:
             while self._servers.get(record.id) is record:
+                began_at = loop.time()
                 try:
                     await record.pool.probe()
                 except ServerUnreachableError as error:
-                    if not record.health.is_unreachable:
-                        logger.info(
-                            "server marked unreachable: %s",
-                            error,
-                            extra={"server": record.id},
-                        )
-                    record.health.note_unreachable()
-                    self._update_isolation()
-                    is_closed = isinstance(error, ServerNotListeningError)
-                    self._on_probed(
-                        record,
-                        ProbeResult.NOT_LISTENING if is_closed else ProbeResult.SILENT,
-                    )
+                    self._probe_failed(record, error, began_at)
                 else:
                     record.health.note_reachable()
                     self._update_isolation()
@@ -102,6 +121,29 @@
         finally:
             self._probing.discard(record.id)
 
+    def _probe_failed(
+        self, record: ServerRecord, error: ServerUnreachableError, began_at: float
+    ) -> None:
+        is_closed = isinstance(error, ServerNotListeningError)
+        if not record.health.is_unreachable:
+            logger.info(
+                "server marked unreachable: %s", error, extra={"server": record.id}
+            )
+            self._close_silent(record, error, began_at)
+            if not is_closed:
+                self._probe_unheard(began_at)
+        record.health.note_unreachable()
+        self._update_isolation()
+        self._on_probed(
+            record, ProbeResult.NOT_LISTENING if is_closed else ProbeResult.SILENT
+        )
+
+    def _probe_unheard(self, since: float) -> None:
+        """Probe the servers that were not heard of either."""
+        for other in list(self._servers.records):
+            if not other.health.is_unreachable and other.pool.heard_at < since:
+                self._start_probe(other)
+
     def _update_isolation(self) -> None:
         """Log when the last server becomes unreachable, and when one is back."""
         records = list(self._servers.records)
--- a/src/gooseberrydeal/_internal/operations/router/request_connector.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_connector.py
@@ -1,8 +1,12 @@
 """Connect a request to the server that it was assigned to."""
 
+import asyncio
 from collections.abc import Callable
 
-from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.exceptions import (
+    ConnectionLimitError,
+    ServerUnreachableError,
+)
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
@@ -17,7 +21,8 @@
 class RequestConnector:
     """Find a connection on which a request may be sent, or exclude its server.
 
-    ``on_unreachable`` is called with a server that cannot be reached.
+    ``on_connect_failed`` is called with a server to which no connection could be
+    opened, the error, and when the attempt began.
     """
 
     def __init__(
@@ -26,23 +31,27 @@
         continuation: StreamContinuation,
         notices: ServerNotices,
         log: RequestLog,
-        on_unreachable: Callable[[ServerRecord], None],
+        on_connect_failed: Callable[
+            [ServerRecord, ServerUnreachableError, float], None
+        ],
     ) -> None:
         self._request = request
         self._continuation = continuation
         self._notices = notices
         self._log = log
-        self._on_unreachable = on_unreachable
+        self._on_connect_failed = on_connect_failed
 
     async def connect(
         self, record: ServerRecord, pool: ConnectionPool
     ) -> ServerConnection | None:
         """Return a connection, ``None`` if the request may not be sent there now."""
         request = self._request
+        began_at = asyncio.get_running_loop().time()
         try:
             connection = await pool.acquire(request.refused_on)
         except ServerUnreachableError as error:
-            self._on_unreachable(record)
+            if not isinstance(error, ConnectionLimitError):
+                self._on_connect_failed(record, error, began_at)
             request.excluded.add(record.id)
             self._log.not_sent(record.id, error)
             return None
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -105,7 +105,7 @@
             self._continuation,
             dispatcher.eligible.notices,
             self._log,
-            callbacks.unreachable,
+            callbacks.connect_failed,
         )
         self._forwarder = RequestForwarder(
             request, exchange, codec, self._events, clock
@@ -230,6 +230,7 @@
             )
             try:
                 self._forwarder.send(assignment, connection, attempt)
+                self._callbacks.sent(record)
                 outcome = await wait_for_outcome(
                     attempt, request.route, can_run_again=self._can_run_again(pending=1)
                 )
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -53,6 +53,7 @@
 from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_notices import ServerNotices
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.silence_watch import SilenceWatch
 from gooseberrydeal._internal.operations.router.stall_monitor import StallMonitor
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
@@ -198,6 +199,8 @@
                 self._report_exchange.usage_changed,
                 self._report_exchange.copy_released,
                 self._reachability.mark_unreachable,
+                self._reachability.connect_failed,
+                SilenceWatch(self._reachability.probe_silent).request_sent,
             ),
             now,
             rng,
--- a/src/gooseberrydeal/_internal/operations/router/server_callbacks.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_callbacks.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 
 
@@ -12,9 +13,13 @@
 
     ``usage_changed`` is called when the server's load from this host changes,
     ``copy_released`` when no request of this host uses an adapter copy there any more,
-    and ``unreachable`` when the server cannot be reached.
+    ``unreachable`` when the server cannot be reached, ``connect_failed`` when no
+    connection to it could be opened, with the error and when the attempt began on the
+    loop's clock, and ``sent`` when a request was sent there.
     """
 
     usage_changed: Callable[[ServerRecord], None]
     copy_released: Callable[[ServerRecord], None]
     unreachable: Callable[[ServerRecord], None]
+    connect_failed: Callable[[ServerRecord, ServerUnreachableError, float], None]
+    sent: Callable[[ServerRecord], None]
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -83,6 +83,14 @@
         """Return the server's recent failures and reachability."""
         return self._health
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether a request can be sent there, as far as this host knows.
+
+        Open connections to a server may live on while new ones fail.
+        """
+        return not self._health.is_unreachable or self._pool.has_idle
+
     @property
     def accepts_requests(self) -> bool:
         """Return whether the server accepts new requests."""
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -43,6 +43,7 @@
 from gooseberrydeal._internal.operations.router.server_notices import ServerNotices
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.silence_watch import SilenceWatch
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.platform.metadata_names import PlatformMetadataCodec
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
@@ -151,7 +152,13 @@
             self.stream_versions,
             self.metrics,
             RoutingBounds(),
-            ServerCallbacks(ignore, ignore, self.reachability.mark_unreachable),
+            ServerCallbacks(
+                ignore,
+                ignore,
+                self.reachability.mark_unreachable,
+                self.reachability.connect_failed,
+                SilenceWatch(self.reachability.probe_silent).request_sent,
+            ),
             clock,
             random.Random(2),
         )
