--- a/tests/functional/test_reachability.py
+++ b/tests/functional/test_reachability.py
@@ -86,13 +86,10 @@
 def test_a_server_is_checked_once_it_was_silent_after_a_request_for_a_while() -> None:
     async def run() -> None:
         async with _linked_server() as (record, _, _):
-            silent: asyncio.Future[ServerRecord] = asyncio.Future()
-            watch = SilenceWatch(
-                lambda found: silent.done() or silent.set_result(found)
-            )
+            silent: asyncio.Queue[ServerRecord] = asyncio.Queue()
             record.load.begin(0)
-            watch.request_sent(record)
-            assert await silent is record
+            SilenceWatch(silent.put_nowait).request_sent(record)
+            assert await silent.get() is record
 
     asyncio.run(asyncio.wait_for(run(), 10.0))
 
--- a/tests/lib/link_proxy.py
+++ b/tests/lib/link_proxy.py
@@ -32,6 +32,7 @@
         self._listener: asyncio.Server | None = None
         self._full: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._is_flowing = asyncio.Event()
         self._is_flowing.set()
 
@@ -39,9 +40,12 @@
         await self._listen()
 
     async def stop(self) -> None:
+        """Reset all connections, and wait until their tasks have ended."""
         self._stop_listening()
         self._reset_connections()
         self._is_flowing.set()
+        while self._tasks:
+            await asyncio.wait(self._tasks)
 
     async def cut(self, state: LinkState) -> None:
         """Cut the link in one of the ways, or heal it."""
@@ -91,6 +95,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         self._writers.add(writer)
         try:
             server = await asyncio.open_connection(*self._target.rsplit(":", 1))
@@ -98,9 +106,14 @@
             reset_connection(writer)
             return
         self._writers.add(server[1])
-        await asyncio.gather(
-            self._pump(reader, server[1]), self._pump(server[0], writer)
-        )
+        try:
+            await asyncio.gather(
+                self._pump(reader, server[1]), self._pump(server[0], writer)
+            )
+        finally:
+            for item in (writer, server[1]):
+                self._writers.discard(item)
+                item.close()
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -115,5 +128,3 @@
         except ConnectionError:
             if writer in self._writers:
                 reset_connection(writer)
-        finally:
-            self._writers.discard(writer)
--- a/tests/unit/test_isolation_log.py
+++ b/tests/unit/test_isolation_log.py
@@ -26,7 +26,9 @@
         prober.mark_unreachable(record)
         assert prober.is_isolated
         host, port = address.rsplit(":", 1)
-        server = await asyncio.start_server(lambda *_: None, host, int(port))
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), host, int(port)
+        )
         while prober.is_isolated:
             await asyncio.sleep(0.01)
         record.pool.close()
