Pass requests on to a host that reaches servers if none can be reached from here

Cause: a host could use only its own links, and nothing passed a request to a host whose links work.

Each host now listens at its peer address for requests of other hosts, and passes a request of its own callers on if it reaches no server that could serve it. A host is chosen by the work that it has, in the own failure domain first; one that cannot serve says so within a round trip, and the next is asked, four at most. What was passed on is not passed on again. The request goes unchanged with the time and the number of servers that are left; a host proves by the incarnation in its record that it is one, and the fields between hosts are removed from all other messages. A reply that is lost between hosts leaves the outcome unknown.

--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -18,6 +18,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     NO_SERVER = "no_server"
+    SERVERS_UNREACHABLE = "servers_unreachable"
     LOAD_FAILED = "load_failed"
     NOT_OWNER = "not_owner"
     SERVER_LEAVING = "server_leaving"
--- a/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
@@ -57,6 +57,13 @@
         self._ends_with_connection = False
         self._bytes_left = 0
         self._on_backpressure: Callable[[bool], None] | None = None
+        self._is_for_peer = False
+        self._peer_fields: list[Header] = []
+
+    @property
+    def is_for_peer(self) -> bool:
+        """Return whether another host passed the request on."""
+        return self._is_for_peer
 
     @property
     def head(self) -> RequestHead:
@@ -78,6 +85,16 @@
         """Return whether the response has ended, completely or by an abort."""
         return self._is_finished
 
+    def mark_for_peer(self, field: Header) -> None:
+        """Note that another host passed the request on; add a field to the reply."""
+        self._is_for_peer = True
+        self._peer_fields.append(field)
+
+    def add_peer_field(self, field: Header) -> None:
+        """Add a field to the reply if another host passed the request on."""
+        if self._is_for_peer:
+            self._peer_fields.append(field)
+
     def set_backpressure_callback(
         self, on_backpressure: Callable[[bool], None] | None
     ) -> None:
@@ -122,7 +139,7 @@
         if self._ends_with_connection:
             # Only an orderly close may pass for the end of the response.
             self._channel.set_reset_on_close(is_enabled=True)
-        fields = list(headers)
+        fields = [*headers, *self._peer_fields]
         if self._channel.is_closing_after_reply:
             fields.append(_CONNECTION_CLOSE)
         data = encode_response_head(
--- a/src/gooseberrydeal/_internal/network/http1/framing.py
+++ b/src/gooseberrydeal/_internal/network/http1/framing.py
@@ -5,10 +5,11 @@
 from typing import Final
 
 from gooseberrydeal._internal.models.routing.http_heads import Header
+from gooseberrydeal._internal.network.http1.peer_fields import PEER_FIELDS
 
 # Fields that apply to one connection only and are not forwarded (RFC 9110, section
 # 7.6.1). Content-Length is written anew, and the router itself handles Expect.
-_HOP_BY_HOP_FIELDS: Final = frozenset(
+_HOP_BY_HOP_FIELDS: Final = PEER_FIELDS | frozenset(
     {
         b"connection",
         b"content-length",
--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/http1/peer_fields.py
@@ -0,0 +1,71 @@
+"""Encode and decode the header fields with which hosts pass requests on.
+
+They are removed from all other messages, so that no caller or server can set them.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.http_heads import Header
+from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
+from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
+
+_HOST: Final = b"gooseberrydeal-host"
+_MAX_SERVERS: Final = b"gooseberrydeal-max-servers"
+_REFUSAL: Final = b"gooseberrydeal-refusal"
+_IN_PROGRESS: Final = b"gooseberrydeal-in-progress"
+_LEAVING: Final = b"gooseberrydeal-leaving"
+PEER_FIELDS: Final = frozenset({_HOST, _MAX_SERVERS, _REFUSAL, _IN_PROGRESS, _LEAVING})
+_MAX_DIGITS: Final = 18
+
+
+def encode_peer_request(request: PeerRequest) -> list[Header]:
+    """Return the fields of a request that is passed on."""
+    host = f"{request.host} {request.incarnation}".encode()
+    return [(_HOST, host), (_MAX_SERVERS, b"%d" % request.max_servers)]
+
+
+def decode_peer_request(headers: Iterable[Header]) -> PeerRequest | None:
+    """Return who passed a request on, ``None`` if that is missing or malformed."""
+    fields = {name.lower(): value for name, value in headers}
+    host, _, incarnation = fields.get(_HOST, b"").rpartition(b" ")
+    numbers = _number(incarnation), _number(fields.get(_MAX_SERVERS, b""))
+    if not host or numbers[0] is None or not numbers[1]:
+        return None
+    return PeerRequest(HostId(host.decode("latin-1")), numbers[0], numbers[1])
+
+
+def refusal_field(reason: RefusalReason) -> Header:
+    """Return the field of a reply in which this host refuses a request itself."""
+    return (_REFUSAL, reason.value.encode())
+
+
+def in_progress_field(requests: int) -> Header:
+    """Return the field that says how many requests this host serves."""
+    return (_IN_PROGRESS, b"%d" % requests)
+
+
+def leaving_field(server: ServerId, started_at: int) -> Header:
+    """Return the field of a reply whose server states that it leaves."""
+    return (_LEAVING, f"{server} {started_at}".encode())
+
+
+def decode_peer_reply(headers: Iterable[Header]) -> PeerReply:
+    """Return what a host says of a request; malformed fields count as absent."""
+    fields = {name.lower(): value for name, value in headers}
+    try:
+        refusal = RefusalReason(fields[_REFUSAL].decode("latin-1"))
+    except (KeyError, ValueError):
+        refusal = None
+    server, _, started_at = fields.get(_LEAVING, b"").rpartition(b" ")
+    start = _number(started_at)
+    leaving = None
+    if server and start is not None:
+        leaving = ServerId(server.decode("latin-1")), start
+    return PeerReply(refusal, _number(fields.get(_IN_PROGRESS, b"")), leaving)
+
+
+def _number(value: bytes) -> int | None:
+    return int(value) if value.isdigit() and len(value) <= _MAX_DIGITS else None
--- a/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
@@ -29,6 +29,10 @@
         """Return the headers to send to a server, except message framing headers."""
         ...
 
+    def peer_headers(self, head: RequestHead, seconds_left: float) -> list[Header]:
+        """Return the caller's headers for a host that the request is passed on to."""
+        ...
+
     def read_response(self, head: ResponseHead) -> ResponseAttributes:
         """Parse the head of a server's response."""
         ...
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -35,6 +35,11 @@
             "Further sends, by whether the budget allowed them.",
             registry=self._registry,
         )
+        self._passed_on = Counter(
+            "gooseberry_router_passed_on_total",
+            "Requests passed on to other hosts, by outcome.",
+            registry=self._registry,
+        )
         self._crashes = Counter(
             "gooseberry_router_server_crashes_total",
             "Crashes of backend servers that had requests of this host.",
@@ -74,6 +79,10 @@
         """Count a retry by whether the retry budget allowed it."""
         self._retries.inc({"allowed": str(is_allowed).lower()})
 
+    def count_passed_on(self, outcome: str) -> None:
+        """Count a request that was passed on to another host, by its outcome."""
+        self._passed_on.inc({"outcome": outcome})
+
     def count_crash(self) -> None:
         """Count a crash of a backend server that had requests of this host."""
         self._crashes.inc({})
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -64,6 +64,15 @@
             return eligible
         return [record for record in eligible if record.id not in busy] or eligible
 
+    def are_unreachable(self, request: RoutedRequest) -> bool:
+        """Return whether this host reaches no server that could serve a request."""
+        found = [
+            record
+            for record in self._servers.of_service(request.service)
+            if request.suits(record) and not self._notices.is_leaving(record)
+        ]
+        return bool(found) and not any(record.is_reachable for record in found)
+
     def may_send(self, record: ServerRecord) -> bool:
         """Return whether a server takes a request of this host now."""
         return self._seconds_until_free(record) <= 0.0
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -0,0 +1,111 @@
+"""Relay the reply of another host to the caller."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import Final
+
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
+from gooseberrydeal._internal.models.routing.http_heads import ResponseHead
+from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
+from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.peer_fields import decode_peer_reply
+from gooseberrydeal._internal.network.http1.response_sink import ResponseEnd
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
+from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+
+# Another host may serve a request that a host refused for one of these reasons.
+_OTHERS_MAY_SERVE: Final = frozenset(
+    {
+        RefusalReason.NO_SERVER,
+        RefusalReason.SERVERS_UNREACHABLE,
+        RefusalReason.SHUTTING_DOWN,
+        RefusalReason.NO_CONFIGURATION,
+        RefusalReason.UNKNOWN_OPERATION,
+        RefusalReason.UNAUTHENTICATED,
+    }
+)
+
+
+class PeerOutcome(Enum):
+    """List what became of a request that was passed on.
+
+    ``NOT_TAKEN`` means that it did not run, ``LOST`` that this is not known.
+    """
+
+    SERVED = "served"
+    NOT_TAKEN = "not_taken"
+    LOST = "lost"
+
+
+class PeerAttempt:
+    """Relay a reply as it arrives, unless the host could not serve the request.
+
+    ``on_reply`` is called with what the host says of it.
+    """
+
+    def __init__(
+        self,
+        exchange: CallerExchange,
+        codec: RelayCodec,
+        connection: ServerConnection,
+        on_reply: Callable[[PeerReply], None],
+    ) -> None:
+        self._exchange = exchange
+        self._codec = codec
+        self._connection = connection
+        self._on_reply = on_reply
+        self._is_relaying = False
+        self._is_refused = False
+        loop = asyncio.get_running_loop()
+        self._done: asyncio.Future[PeerOutcome] = loop.create_future()
+
+    async def outcome(self) -> PeerOutcome:
+        """Wait for the end of the reply and return the outcome."""
+        try:
+            return await self._done
+        finally:
+            self._exchange.set_backpressure_callback(None)
+
+    def head_received(self, head: ResponseHead) -> None:
+        """Start relaying the reply, unless another host may serve the request."""
+        reply = decode_peer_reply(head.headers)
+        self._on_reply(reply)
+        if reply.refusal in _OTHERS_MAY_SERVE:
+            self._is_refused = True
+            return
+        self._is_relaying = True
+        self._exchange.set_backpressure_callback(self._set_backpressure)
+        length = head.first(b"content-length")
+        self._exchange.start(
+            head.status,
+            head.reason,
+            self._codec.reply_headers(head),
+            int(length) if length is not None and length.isdigit() else None,
+        )
+
+    def body_received(self, data: bytes) -> None:
+        """Relay a part of the body."""
+        if self._is_relaying:
+            self._exchange.write(data)
+
+    def response_ended(self, end: ResponseEnd) -> None:
+        """End the caller's reply; one that was broken off must not look complete."""
+        is_whole = end in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS)
+        if self._is_refused:
+            self._finish(PeerOutcome.NOT_TAKEN)
+        elif self._is_relaying and is_whole:
+            self._exchange.finish()
+            self._finish(PeerOutcome.SERVED)
+        else:
+            self._finish(PeerOutcome.LOST)
+
+    def _set_backpressure(self, is_full: bool) -> None:
+        if is_full:
+            self._connection.pause()
+        else:
+            self._connection.resume()
+
+    def _finish(self, outcome: PeerOutcome) -> None:
+        if not self._done.done():
+            self._done.set_result(outcome)
--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 
 
@@ -25,6 +26,7 @@
     headers: list[Header] = [(b"Content-Type", b"text/plain")]
     if retry_after is not None:
         headers.append((b"Retry-After", b"%.2f" % retry_after))
+    exchange.add_peer_field(refusal_field(reason))
     body = reason.value.encode() + b"\n"
     exchange.respond(status or HTTP_STATUS[reason], headers, body)
 
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -9,6 +9,7 @@
 from gooseberrydeal._internal.models.ids import ServiceName
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.route import Route
@@ -25,6 +26,7 @@
 )
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.refusals import (
     final_refusal_status,
     refuse,
@@ -59,6 +61,7 @@
         metrics: RouterMetrics,
         bounds: RoutingBounds,
         callbacks: ServerCallbacks,
+        peers: PeerRelay,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -70,6 +73,7 @@
         self._metrics = metrics
         self._bounds = bounds
         self._callbacks = callbacks
+        self._peers = peers
         self._clock = clock
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
@@ -111,7 +115,16 @@
         self._is_refusing = True
 
     async def handle(self, exchange: CallerExchange) -> None:
-        """Serve one request, or refuse it if no route or configuration applies."""
+        """Serve one request of a caller, or refuse it if no route applies."""
+        await self._handle(exchange, None)
+
+    async def handle_for_peer(
+        self, exchange: CallerExchange, peer: PeerRequest
+    ) -> None:
+        """Serve one request that another host has passed on, or refuse it."""
+        await self._handle(exchange, peer)
+
+    async def _handle(self, exchange: CallerExchange, peer: PeerRequest | None) -> None:
         if self._is_refusing:
             refuse(exchange, RefusalReason.SHUTTING_DOWN, _SHUTDOWN_RETRY_AFTER_SECONDS)
             return
@@ -150,6 +163,7 @@
             self._choose_service(route),
             arrived_at,
             arrived_at + time_limit,
+            peer=peer,
         )
         if attributes.is_resumption and route.is_resumable:
             origin = await self._find_origin(attributes, route)
@@ -161,7 +175,8 @@
                 )
                 return
             request = replace(request, service=origin.service, origin=origin)
-        self._retry_window(request.service).note_first_attempt(arrived_at)
+        if peer is None:
+            self._retry_window(request.service).note_first_attempt(arrived_at)
         self._in_progress += 1
         try:
             await RequestRun(
@@ -175,6 +190,7 @@
                 self._metrics,
                 self._consume_retry,
                 self._callbacks,
+                self._peers,
                 self._clock,
             ).serve()
         finally:
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -9,6 +9,7 @@
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.peer_fields import leaving_field
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
@@ -31,6 +32,8 @@
     RETRY_AFTER_SECONDS,
     FailedReply,
 )
+from gooseberrydeal._internal.operations.router.peer_attempt import PeerOutcome
+from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.request_connector import (
     RequestConnector,
 )
@@ -74,6 +77,7 @@
         metrics: RouterMetrics,
         consume_retry: RetryBudget,
         callbacks: ServerCallbacks,
+        peers: PeerRelay,
         clock: Callable[[], float],
     ) -> None:
         self._request = request
@@ -86,6 +90,7 @@
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._callbacks = callbacks
+        self._peers = peers
         self._clock = clock
         self._events = EventSplitter()
         self._last: Attempt | None = None
@@ -156,6 +161,11 @@
                 return
             assignment = await self._dispatcher.assign(self._request)
             if isinstance(assignment, NoAssignment):
+                if await self._was_passed_on(assignment.reason):
+                    return
+                if self._is_last_resort_left(assignment.reason):
+                    self._request.uses_unreachable = True
+                    continue
                 self._failure.reject(assignment.reason, assignment.retry_after)
                 return
             if self._screening.refuse_if_crashing():
@@ -173,6 +183,29 @@
             if outcome is not None and not self._handle_outcome(assignment, outcome):
                 return
 
+    async def _was_passed_on(self, reason: RefusalReason) -> bool:
+        """Return whether another host ended the request, since none is reached here."""
+        request = self._request
+        if (
+            reason is not RefusalReason.SERVERS_UNREACHABLE
+            or request.peer is not None
+            or self._exchange.is_started
+        ):
+            return False
+        if request.send_count and not await wait_for_retry_budget(
+            request, self._consume_retry, self._clock
+        ):
+            return False
+        outcome = await self._peers.serve(request, self._exchange)
+        if outcome is PeerOutcome.LOST:
+            self._failure.server_failed()
+        return outcome is not PeerOutcome.NOT_TAKEN
+
+    def _is_last_resort_left(self, reason: RefusalReason) -> bool:
+        """Return whether servers are to be tried that could not be reached."""
+        is_unreachable = reason is RefusalReason.SERVERS_UNREACHABLE
+        return is_unreachable and self._request.peer is None
+
     async def _attempt(self, assignment: Assignment) -> AttemptOutcome | None:
         """Send once and return the outcome; ``None`` if the server was unreachable.
 
@@ -208,6 +241,10 @@
 
             def on_head(status: int, attributes: ResponseAttributes) -> None:
                 times.head_at = self._clock()
+                if attributes.is_leaving:
+                    entry = record.entry
+                    field = leaving_field(entry.id, entry.started_at)
+                    self._exchange.add_peer_field(field)
                 self._continuation.note_response(status, record, connection)
                 self._has_response_begun = True
                 pending_prefill.end()
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
+from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
@@ -22,7 +23,9 @@
     holds the connections on which it was stated: a repetition of that statement would
     look like the answer to the request sent there again. ``send_count`` is the
     number of attempts in which the request was sent. ``origin`` is where the stream
-    began that the request goes on with, ``None`` if it begins one.
+    began that the request goes on with, ``None`` if it begins one. ``peer`` describes
+    the host that passed the request on, ``None`` if a caller sent it to this one. With
+    ``uses_unreachable``, servers are tried that could not be reached.
     """
 
     attributes: RequestAttributes
@@ -36,20 +39,29 @@
     refused_on: list[ServerConnection] = field(default_factory=list)
     send_count: int = 0
     origin: StreamOrigin | None = None
+    peer: PeerRequest | None = None
+    uses_unreachable: bool = False
 
     def may_use(self, record: ServerRecord) -> bool:
         """Return whether the request may be sent to a server, going by its entry.
 
         A stream goes on only at the version that began it.
         """
-        if record.id in self.excluded:
-            return False
+        return record.id not in self.excluded and self.suits(record)
+
+    def suits(self, record: ServerRecord) -> bool:
+        """Return whether a server could serve the request if it were not excluded."""
         return self.origin is None or record.entry.can_continue(self.origin)
 
     def can_run_again(self, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
-        is_allowed = len(self.started_on) + pending < self.route.max_servers
-        return self.route.is_repeatable and is_allowed
+        return self.route.is_repeatable and pending < self.servers_left
+
+    @property
+    def servers_left(self) -> int:
+        """Return how many more servers may run the request, if it may be repeated."""
+        most = self.route.max_servers if self.peer is None else self.peer.max_servers
+        return max(0, most - len(self.started_on))
 
     @property
     def tokens(self) -> int:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -46,6 +46,10 @@
     MetadataFollower,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
+from gooseberrydeal._internal.operations.router.peer_requests import (
+    PeerRequestHandler,
+)
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
@@ -187,6 +191,9 @@
         self._reachability = ReachabilityProber(
             self._servers, settings.domain, self._crash_protection.detector.probed
         )
+        self._peers = PeerRelay(
+            membership, self._view, codec, notices, self._metrics, now, rng
+        )
         self._handler = RequestHandler(
             self._view,
             codec,
@@ -202,10 +209,14 @@
                 self._reachability.connect_failed,
                 SilenceWatch(self._reachability.probe_silent).request_sent,
             ),
+            self._peers,
             now,
             rng,
         )
         self._caller_listener = CallerListener(settings.callers, self._handler)
+        self._peer_listener = CallerListener(
+            settings.peers, PeerRequestHandler(self._handler, self._view)
+        )
         self._endpoints = HostEndpoints(
             settings,
             self._view,
@@ -222,6 +233,7 @@
         """Start all components; raise ``OSError`` if an address cannot be bound."""
         await self._report_exchange.open()
         await self._endpoints.start()
+        await self._peer_listener.start()
         await self._caller_listener.start()
         self._tasks.start(self._follower.run(), "metadata follower")
         self._tasks.start(self._lease_keeper.run(), "lease")
@@ -258,10 +270,10 @@
         drain_deadline = (
             started_at + self._settings.bounds.grace - _SHUTDOWN_MARGIN_SECONDS
         )
-        while self._caller_listener.busy_count and loop.time() < drain_deadline:
+        while self._busy_count and loop.time() < drain_deadline:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
             self._caller_listener.close_idle()
-        aborted = self._caller_listener.busy_count
+        aborted = self._busy_count
         await self.abort()
         logger.info("stopped; %d connections with unfinished requests closed", aborted)
         return aborted
@@ -269,6 +281,8 @@
     async def abort(self) -> None:
         """Shut down at once, without draining."""
         self._caller_listener.abort()
+        self._peer_listener.abort()
+        self._peers.close()
         self._endpoints.stop()
         await self._reachability.stop()
         await self._ownership.stop()
@@ -279,6 +293,11 @@
         for record in self._servers.records:
             record.pool.close()
 
+    @property
+    def _busy_count(self) -> int:
+        """Return how many connections are receiving or serving a request."""
+        return self._caller_listener.busy_count + self._peer_listener.busy_count
+
     def _on_metadata_change(self) -> None:
         self._ownership.metadata_changed()
         self._known_state_writer.metadata_changed()
--- a/src/gooseberrydeal/_internal/operations/router/server_notices.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_notices.py
@@ -56,6 +56,14 @@
         notice = self._find(record)
         return notice is not None and notice.is_leaving
 
+    def note_leaving(self, server: ServerId, started_at: int) -> None:
+        """Record that a server told another host that it leaves."""
+        notice = self._notices.get(server)
+        if notice is None or notice.started_at < started_at:
+            notice = _Notice(started_at, self._clock(), is_certain=True)
+            self._add(server, notice)
+        notice.is_leaving |= notice.started_at == started_at
+
     def seconds_to_wait(self, record: ServerRecord) -> float:
         """Return for how many seconds nothing may be sent to the server, 0 if none."""
         notice = self._find(record)
@@ -116,12 +124,15 @@
         if notice is None:
             is_certain = connection.running_since <= self._view.starts_known_until
             notice = _Notice(record.entry.started_at, self._clock(), is_certain)
-            self._notices.pop(record.id, None)
-            self._notices[record.id] = notice
-            if len(self._notices) > _MAX_NOTICES:
-                del self._notices[next(iter(self._notices))]
+            self._add(record.id, notice)
         return notice
 
+    def _add(self, server: ServerId, notice: _Notice) -> None:
+        self._notices.pop(server, None)
+        self._notices[server] = notice
+        if len(self._notices) > _MAX_NOTICES:
+            del self._notices[next(iter(self._notices))]
+
     def _server_started(self, entry: ServerEntry) -> None:
         notice = self._notices.get(entry.id)
         if notice is None or entry.started_at <= notice.started_at:
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -91,8 +91,7 @@
             for name, value in end_to_end_headers(head.headers)
             if name.lower() not in removed
         ]
-        milliseconds_left = max(1, int(attributes.seconds_left * 1000))
-        fields.append((b"X-Deadline-Ms", b"%d" % milliseconds_left))
+        fields.append(_deadline_field(attributes.seconds_left))
         fields.append((b"X-Expect-Instance", attributes.server.encode()))
         if attributes.rank is not None:
             priority = min(_MAX_PRIORITY_NUMBER, max(0, attributes.rank))
@@ -103,6 +102,15 @@
             fields.append((b"Last-Event-Id", attributes.resume_after_event_id.encode()))
         return fields
 
+    def peer_headers(self, head: RequestHead, seconds_left: float) -> list[Header]:
+        """Return the caller's end-to-end fields, with the time that is left."""
+        fields = [
+            (name, value)
+            for name, value in end_to_end_headers(head.headers)
+            if name.lower() != header_names.DEADLINE
+        ]
+        return [*fields, _deadline_field(seconds_left)]
+
     def read_response(self, head: ResponseHead) -> ResponseAttributes:
         """Return the routing data of a response; an invalid load counts as absent."""
         fields = {name.lower(): value for name, value in head.headers}
@@ -127,6 +135,10 @@
         return end_to_end_headers(head.headers)
 
 
+def _deadline_field(seconds_left: float) -> Header:
+    return (b"X-Deadline-Ms", b"%d" % max(1, int(seconds_left * 1000)))
+
+
 def _is_event_stream(content_type: bytes) -> bool:
     return content_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
 
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -4,7 +4,7 @@
 import json
 import random
 from collections import Counter
-from typing import Any
+from typing import Any, Self
 
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.metadata_app import (
@@ -85,7 +85,7 @@
         """Return when requests with a part that crashes servers reached one."""
         return sorted(t for server in self.servers for t in server.bad_part_times)
 
-    async def __aenter__(self) -> "CrashCluster":
+    async def __aenter__(self) -> Self:
         host, port = self._store_address.rsplit(":", 1)
         self._store_server = HttpServer(self.store.app(), host, int(port))
         await self._store_server.start()
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -62,6 +62,7 @@
         self.asked_wait = 0.0
         self.arrival_times: list[float] = []
         self.arrivals: list[tuple[bytes, float]] = []
+        self.heads: list[bytes] = []
         self.told: list[tuple[bytes, float]] = []
         self.crash_times: list[float] = []
         self.bad_part_times: list[float] = []
@@ -146,6 +147,7 @@
                 now = asyncio.get_running_loop().time()
                 self.arrival_times.append(now)
                 self.arrivals.append((request.body, now))
+                self.heads.append(head)
                 request_id = request.header("x-request-id") or ""
                 if now < self.full_until:
                     self.told.append((request.body, now))
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -36,6 +36,7 @@
 from gooseberrydeal._internal.operations.router.engine_scope import EngineScope
 from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
 from gooseberrydeal._internal.operations.router.server_callbacks import ServerCallbacks
@@ -159,6 +160,15 @@
                 self.reachability.connect_failed,
                 SilenceWatch(self.reachability.probe_silent).request_sent,
             ),
+            PeerRelay(
+                membership(),
+                self.view,
+                PlatformRelayCodec(),
+                self.notices,
+                self.metrics,
+                clock,
+                random.Random(5),
+            ),
             clock,
             random.Random(2),
         )
