Do not take a cut of this host for crashes of the servers

What callers saw: requests were held or refused as causes of crashes while hosts were cut from all servers, also on hosts that were not cut.

Cause: connections that are lost and then refused counted as a crash of the server, and a host that is cut with resets sees just that at all servers: each cut host of the incident logged 11 or 12 crashes within 0.2 s, and told the others. A server that refuses connections now counts as crashed only if the host was heard of another server since, or reaches one; a server that really ended is still reported when its next start registers.

--- a/src/gooseberrydeal/_internal/operations/router/crash_detector.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_detector.py
@@ -54,8 +54,9 @@
     """Report each crash with the requests that were running or waiting there.
 
     A server that was not leaving has crashed if its connections were lost and then
-    either nothing listens at its address or another start of a server registers there.
-    A reset, a cut link, a frozen server, an invalid or a missing response show neither.
+    either nothing listens at its address, while other servers can be reached, or
+    another start of a server registers there. A reset, a cut link, a frozen server, an
+    invalid or a missing response show neither.
     """
 
     def __init__(
@@ -97,7 +98,7 @@
                 result.value,
                 extra={"server": record.id},
             )
-            if result is not ProbeResult.SILENT:
+            if result in (ProbeResult.CONNECTED, ProbeResult.NOT_LISTENING):
                 lost.window_seconds = _PROBE_WINDOW_SECONDS
             if result is ProbeResult.NOT_LISTENING:
                 self._report(record.id, lost)
--- a/src/gooseberrydeal/_internal/operations/router/probe_result.py
+++ b/src/gooseberrydeal/_internal/operations/router/probe_result.py
@@ -7,9 +7,11 @@
     """List what a connection attempt tells about a server.
 
     ``NOT_LISTENING`` means that its machine answers but no process listens at its
-    address, ``SILENT`` that no connection was made for any other reason.
+    address, ``ISOLATED`` that it looks the same but no other server can be reached
+    either, ``SILENT`` that no connection was made for any other reason.
     """
 
     CONNECTED = "connected"
     NOT_LISTENING = "not_listening"
+    ISOLATED = "isolated"
     SILENT = "silent"
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -20,6 +21,8 @@
 # Bounds of the exponential backoff between two connection attempts to a server.
 _MIN_PROBE_DELAY_SECONDS: Final = 0.15
 _MAX_PROBE_DELAY_SECONDS: Final = 0.8
+# How many other servers are tried at once when one refuses connections.
+_CONTROL_PROBES: Final = 2
 
 
 class ReachabilityProber:
@@ -27,7 +30,8 @@
 
     A network partition usually affects a whole failure domain: when a server of
     another domain becomes unreachable, all servers of that domain are probed at once.
-    If a server does not answer, those are probed too that were not heard of since.
+    If a server does not answer, those are probed too that were not heard of since. If
+    one refuses connections, others tell whether it has ended or this host is cut off.
     ``on_probed`` is called with the result of each attempt.
     """
 
@@ -36,10 +40,12 @@
         servers: ServerTable,
         own_domain: DomainName,
         on_probed: Callable[[ServerRecord, ProbeResult], None],
+        rng: random.Random,
     ) -> None:
         self._servers = servers
         self._own_domain = own_domain
         self._on_probed = on_probed
+        self._rng = rng
         self._probing: set[ServerId] = set()
         self._is_isolated = False
         self._tasks = TaskOwner()
@@ -110,7 +116,7 @@
                 try:
                     await record.pool.probe()
                 except ServerUnreachableError as error:
-                    self._probe_failed(record, error, began_at)
+                    await self._probe_failed(record, error, began_at)
                 else:
                     record.health.note_reachable()
                     self._update_isolation()
@@ -121,7 +127,7 @@
         finally:
             self._probing.discard(record.id)
 
-    def _probe_failed(
+    async def _probe_failed(
         self, record: ServerRecord, error: ServerUnreachableError, began_at: float
     ) -> None:
         is_closed = isinstance(error, ServerNotListeningError)
@@ -134,9 +140,38 @@
                 self._probe_unheard(began_at)
         record.health.note_unreachable()
         self._update_isolation()
-        self._on_probed(
-            record, ProbeResult.NOT_LISTENING if is_closed else ProbeResult.SILENT
-        )
+        if not is_closed:
+            result = ProbeResult.SILENT
+        elif await self._reaches_another(record, began_at):
+            result = ProbeResult.NOT_LISTENING
+        else:
+            result = ProbeResult.ISOLATED
+        self._on_probed(record, result)
+
+    async def _reaches_another(self, record: ServerRecord, since: float) -> bool:
+        """Return whether this host reaches servers besides one that refuses.
+
+        True also if there are no others.
+        """
+        others = [item for item in self._servers.records if item is not record]
+        if any(item.pool.heard_at >= since for item in others) or not others:
+            return True
+        self._rng.shuffle(others)
+        others.sort(key=lambda item: item.health.is_unreachable)
+        for start in range(0, len(others), _CONTROL_PROBES):
+            batch = others[start : start + _CONTROL_PROBES]
+            if any(await asyncio.gather(*map(self._is_listening, batch))):
+                return True
+        return False
+
+    async def _is_listening(self, record: ServerRecord) -> bool:
+        try:
+            await record.pool.probe()
+        except ServerUnreachableError as error:
+            logger.info("server not reached: %s", error, extra={"server": record.id})
+            self._start_probe(record)
+            return False
+        return True
 
     def _probe_unheard(self, since: float) -> None:
         """Probe the servers that were not heard of either."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -189,7 +189,10 @@
             rng,
         )
         self._reachability = ReachabilityProber(
-            self._servers, settings.domain, self._crash_protection.detector.probed
+            self._servers,
+            settings.domain,
+            self._crash_protection.detector.probed,
+            rng,
         )
         self._peers = PeerRelay(
             membership, self._view, codec, notices, self._metrics, now, rng
--- a/tests/functional/test_partitioned_hosts.py
+++ b/tests/functional/test_partitioned_hosts.py
@@ -1,6 +1,7 @@
 """Check over real sockets what hosts do that are cut from all servers."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -46,6 +47,15 @@
     return sum(result.status == 200 for result in called) / len(called)
 
 
+def test_a_cut_does_not_count_as_a_crash_of_the_servers(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    with caplog.at_level(logging.WARNING):
+        _play(3, LinkState.RESET_AND_REFUSED)
+    crashes = [item for item in caplog.messages if item.startswith("server crashed")]
+    assert crashes == []
+
+
 @pytest.mark.parametrize("cut_hosts", [3, 5])
 @pytest.mark.parametrize("state", _CUTS)
 def test_hosts_that_are_cut_from_all_servers_serve_their_callers(
--- a/tests/functional/test_reachability.py
+++ b/tests/functional/test_reachability.py
@@ -1,6 +1,7 @@
 """Check over real sockets how a host notices that it does not reach a server."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -35,7 +36,9 @@
     servers.put(server_entry("e-1", address=link.address))
     record = servers.get(ServerId("e-1"))
     assert record is not None
-    prober = ReachabilityProber(servers, DomainName("d1"), lambda *_: None)
+    prober = ReachabilityProber(
+        servers, DomainName("d1"), lambda *_: None, random.Random(1)
+    )
     await record.pool.probe()
     try:
         yield record, prober, link
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -130,7 +130,10 @@
             random.Random(1),
         )
         self.reachability = ReachabilityProber(
-            self.servers, DomainName("d1"), self.crash_protection.detector.probed
+            self.servers,
+            DomainName("d1"),
+            self.crash_protection.detector.probed,
+            random.Random(6),
         )
 
         def ignore(record: ServerRecord) -> None:
--- a/tests/unit/test_isolation_log.py
+++ b/tests/unit/test_isolation_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 import pytest
 
@@ -20,7 +21,9 @@
         servers = ServerTable(asyncio.get_running_loop().time)
         servers.configure(configuration())
         servers.put(server_entry("e-1", address=address))
-        prober = ReachabilityProber(servers, DomainName("d1"), lambda *_: None)
+        prober = ReachabilityProber(
+            servers, DomainName("d1"), lambda *_: None, random.Random(1)
+        )
         record = servers.get(ServerId("e-1"))
         assert record is not None
         prober.mark_unreachable(record)
