Send brittle servers no more than they have room for, over all hosts together

What callers saw: servers that say that they fall over if they turn too many requests away got as many as before and fell in turn (LIMIT); callers met refusals and broken connections.

Cause: the notice was read nowhere, and each host sent by its own estimate of a server's load.

From the notice on each host has a fixed part of the places of all servers of the service, dealt in turn so that hosts need not ask each other, and requests wait for a place for the route's target latency at most; no more of them than the host has places, the others are refused at once with a time to come back.

--- a/src/gooseberrydeal/_internal/models/routing/reply_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/reply_facts.py
@@ -26,7 +26,8 @@
     together, ``None`` if it states none; ``has_invalid_limit`` is set if it states one
     that cannot be read. ``is_leaving`` is set if the server states that it leaves.
     ``wait_seconds`` is for how long it wants no requests from this host, ``None`` if it
-    does not ask for a wait.
+    does not ask for a wait. ``is_brittle`` is set if the server states that it falls
+    over when it turns requests away.
     """
 
     request_id: str | None
@@ -37,3 +38,4 @@
     has_invalid_limit: bool = False
     is_leaving: bool = False
     wait_seconds: float | None = None
+    is_brittle: bool = False
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -112,13 +112,20 @@
             return _UNREACHABLE
         self._limits.note_request(request.service)
         if request.attributes.adapter is None:
-            return self._assign_plain(request)
+            return await self._assign_plain(request)
         return await self._assign_engine(request)
 
-    def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
+    async def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
+        wait_until = self._clock() + request.route.target_latency
+        brittle = self._eligible.brittle
+        while True:
+            eligible = self._eligible.find(request)
+            records = {r.id: r for r in eligible if self._eligible.may_send(r)}
+            if records or not self._eligible.lack_places(eligible):
+                break
+            if not await brittle.wait_for_place(request.service, wait_until):
+                break
         now = self._clock()
-        eligible = self._eligible.find(request)
-        records = {r.id: r for r in eligible if self._eligible.may_send(r)}
         candidates = [
             PlainCandidate(
                 server=record.id,
@@ -169,10 +176,14 @@
                     return Assignment(record, copy, now - requested_at)
                 if self._is_cut_off(request):
                     return _UNREACHABLE
-                if decision.action is EngineAction.NO_ENGINE or (
+                eligible = self._eligible.find(request)
+                has_none = decision.action is EngineAction.NO_ENGINE and not (
+                    now < wait_until and self._eligible.lack_places(eligible)
+                )
+                if has_none or (
                     request.uses_unreachable and self._eligible.are_unreachable(request)
                 ):
-                    return self._eligible.refusal(request, self._eligible.find(request))
+                    return self._eligible.refusal(request, eligible)
                 if now >= wait_until:
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.operations.router.assignment import NoAssignment
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_limits import ServerLimits
 from gooseberrydeal._internal.operations.router.server_notices import ServerNotices
@@ -19,6 +20,8 @@
 # meets the same queue, and most callers retry only once.
 OVERLOAD_RETRY_AFTER_SECONDS: Final = 2.0
 _RETRY_AFTER_SECONDS: Final = 0.4
+# Other hosts have places of their own, and are asked by most callers next.
+_FULL_RETRY_AFTER_SECONDS: Final = 1.0
 
 
 class EligibleServers:
@@ -29,12 +32,14 @@
         servers: ServerTable,
         limits: ServerLimits,
         notices: ServerNotices,
+        brittle: BrittleServers,
         turns: IsolationTurns,
         clock: Callable[[], float],
     ) -> None:
         self._servers = servers
         self._limits = limits
         self._notices = notices
+        self._brittle = brittle
         self._turns = turns
         self._clock = clock
 
@@ -48,6 +53,11 @@
         """Return what servers said of themselves."""
         return self._notices
 
+    @property
+    def brittle(self) -> BrittleServers:
+        """Return the places of servers that must not be sent too much."""
+        return self._brittle
+
     def find(self, request: RoutedRequest) -> list[ServerRecord]:
         """Return the servers to choose from, whether or not they take a request now.
 
@@ -75,7 +85,15 @@
 
     def may_send(self, record: ServerRecord) -> bool:
         """Return whether a server takes a request of this host now."""
-        return self._seconds_until_free(record) <= 0.0
+        is_free = self._seconds_until_free(record) <= 0.0
+        return is_free and self._brittle.has_place(record)
+
+    def lack_places(self, eligible: Sequence[ServerRecord]) -> bool:
+        """Return whether a place at a server is all that a request has to wait for."""
+        return any(
+            self._seconds_until_free(record) <= 0.0 and self._brittle.is_brittle(record)
+            for record in eligible
+        )
 
     def response_received(
         self,
@@ -89,6 +107,7 @@
         self._limits.response_received(record, status, attributes, sent_at)
         if status != HTTPStatus.MISDIRECTED_REQUEST:
             # That status may come from another server at the address.
+            self._brittle.response_received(record, attributes, sent_at)
             self._notices.response_received(record, connection, attributes)
 
     def refusal(
@@ -100,6 +119,8 @@
             if request.origin is not None:
                 reason = RefusalReason.STREAM_VERSION_GONE
             return NoAssignment(reason, _RETRY_AFTER_SECONDS)
+        if self.lack_places(eligible):
+            return NoAssignment(RefusalReason.SERVER_BUSY, _FULL_RETRY_AFTER_SECONDS)
         first = min(eligible, key=self._seconds_until_free)
         wait = self._notices.seconds_to_wait(first)
         if wait > 0.0:
--- a/src/gooseberrydeal/_internal/operations/router/request_connector.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_connector.py
@@ -9,6 +9,7 @@
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_notices import ServerNotices
@@ -30,6 +31,7 @@
         request: RoutedRequest,
         continuation: StreamContinuation,
         notices: ServerNotices,
+        brittle: BrittleServers,
         log: RequestLog,
         on_connect_failed: Callable[
             [ServerRecord, ServerUnreachableError, float], None
@@ -38,6 +40,7 @@
         self._request = request
         self._continuation = continuation
         self._notices = notices
+        self._brittle = brittle
         self._log = log
         self._on_connect_failed = on_connect_failed
 
@@ -57,7 +60,7 @@
             return None
         if not await self._continuation.may_send(record, connection):
             request.excluded.add(record.id)
-        elif self._notices.may_send(record):
+        elif self._notices.may_send(record) and self._brittle.may_keep_place(record):
             self._notices.note_sent(record)
             return connection
         pool.release(connection)
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -10,6 +10,7 @@
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.peer_fields import leaving_field
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
@@ -109,6 +110,7 @@
             request,
             self._continuation,
             dispatcher.eligible.notices,
+            dispatcher.eligible.brittle,
             self._log,
             callbacks.connect_failed,
         )
@@ -240,19 +242,8 @@
                 self._metrics.observe_wait(times.sent_at - request.arrived_at)
 
             def on_head(status: int, attributes: ResponseAttributes) -> None:
-                times.head_at = self._clock()
-                if attributes.is_leaving:
-                    entry = record.entry
-                    field = leaving_field(entry.id, entry.started_at)
-                    self._exchange.add_peer_field(field)
-                self._continuation.note_response(status, record, connection)
-                self._has_response_begun = True
                 pending_prefill.end()
-                self._asked_to_wait = attributes.wait_seconds is not None
-                self._eligible.response_received(
-                    record, connection, status, attributes, times.sent_at
-                )
-                self._metrics.observe_first_byte(times.head_at - times.sent_at)
+                self._note_head(record, connection, status, attributes)
 
             attempt = Attempt(
                 self._exchange,
@@ -273,8 +264,12 @@
                 )
             except BaseException:
                 pool.discard(connection)
+                self._eligible.brittle.abandoned(record)
                 raise
             pool.release(connection)
+            is_lost = outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT)
+            if is_lost and not attempt.lost_connection:
+                self._eligible.brittle.abandoned(record)
             if outcome is AttemptOutcome.NOT_RUN:
                 request.refused_on.append(connection)
             self._note_ended(attempt, record)
@@ -284,6 +279,28 @@
             pending_prefill.end()
             if record.end(assignment.copy, request.tokens):
                 self._callbacks.copy_released(record)
+            self._eligible.brittle.place_released(record)
+
+    def _note_head(
+        self,
+        record: ServerRecord,
+        connection: ServerConnection,
+        status: int,
+        attributes: ResponseAttributes,
+    ) -> None:
+        """Record what the head of a response says of the request and its server."""
+        times = self._times
+        times.head_at = self._clock()
+        if attributes.is_leaving:
+            entry = record.entry
+            self._exchange.add_peer_field(leaving_field(entry.id, entry.started_at))
+        self._continuation.note_response(status, record, connection)
+        self._has_response_begun = True
+        self._asked_to_wait = attributes.wait_seconds is not None
+        self._eligible.response_received(
+            record, connection, status, attributes, times.sent_at
+        )
+        self._metrics.observe_first_byte(times.head_at - times.sent_at)
 
     def _note_ended(self, attempt: Attempt, record: ServerRecord) -> None:
         self._last = attempt
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -22,6 +22,7 @@
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
@@ -176,7 +177,14 @@
             self._servers,
             self._view,
             EligibleServers(
-                self._servers, limits, notices, self._crash_protection.turns, now
+                self._servers,
+                limits,
+                notices,
+                BrittleServers(
+                    self._servers, settings.host, lambda: self._view.hosts, now
+                ),
+                self._crash_protection.turns,
+                now,
             ),
             EngineScope(
                 self._servers, self._view, signal, self._report_exchange.ask, now
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -24,6 +24,9 @@
 SERVER_LIMIT: Final = b"server-limit"
 # Set to 1 in all responses of a server that is about to end.
 SERVER_LEAVING: Final = b"server-leaving"
+# Set in all responses of a server that falls over if it turns more than so many
+# requests away in a second.
+SERVER_BRITTLE: Final = b"server-brittle"
 # On a response with status 503: the seconds, a decimal number, for which the server
 # wants no requests from this host.
 RETRY_AFTER: Final = b"retry-after"
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -127,6 +127,7 @@
             has_invalid_limit=stated_limit is not None and request_limit is None,
             is_leaving=fields.get(header_names.SERVER_LEAVING, b"").strip()
             == _TRUE_VALUE,
+            is_brittle=header_names.SERVER_BRITTLE in fields,
             wait_seconds=_parse_wait(head.status, fields.get(header_names.RETRY_AFTER)),
         )
 
--- /dev/null
+++ b/tests/functional/test_brittle_servers.py
@@ -0,0 +1,54 @@
+"""Check over real sockets that brittle servers get no more than they have room for."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from tests.lib.brittle_server import PLACES, BrittleCluster
+
+_HOSTS = 6
+_SERVERS = 6
+_SERVICE_SECONDS = 0.2
+_TOLD_AFTER_SECONDS = 1.0
+# The platform's bound: servers may let fewer wait from this time after the notice.
+_STABLE_SECONDS = 3.0
+_BRITTLE_SECONDS = 8.0
+_CAPACITY_PER_SECOND = _SERVERS * PLACES / _SERVICE_SECONDS
+
+
+def _play(rate: float, brittle: int) -> tuple[BrittleCluster, Counter[int]]:
+    """Let some servers be brittle for a while beside steady requests."""
+    cluster = BrittleCluster(_HOSTS, _SERVERS, 3.0, _SERVICE_SECONDS)
+    statuses: Counter[int] = Counter()
+
+    async def become_brittle() -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(_TOLD_AFTER_SECONDS)
+        for server in cluster.brittle_servers[:brittle]:
+            server.shrinks_at = loop.time() + _STABLE_SECONDS
+            server.is_brittle = True
+
+    async def run() -> None:
+        async with cluster:
+            calls = int(rate * (_TOLD_AFTER_SECONDS + _BRITTLE_SECONDS))
+            _, counted = await asyncio.gather(
+                become_brittle(),
+                cluster.call_steadily(calls, 1 / rate, b"steady", ("/safe/a",)),
+            )
+            statuses.update(counted)
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
+    return cluster, statuses
+
+
+@pytest.mark.parametrize("rate", [90.0, 180.0])
+@pytest.mark.parametrize("brittle", [_SERVERS, _SERVERS // 2])
+def test_brittle_servers_do_not_fall_over_and_serve_what_they_can(
+    rate: float, brittle: int
+) -> None:
+    cluster, statuses = _play(rate, brittle)
+    assert cluster.falls <= 2 + brittle / 10
+    share = min(1.0, _CAPACITY_PER_SECOND / rate)
+    assert statuses[200] >= 0.7 * share * statuses.total()
+    assert statuses.keys() <= {200, 503}
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -51,6 +51,9 @@
     callers, those under ``/onward/`` by the hosts too.
     """
 
+    server_class: type[CrashingServer] = CrashingServer
+    server_slots = 6
+
     def __init__(
         self,
         hosts: int = 2,
@@ -62,7 +65,7 @@
         self._store_address = free_address()
         self._store_server: HttpServer | None = None
         self.servers = [
-            CrashingServer(
+            self.server_class(
                 f"p{number}",
                 down_seconds,
                 service_seconds,
@@ -214,7 +217,7 @@
             "address": server.address,
             "zone": _DOMAIN,
             "version": server.version,
-            "slots": 6,
+            "slots": self.server_slots,
             "state": "ready",
             "sequence": 1,
             "born": 1_000 + server.start_number,
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -149,9 +149,7 @@
                 self.arrivals.append((request.body, now))
                 self.heads.append(head)
                 request_id = request.header("x-request-id") or ""
-                if now < self.full_until:
-                    self.told.append((request.body, now))
-                    writer.write(self._full_response(request_id))
+                if await self._turns_away(request, writer):
                     continue
                 bad_name = _crashing_name(request)
                 if bad_name is not None:
@@ -177,6 +175,7 @@
                     fields = [f"X-Request-Id: {request_id}", *self._stated_fields()]
                     writer.write(response(request.body, "200 OK", *fields))
                 self.answered.append(request_id)
+                self._finished()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
@@ -192,6 +191,20 @@
         if self._start_number == start:
             self.crash()
 
+    async def _turns_away(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request that this server does not run; return whether it did."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.full_until:
+            return False
+        self.told.append((request.body, now))
+        writer.write(self._full_response(request.header("x-request-id") or ""))
+        return True
+
+    def _finished(self) -> None:
+        """Note that a request was answered."""
+
     def _stated_fields(self) -> list[str]:
         fields = []
         if self.stated_limit is not None:
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -15,6 +15,7 @@
     Assignment,
     NoAssignment,
 )
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.eligible_servers import (
@@ -65,7 +66,14 @@
             self.servers,
             self.view,
             EligibleServers(
-                self.servers, self.limits, self.notices, self.turns, self.now
+                self.servers,
+                self.limits,
+                self.notices,
+                BrittleServers(
+                    self.servers, HostId("h1"), lambda: self.view.hosts, self.now
+                ),
+                self.turns,
+                self.now,
             ),
             EngineScope(
                 self.servers, self.view, self.signal, lambda record: None, self.now
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -25,6 +25,7 @@
 )
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
@@ -118,6 +119,9 @@
                 self.servers,
                 self.limits,
                 self.notices,
+                BrittleServers(
+                    self.servers, HostId("h1"), lambda: self.view.hosts, clock
+                ),
                 self.crash_protection.turns,
                 clock,
             ),
