Do not take the fall of a brittle server for a crash that its requests caused

What callers saw: sound requests were answered 400, which is final, since they had been at servers that fell over for want of room.

Cause: a lost connection to a server that then refuses connections counts as a crash, with the requests there as suspects. A server that has said that it is brittle falls over whatever its requests are, so its losses are no evidence. A request that crashes servers is found by those that are not brittle, or once the brittle time is over.

The new test fails without the change: both requests of a pair are answered 400 after four falls.

--- a/src/gooseberrydeal/_internal/operations/router/crash_screening.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_screening.py
@@ -27,6 +27,7 @@
         identity: RequestIdentity,
         protection: CrashProtection,
         failure: FailedReply,
+        is_brittle: Callable[[ServerRecord], bool],
     ) -> None:
         self._request = request
         self._identity = identity
@@ -34,6 +35,7 @@
         self._guard = protection.guard
         self._detector = protection.detector
         self._failure = failure
+        self._is_brittle = is_brittle
 
     def refuse_if_crashing(self) -> bool:
         """Refuse the request if servers crash because of it; return whether it was."""
@@ -95,7 +97,9 @@
         ``on_unreachable`` is called to probe the server. Does not wait if no server
         would run the request next, unless it was at a server that crashed before.
         """
-        self._detector.connection_lost(record, self._identity)
+        if not self._is_brittle(record):
+            # Such a server falls over for want of room, whatever its requests are.
+            self._detector.connection_lost(record, self._identity)
         on_unreachable(record)
         if can_run_again or self._guard.is_suspect(self._identity):
             await self._detector.wait_for_verdict(record)
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -104,7 +104,11 @@
         self._failure = FailedReply(request, exchange, codec, self._log)
         self._continuation = StreamContinuation(request, exchange, stream_versions)
         self._screening = CrashScreening(
-            request, identity, crash_protection, self._failure
+            request,
+            identity,
+            crash_protection,
+            self._failure,
+            dispatcher.eligible.brittle.is_brittle,
         )
         self._connector = RequestConnector(
             request,
--- a/tests/functional/test_brittle_servers.py
+++ b/tests/functional/test_brittle_servers.py
@@ -52,3 +52,28 @@
     share = min(1.0, _CAPACITY_PER_SECOND / rate)
     assert statuses[200] >= 0.7 * share * statuses.total()
     assert statuses.keys() <= {200, 503}
+
+
+def test_requests_are_not_refused_for_the_fall_of_a_brittle_server() -> None:
+    async def run() -> None:
+        async with BrittleCluster(hosts=2, servers=2, down_seconds=0.5) as cluster:
+            for server in cluster.brittle_servers:
+                server.is_brittle = True
+                server.service_seconds = 0.1
+            # The hosts hear the notice before the servers fall over.
+            for host in cluster.host_names * 2:
+                assert (await cluster.call(host, b"notice"))[0] == 200
+            for _ in range(4):
+                calls = [
+                    asyncio.create_task(cluster.call(host, b"sound"))
+                    for host in cluster.host_names
+                ]
+                await asyncio.sleep(0.05)
+                for server in cluster.brittle_servers:
+                    server.crash()
+                statuses = [(await call)[0] for call in calls]
+                assert 400 not in statuses
+                await asyncio.sleep(1.5)
+            assert (await cluster.call("host-0", b"sound"))[0] == 200
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
