--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -58,11 +58,6 @@
 # For this fraction of the target latency a request waits rather than exceed the pause
 # limit of streams that are already running; after that the limit is ignored.
 _PAUSE_LIMIT_FRACTION: Final = 0.4
-# The load balancer routes the caller's retry to another host.
-_UNREACHABLE_RETRY_AFTER_SECONDS: Final = 0.4
-_UNREACHABLE: Final = NoAssignment(
-    RefusalReason.SERVERS_UNREACHABLE, _UNREACHABLE_RETRY_AFTER_SECONDS
-)
 
 
 class Dispatcher:
@@ -108,8 +103,9 @@
 
     async def assign(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Return a server for a request, after its adapter was loaded if needed."""
-        if self._is_cut_off(request):
-            return _UNREACHABLE
+        cut_off = self._eligible.cut_off(request)
+        if cut_off is not None:
+            return cut_off
         self._limits.note_request(request.service)
         if request.attributes.adapter is None:
             return await self._assign_plain(request)
@@ -174,8 +170,8 @@
                         now if pending_load is None else pending_load.requested_at
                     )
                     return Assignment(record, copy, now - requested_at)
-                if self._is_cut_off(request):
-                    return _UNREACHABLE
+                if (cut_off := self._eligible.cut_off(request)) is not None:
+                    return cut_off
                 eligible = self._eligible.find(request)
                 has_none = decision.action is EngineAction.NO_ENGINE and not (
                     now < wait_until and self._eligible.lack_places(eligible)
@@ -211,10 +207,6 @@
             if pending_load is not None:
                 pending_load.record.remove_load_request(pending_load.copy)
 
-    def _is_cut_off(self, request: RoutedRequest) -> bool:
-        """Return whether another host should be asked to serve the request."""
-        return not request.uses_unreachable and self._eligible.are_unreachable(request)
-
     def _request_load(
         self,
         current: PendingLoad | None,
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -74,6 +74,12 @@
             return eligible
         return [record for record in eligible if record.id not in busy] or eligible
 
+    def cut_off(self, request: RoutedRequest) -> NoAssignment | None:
+        """Return the refusal of a request that another host should serve, if any."""
+        if request.uses_unreachable or not self.are_unreachable(request):
+            return None
+        return NoAssignment(RefusalReason.SERVERS_UNREACHABLE, _RETRY_AFTER_SECONDS)
+
     def are_unreachable(self, request: RoutedRequest) -> bool:
         """Return whether this host reaches no server that could serve a request."""
         found = [
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -99,9 +99,7 @@
             fencing,
             self._demand,
             self._slots,
-            lambda: (
-                may_order() and self._sequence.is_count_known and record.is_reachable
-            ),
+            lambda: may_order() and self._sequence.is_count_known,
             lambda: self._base_models.held,
             lambda: view.periods.collect,
             publish,
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from http import HTTPStatus
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
@@ -23,17 +22,13 @@
     CrashProtection,
 )
 from gooseberrydeal._internal.operations.router.crash_screening import CrashScreening
-from gooseberrydeal._internal.operations.router.denial import (
-    note_denial,
-    note_failed_run,
-)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
 from gooseberrydeal._internal.operations.router.failed_reply import (
     RETRY_AFTER_SECONDS,
     FailedReply,
 )
-from gooseberrydeal._internal.operations.router.peer_attempt import PeerOutcome
+from gooseberrydeal._internal.operations.router.outcome_handler import OutcomeHandler
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.request_connector import (
     RequestConnector,
@@ -48,6 +43,7 @@
     wait_for_retry_budget,
 )
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.second_host import SecondHost
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_callbacks import ServerCallbacks
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -91,7 +87,6 @@
         self._metrics = metrics
         self._consume_retry = consume_retry
         self._callbacks = callbacks
-        self._peers = peers
         self._clock = clock
         self._events = EventSplitter()
         self._last: Attempt | None = None
@@ -122,6 +117,19 @@
             request, exchange, codec, self._events, clock
         )
         self._times = ServeTimes(request.arrived_at)
+        self._second_host = SecondHost(
+            request, exchange, peers, self._failure, consume_retry, clock
+        )
+        self._outcomes = OutcomeHandler(
+            request,
+            self._failure,
+            self._log,
+            self._screening,
+            callbacks,
+            self._times,
+            self._can_run_again,
+            clock,
+        )
 
     @property
     def identity(self) -> RequestIdentity:
@@ -140,9 +148,9 @@
         """Serve the request, or fail it at its deadline."""
         self._task = asyncio.current_task()
         self._guard.enter(self)
-        seconds_remaining = self._request.deadline - self._clock()
+        seconds = max(0.0, self._request.deadline - self._clock())
         try:
-            async with asyncio.timeout(max(0.0, seconds_remaining)):
+            async with asyncio.timeout(seconds):
                 await self._serve()
         except TimeoutError:
             self._failure.deadline_exceeded()
@@ -167,51 +175,26 @@
                 return
             assignment = await self._dispatcher.assign(self._request)
             if isinstance(assignment, NoAssignment):
-                if await self._was_passed_on(assignment.reason):
-                    return
-                if self._is_last_resort_left(assignment.reason):
-                    self._request.uses_unreachable = True
+                if await self._second_host.handle_refusal(assignment):
                     continue
-                self._failure.reject(assignment.reason, assignment.retry_after)
                 return
             if self._screening.refuse_if_crashing():
                 return
             if not await self._screening.claim_server(assignment.record):
                 continue
             outcome = await self._attempt(assignment)
-            if outcome is not None and self._lost_connection:
+            if self._last is not None and self._last.lost_connection:
                 await self._screening.connection_lost(
                     assignment.record,
                     self._callbacks.unreachable,
                     can_run_again=self._can_run_again(pending=1),
                 )
             self._screening.end_isolation()
-            if outcome is not None and not self._handle_outcome(assignment, outcome):
+            if outcome is not None and not self._outcomes.handle(
+                assignment, outcome, self._last, asked_to_wait=self._asked_to_wait
+            ):
                 return
 
-    async def _was_passed_on(self, reason: RefusalReason) -> bool:
-        """Return whether another host ended the request, since none is reached here."""
-        request = self._request
-        if (
-            reason is not RefusalReason.SERVERS_UNREACHABLE
-            or request.peer is not None
-            or self._exchange.is_started
-        ):
-            return False
-        if request.send_count and not await wait_for_retry_budget(
-            request, self._consume_retry, self._clock
-        ):
-            return False
-        outcome = await self._peers.serve(request, self._exchange)
-        if outcome is PeerOutcome.LOST:
-            self._failure.server_failed()
-        return outcome is not PeerOutcome.NOT_TAKEN
-
-    def _is_last_resort_left(self, reason: RefusalReason) -> bool:
-        """Return whether servers are to be tried that could not be reached."""
-        is_unreachable = reason is RefusalReason.SERVERS_UNREACHABLE
-        return is_unreachable and self._request.peer is None
-
     async def _attempt(self, assignment: Assignment) -> AttemptOutcome | None:
         """Send once and return the outcome; ``None`` if the server was unreachable.
 
@@ -271,8 +254,7 @@
                 self._eligible.brittle.abandoned(record)
                 raise
             pool.release(connection)
-            is_lost = outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT)
-            if is_lost and not attempt.lost_connection:
+            if outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT):
                 self._eligible.brittle.abandoned(record)
             if outcome is AttemptOutcome.NOT_RUN:
                 request.refused_on.append(connection)
@@ -311,49 +293,8 @@
         if attempt.sent_excess_bytes:
             record.health.note_failure(self._clock())
         self._has_response_begun = False
-        times = self._times
-        times.longest_pause = max(times.longest_pause, attempt.longest_pause)
-
-    def _handle_outcome(self, assignment: Assignment, outcome: AttemptOutcome) -> bool:
-        """Record the outcome of an attempt; return whether to try again."""
-        now = self._clock()
-        health = assignment.record.health
-        if outcome is AttemptOutcome.SERVED:
-            status = 0 if self._last is None else self._last.status
-            if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-                health.note_failure(now)
-            elif status:
-                health.note_success(now)
-                if status < HTTPStatus.BAD_REQUEST:
-                    self._screening.note_served()
-                self._log.served(assignment.record.id, self._times)
-            return False
-        self._log.attempt_failed(assignment.record.id, outcome, self._last)
-        if outcome is AttemptOutcome.NOT_RUN:
-            if note_denial(
-                self._request, assignment, now, asks_to_wait=self._asked_to_wait
-            ):
-                return True
-            self._failure.reject(RefusalReason.OVERLOADED, RETRY_AFTER_SECONDS)
-            return False
-        note_failed_run(
-            self._request, assignment, now, asks_to_wait=self._asked_to_wait
-        )
-        is_lost = outcome in (AttemptOutcome.LOST, AttemptOutcome.CUT)
-        if is_lost and not self._lost_connection:
-            self._callbacks.unreachable(assignment.record)
-        if self._screening.refuse_if_crashing():
-            return False
-        if outcome is not AttemptOutcome.WITHHELD and self._can_run_again():
-            return True
-        self._failure.server_failed()
-        return False
-
-    @property
-    def _lost_connection(self) -> bool:
-        return self._last is not None and self._last.lost_connection
+        self._times.note_pause(attempt.longest_pause)
 
     def _can_run_again(self, *, pending: int = 0) -> bool:
-        """Return whether a server may run the request besides ``pending`` others."""
         is_cut = self._exchange.is_started and self._events.last_event_id is None
         return not is_cut and self._request.can_run_again(pending)
--- a/src/gooseberrydeal/_internal/operations/router/serve_times.py
+++ b/src/gooseberrydeal/_internal/operations/router/serve_times.py
@@ -29,6 +29,10 @@
         if not self.first_sent_at:
             self.first_sent_at = now
 
+    def note_pause(self, seconds: float) -> None:
+        """Record the longest pause of an attempt's response, in seconds."""
+        self.longest_pause = max(self.longest_pause, seconds)
+
     def late_cause(self, route: Route) -> LateCause | None:
         """Return the main cause of a late response, ``None`` if it was on time."""
         if self.head_at - self.arrived_at > route.target_latency:
