Take nothing into a resumed stream from an answer that is no event stream

Cause: when a stream is resumed only the status of the next answer was checked. Its type is checked now as well; an answer of another type counts as failed, and the stream is tried elsewhere or broken off.

Error statuses, heads cut short, 204, 206 and redirects were told apart before.

--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -262,7 +262,9 @@
             return AttemptOutcome.NOT_RUN
         if attributes.is_not_run and self._is_retryable:
             return AttemptOutcome.FAILED
-        if self._is_resuming and head.status != HTTPStatus.OK:
+        if self._is_resuming and not (
+            head.status == HTTPStatus.OK and self._is_stream(head, attributes)
+        ):
             return AttemptOutcome.FAILED
         if attributes.is_not_run or head.status in _NOT_EXECUTED_STATUSES:
             # The server did not state that the request was not executed, but the caller
@@ -272,16 +274,20 @@
             return AttemptOutcome.FAILED
         return None
 
-    def _start_relay(self, head: ResponseHead, attributes: ResponseAttributes) -> None:
-        self._is_relaying = True
-        if self._copy is not None:
-            self._record.note_present(self._copy)
-        self._is_event_stream = attributes.is_event_stream or (
+    def _is_stream(self, head: ResponseHead, attributes: ResponseAttributes) -> bool:
+        """Return whether a response holds events, which its type may not say."""
+        return attributes.is_event_stream or (
             self._expects_events
             and head.status == HTTPStatus.OK
             and head.first(b"content-type") is None
             and not head.has_framing
         )
+
+    def _start_relay(self, head: ResponseHead, attributes: ResponseAttributes) -> None:
+        self._is_relaying = True
+        if self._copy is not None:
+            self._record.note_present(self._copy)
+        self._is_event_stream = self._is_stream(head, attributes)
         self._exchange.set_backpressure_callback(self._set_backpressure)
         if self._is_resuming:
             return
