Refuse requests that would outlast a planned stop, and give others the whole grace

What callers saw: 29 requests that came 1.0 to 2.5 s after the signal were passed on to servers and cut without an answer 0.6 s before the grace ended, unsafe ones among them (LOST).

Cause: a stopping host took all requests for 2.6 s, whatever they take, and kept 0.6 s of the grace for its exit.

The route's target latency counts where nothing is known.

--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -1,6 +1,7 @@
 """Handle the requests of callers."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -35,6 +36,7 @@
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_callbacks import ServerCallbacks
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
+from gooseberrydeal._internal.policy.request_durations import RequestDurations
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
 from gooseberrydeal._internal.policy.retry_window import RetryWindow
 from gooseberrydeal._internal.policy.route_table import RouteTable
@@ -82,6 +84,8 @@
         self._is_draining = False
         self._is_refusing = False
         self._in_progress = 0
+        self._stops_at = math.inf
+        self._durations = RequestDurations()
 
     @property
     def limits(self) -> CallerLimits:
@@ -106,9 +110,14 @@
             self._bounds = bounds
             self._retry_windows.clear()
 
-    def drain(self) -> None:
-        """Close each connection after its current reply."""
+    def drain(self, deadline: float = math.inf) -> None:
+        """Close each connection after its current reply.
+
+        Requests are refused that are not expected to end until ``deadline``, on the
+        host's clock: they would be cut off with the process.
+        """
         self._is_draining = True
+        self._stops_at = deadline
 
     def refuse_new(self) -> None:
         """Refuse further requests, which might not finish before the shutdown."""
@@ -165,6 +174,9 @@
             arrived_at + time_limit,
             peer=peer,
         )
+        if self._may_be_cut_off(request):
+            refuse(exchange, RefusalReason.SHUTTING_DOWN, _SHUTDOWN_RETRY_AFTER_SECONDS)
+            return
         if attributes.is_resumption and route.is_resumable:
             origin = await self._find_origin(attributes, route)
             if origin is None:
@@ -193,9 +205,19 @@
                 self._peers,
                 self._clock,
             ).serve()
+            now = self._clock()
+            self._durations.note(route.name, now - arrived_at, now)
         finally:
             self._in_progress -= 1
 
+    def _may_be_cut_off(self, request: RoutedRequest) -> bool:
+        """Return whether a request may still run when the process ends."""
+        if self._stops_at == math.inf or request.deadline <= self._stops_at:
+            return False
+        longest = self._durations.longest(request.route.name, request.arrived_at)
+        expected = max(longest, request.route.target_latency)
+        return request.arrived_at + expected > self._stops_at
+
     async def _find_origin(
         self, attributes: RequestAttributes, route: Route
     ) -> StreamOrigin | None:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -1,9 +1,7 @@
 """Run the components of a router host."""
 
-import asyncio
 import logging
 import random
-from typing import Final
 
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
@@ -34,6 +32,7 @@
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.engine_scope import EngineScope
 from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
+from gooseberrydeal._internal.operations.router.graceful_stop import GracefulStop
 from gooseberrydeal._internal.operations.router.host_endpoints import HostEndpoints
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
@@ -67,13 +66,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The load balancer probes readiness once a second and removes a host from its rotation
-# after two failed probes.
-_LEAVE_ROTATION_SECONDS: Final = 2.6
-_DRAIN_POLL_SECONDS: Final = 0.05
-# Part of the grace period that is reserved for the exit of the process itself.
-_SHUTDOWN_MARGIN_SECONDS: Final = 0.6
-
 
 class RouterNode:
     """Create the components of one host, and start and stop them in order."""
@@ -269,22 +261,11 @@
 
         Returns the number of connections whose request was not finished.
         """
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
         logger.info("stopping", extra={"host": self._settings.host})
         self._is_stopping = True
-        self._handler.drain()
-        await asyncio.sleep(_LEAVE_ROTATION_SECONDS)
-        self._caller_listener.stop_accepting()
-        self._handler.refuse_new()
-        self._caller_listener.close_idle()
-        drain_deadline = (
-            started_at + self._settings.bounds.grace - _SHUTDOWN_MARGIN_SECONDS
-        )
-        while self._busy_count and loop.time() < drain_deadline:
-            await asyncio.sleep(_DRAIN_POLL_SECONDS)
-            self._caller_listener.close_idle()
-        aborted = self._busy_count
+        aborted = await GracefulStop(
+            self._handler, self._caller_listener, self._peer_listener
+        ).drain(self._settings.bounds.grace)
         await self.abort()
         logger.info("stopped; %d connections with unfinished requests closed", aborted)
         return aborted
@@ -304,11 +285,6 @@
         for record in self._servers.records:
             record.pool.close()
 
-    @property
-    def _busy_count(self) -> int:
-        """Return how many connections are receiving or serving a request."""
-        return self._caller_listener.busy_count + self._peer_listener.busy_count
-
     def _on_metadata_change(self) -> None:
         self._ownership.metadata_changed()
         self._known_state_writer.metadata_changed()
