Divide the places of brittle servers five times a second at most

With hundreds of servers and hosts each check of a server went through all of them: the work of one request grew with the square of the servers. The tests of brittle servers pass unchanged.

--- a/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
@@ -20,6 +20,8 @@
 _ABANDONED_SECONDS: Final = 0.5
 # After a server turned a request away, this host sends it nothing for this long.
 _REJECTED_PAUSE_SECONDS: Final = 1.0
+# Places are divided anew after this time, since hosts and servers come and go.
+_DIVISION_SECONDS: Final = 0.2
 
 
 @dataclass(slots=True)
@@ -35,10 +37,10 @@
 
 @dataclass(slots=True)
 class _ServicePlaces:
-    """Hold this host's places at the servers of a service, and who waits for one."""
+    """Hold this host's places at the servers of a service."""
 
-    divided_for: tuple[frozenset[HostId], tuple[tuple[ServerId, int], ...]]
     shares: dict[ServerId, int]
+    divided_at: float
 
 
 class BrittleServers:
@@ -163,13 +165,13 @@
         return sum(self._shares(service).values())
 
     def _shares(self, service: ServiceName) -> dict[ServerId, int]:
-        """Return this host's places at each server, divided anew if that changed."""
-        slots = {r.id: r.entry.slots for r in self._servers.of_service(service)}
-        divided_for = (frozenset(self._hosts()), tuple(slots.items()))
+        """Return this host's places at each server, as divided a moment ago."""
+        now = self._clock()
         places = self._places.get(service)
-        if places is None or places.divided_for != divided_for:
-            shares = divide_places(self._own, divided_for[0], slots)
-            places = _ServicePlaces(divided_for, shares)
+        if places is None or now - places.divided_at >= _DIVISION_SECONDS:
+            slots = {r.id: r.entry.slots for r in self._servers.of_service(service)}
+            shares = divide_places(self._own, self._hosts(), slots)
+            places = _ServicePlaces(shares, now)
             self._places[service] = places
         return places.shares
 
