Probe all servers that were not heard of when a request's own connection hangs

A host that starts while it is cut has no connection to any server, so that the watch for silent ones has nothing to see; its requests tried one server after the other, 0.4 s each. The failed attempt of a request now leads to the same probes as that of a probe. With it come tests of cuts that heal, move, come with the store away, or meet a host that starts: none of them failed before the change, either.

--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -64,6 +64,8 @@
         """
         self._close_silent(record, error, began_at)
         self._mark(record)
+        if not isinstance(error, ServerNotListeningError):
+            self._probe_unheard(began_at)
 
     def mark_unreachable(self, record: ServerRecord) -> None:
         """Mark a server unreachable until a connection to it can be opened."""
