--- a/tests/functional/test_passed_on_requests.py
+++ b/tests/functional/test_passed_on_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from tests.lib.crash_cluster import CALLER_HOST
 from tests.lib.link_proxy import LinkState
 from tests.lib.partition_cluster import PartitionCluster
@@ -27,12 +28,12 @@
     asyncio.run(asyncio.wait_for(run(), 30.0))
 
 
-def _request(path: str, body: bytes, *fields: str) -> bytes:
+def _request(path: str, body: bytes, *fields: str, deadline: int = 3000) -> bytes:
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {CALLER_HOST}",
         "X-Request-Id: 00000000000000aa",
-        "X-Deadline-Ms: 3000",
+        f"X-Deadline-Ms: {deadline}",
         f"Content-Length: {len(body)}",
         *fields,
     ]
@@ -59,9 +60,21 @@
         assert head.startswith(b"POST /once/a HTTP/1.1\r\n")
         assert b"\r\nx-note: kept\r\n" in lower
         assert b"gooseberrydeal" not in lower
+
+    _run(scenario)
+
+
+def test_the_server_gets_the_time_that_is_left() -> None:
+    async def scenario(cluster: PartitionCluster) -> None:
+        reader, writer = await asyncio.open_connection(*cluster.address_of(_CUT))
+        writer.write(_request("/once/a", b"short", deadline=1500))
+        assert (await reader.readline()).split()[1] == b"200"
+        writer.close()
+        (head,) = _heads(cluster, b"short")
+        lower = head.lower()
         assert lower.count(b"x-deadline-ms") == 1
         milliseconds = int(lower.split(b"x-deadline-ms: ")[1].split(b"\r\n")[0])
-        assert 0 < milliseconds <= 3000
+        assert 0 < milliseconds <= 1500
 
     _run(scenario)
 
@@ -96,13 +109,24 @@
     _run(scenario)
 
 
+def _passed_on(metrics: RouterMetrics) -> list[bytes]:
+    """Return the counts of the requests that a host has passed on."""
+    lines = metrics.render().splitlines()
+    return [line for line in lines if line.startswith(b"gooseberry_router_passed_on")]
+
+
 def test_hosts_that_are_all_cut_refuse_at_once_and_pass_nothing_around() -> None:
     async def scenario(cluster: PartitionCluster) -> None:
         await cluster.cut(cluster.host_names, LinkState.RESET_AND_REFUSED)
         for host in cluster.host_names:
             while not cluster.nodes[host]._reachability.is_isolated:
                 await cluster.call(host, b"notice", "/safe/notice")
+        # Until then hosts ask nobody again that could not serve.
+        await asyncio.sleep(1.1)
+        others = [cluster.nodes[name]._metrics for name in cluster.host_names[1:]]
+        before = [_passed_on(metrics) for metrics in others]
         status, fields = await cluster.call(_CUT, b"nobody", "/once/a")
+        assert [_passed_on(metrics) for metrics in others] == before
         assert status == 503
         assert float(fields["retry-after"]) > 0
         assert _heads(cluster, b"nobody") == []
--- a/tests/functional/test_reachability.py
+++ b/tests/functional/test_reachability.py
@@ -5,16 +5,15 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from gooseberrydeal._internal.exceptions import (
-    ConnectionLimitError,
-    ServerUnreachableError,
-)
+from gooseberrydeal._internal.exceptions import ServerUnreachableError
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.silence_watch import SilenceWatch
 from tests.lib.link_proxy import LinkProxy, LinkState
+from tests.lib.relay_scripts import request_id_line, run_relay
+from tests.lib.relay_world import Caller, RelayHarness
 from tests.lib.routing_builders import configuration, server_entry
 from tests.lib.scripted_server import ReceivedRequest, ScriptedServer, response
 
@@ -57,7 +56,6 @@
     try:
         await record.pool.acquire()
     except ServerUnreachableError as error:
-        assert not isinstance(error, ConnectionLimitError)
         record.pool.release(connection)
         prober.connect_failed(record, error, began_at)
     else:
@@ -98,14 +96,21 @@
 
 
 def test_a_full_pool_does_not_make_a_server_unreachable() -> None:
-    async def run() -> None:
-        async with _linked_server() as (record, _, _):
-            record.pool.set_limit(1)
-            connection = await record.pool.acquire()
-            try:
-                await record.pool.acquire()
-            except ConnectionLimitError:
-                record.pool.release(connection)
-            assert record.is_reachable
-
-    asyncio.run(asyncio.wait_for(run(), 10.0))
+    async def answer_late(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.2)
+        writer.write(response(b"ok", "200 OK", request_id_line(request)))
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        (record,) = harness.servers.records
+        record.pool.set_limit(1)
+        caller.send("/once/a", "q1")
+        await asyncio.sleep(0.05)
+        other = await Caller.connect(harness)
+        other.send("/once/a", "q2")
+        assert (await other.read_response())[0] == 503
+        assert not record.health.is_unreachable
+        assert (await caller.read_response())[0] == 200
+
+    run_relay(scenario, [answer_late])
