--- a/src/gooseberrydeal/_internal/models/routing/http_heads.py
+++ b/src/gooseberrydeal/_internal/models/routing/http_heads.py
@@ -38,6 +38,12 @@
             for name, _ in self.headers
         )
 
+    @property
+    def content_length(self) -> int | None:
+        """Return the stated size of the body, ``None`` without a valid one."""
+        length = self.first(b"content-length")
+        return int(length) if length is not None and length.isdigit() else None
+
     def first(self, lower_name: bytes) -> bytes | None:
         """Return the first value of a field, whose name is given in lower case."""
         return _first(self.headers, lower_name)
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -291,13 +291,8 @@
         self._exchange.set_backpressure_callback(self._set_backpressure)
         if self._is_resuming:
             return
-        length = head.first(b"content-length")
-        self._exchange.start(
-            head.status,
-            head.reason,
-            self._codec.reply_headers(head),
-            int(length) if length is not None and length.isdigit() else None,
-        )
+        headers = self._codec.reply_headers(head)
+        self._exchange.start(head.status, head.reason, headers, head.content_length)
 
     def _finish(self, outcome: AttemptOutcome) -> None:
         self._exchange.set_backpressure_callback(None)
--- a/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -76,13 +76,8 @@
             return
         self._is_relaying = True
         self._exchange.set_backpressure_callback(self._set_backpressure)
-        length = head.first(b"content-length")
-        self._exchange.start(
-            head.status,
-            head.reason,
-            self._codec.reply_headers(head),
-            int(length) if length is not None and length.isdigit() else None,
-        )
+        headers = self._codec.reply_headers(head)
+        self._exchange.start(head.status, head.reason, headers, head.content_length)
 
     def body_received(self, data: bytes) -> None:
         """Relay a part of the body."""
