--- a/tests/functional/test_partitioned_hosts.py
+++ b/tests/functional/test_partitioned_hosts.py
@@ -22,12 +22,20 @@
 )
 
 
-def _play(cut_hosts: int, state: LinkState, hosts: int = 6) -> list[CallResult]:
+def _play(
+    cut_hosts: int,
+    state: LinkState,
+    service_seconds: float = 0.02,
+    max_connections: int = 100,
+) -> list[CallResult]:
     """Cut some hosts from all servers; return the calls from the bound to the end."""
 
     async def run() -> list[CallResult]:
-        cluster = PartitionCluster(hosts=hosts)
+        cluster = PartitionCluster()
+        cluster.max_connections = max_connections
         async with cluster:
+            for server in cluster.servers:
+                server.service_seconds = service_seconds
             calls = asyncio.create_task(
                 cluster.call_hosts(_RATE, _CUT_AFTER_SECONDS + _CUT_SECONDS, _PATHS)
             )
@@ -61,7 +69,21 @@
 def test_hosts_that_are_cut_from_all_servers_serve_their_callers(
     state: LinkState, cut_hosts: int
 ) -> None:
-    results = _play(cut_hosts, state)
+    _check_served(_play(cut_hosts, state), cut_hosts)
+
+
+def test_hosts_that_open_no_connections_serve_work_that_needs_many() -> None:
+    results = _play(3, LinkState.NEW_REFUSED, service_seconds=0.3)
+    _check_served(results, 3)
+
+
+@pytest.mark.parametrize("state", _CUTS)
+def test_cut_hosts_serve_a_service_with_few_connections(state: LinkState) -> None:
+    _check_served(_play(3, state, max_connections=24), 3)
+
+
+def _check_served(results: list[CallResult], cut_hosts: int) -> None:
+    """Check the platform's bound on first tries at the cut hosts and the others."""
     names = [f"host-{number}" for number in range(6)]
     cut, others = set(names[:cut_hosts]), set(names[cut_hosts:])
     assert _served_share(results, cut) >= 2 / 3 * _served_share(results, others)
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -53,6 +53,7 @@
 
     server_class: type[CrashingServer] = CrashingServer
     server_slots = 6
+    max_connections = 100
 
     def __init__(
         self,
@@ -92,7 +93,7 @@
         host, port = self._store_address.rsplit(":", 1)
         self._store_server = HttpServer(self.store.app(), host, int(port))
         await self._store_server.start()
-        self.store.put("op/config", _configuration())
+        self.store.put("op/config", _configuration(self.max_connections))
         for server in self.servers:
             await server.start()
         for name in self.host_names:
@@ -237,7 +238,7 @@
         asyncio.get_running_loop().call_later(_ENTRY_EXPIRY_SECONDS, expire)
 
 
-def _configuration() -> bytes:
+def _configuration(max_connections: int) -> bytes:
     routes = [
         {
             "name": prefix,
@@ -252,6 +253,6 @@
         }
         for kind, prefix, options in _ROUTES
     ]
-    service = {"name": _SERVICE, "maxConnections": 100}
+    service = {"name": _SERVICE, "maxConnections": max_connections}
     data = {"version": 1, "routes": routes, "services": [service], "limits": {}}
     return json.dumps(data).encode()
