Try few other servers when one refuses connections, and none that are marked

A host that is cut from 130 servers with resets made 118,300 attempts to connect in 4 s: each probe of each server tried all others, to tell a crash from a cut. Now only servers that are not marked unreachable are tried, six at most, and the attempts are those of the probes themselves. The new test fails without the change.

--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -21,8 +21,9 @@
 # Bounds of the exponential backoff between two connection attempts to a server.
 _MIN_PROBE_DELAY_SECONDS: Final = 0.15
 _MAX_PROBE_DELAY_SECONDS: Final = 0.8
-# How many other servers are tried at once when one refuses connections.
-_CONTROL_PROBES: Final = 2
+# How many other servers are tried when one refuses connections, and how many at once.
+_MAX_CONTROL_PROBES: Final = 6
+_CONCURRENT_CONTROL_PROBES: Final = 2
 
 
 class ReachabilityProber:
@@ -158,10 +159,10 @@
         others = [item for item in self._servers.records if item is not record]
         if any(item.pool.heard_at >= since for item in others) or not others:
             return True
-        self._rng.shuffle(others)
-        others.sort(key=lambda item: item.health.is_unreachable)
-        for start in range(0, len(others), _CONTROL_PROBES):
-            batch = others[start : start + _CONTROL_PROBES]
+        unmarked = [item for item in others if not item.health.is_unreachable]
+        tried = self._rng.sample(unmarked, min(_MAX_CONTROL_PROBES, len(unmarked)))
+        for start in range(0, len(tried), _CONCURRENT_CONTROL_PROBES):
+            batch = tried[start : start + _CONCURRENT_CONTROL_PROBES]
             if any(await asyncio.gather(*map(self._is_listening, batch))):
                 return True
         return False
--- a/tests/functional/test_reachability.py
+++ b/tests/functional/test_reachability.py
@@ -5,7 +5,10 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from gooseberrydeal._internal.exceptions import ServerUnreachableError
+from gooseberrydeal._internal.exceptions import (
+    ServerNotListeningError,
+    ServerUnreachableError,
+)
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -16,6 +19,9 @@
 from tests.lib.relay_world import Caller, RelayHarness
 from tests.lib.routing_builders import configuration, server_entry
 from tests.lib.scripted_server import ReceivedRequest, ScriptedServer, response
+from tests.lib.virtual_loop import run_virtual
+
+_MANY_SERVERS = 130
 
 
 async def _answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -114,3 +120,31 @@
         assert (await caller.read_response())[0] == 200
 
     run_relay(scenario, [answer_late])
+
+
+def test_a_host_that_reaches_no_server_probes_each_only_at_its_own_times() -> None:
+    async def run() -> None:
+        attempts = 0
+
+        async def fail() -> None:
+            nonlocal attempts
+            attempts += 1
+            await asyncio.sleep(0)
+            raise ServerNotListeningError("refused")
+
+        servers = ServerTable(asyncio.get_running_loop().time)
+        servers.configure(configuration())
+        for number in range(_MANY_SERVERS):
+            servers.put(server_entry(f"e-{number}"))
+        prober = ReachabilityProber(
+            servers, DomainName("d1"), lambda *_: None, random.Random(1)
+        )
+        for record in servers.records:
+            record.pool.probe = fail  # type: ignore[method-assign]
+        for record in servers.records:
+            prober.mark_unreachable(record)
+        await asyncio.sleep(4.0)
+        await prober.stop()
+        assert attempts <= 10 * _MANY_SERVERS
+
+    run_virtual(run())
