--- a/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
@@ -60,11 +60,6 @@
         self._is_for_peer = False
         self._peer_fields: list[Header] = []
 
-    @property
-    def is_for_peer(self) -> bool:
-        """Return whether another host passed the request on."""
-        return self._is_for_peer
-
     @property
     def head(self) -> RequestHead:
         """Return the request line and header fields."""
