--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -38,8 +38,7 @@
 
 logger = logging.getLogger(__name__)
 
-# An engine's report may be a few hundred milliseconds old, so it is read no sooner than
-# this after an order.
+# An engine's report may be this old, so it is read no sooner after an order.
 _REPORT_LAG_SECONDS: Final = 0.3
 # Shortest time between two reads of the report, since each read is charged for.
 _MIN_REPORT_INTERVAL_SECONDS: Final = 0.5
@@ -51,8 +50,7 @@
 _LOAD_EXTENSION_SECONDS: Final = 0.04
 # Time after which the engine's report is read if an unload waits for running requests.
 _UNLOAD_RECHECK_SECONDS: Final = 1.5
-# Entries in the metadata store may be a heartbeat old, so one is compared with the
-# local state only if no order was sent for this long.
+# Entries may be a heartbeat old: they are compared only without orders for this long.
 _ENTRY_SETTLE_SECONDS: Final = 2.5
 
 
@@ -99,7 +97,9 @@
             fencing,
             self._demand,
             self._slots,
-            lambda: may_order() and self._sequence.is_count_known,
+            lambda: (
+                may_order() and self._sequence.is_count_known and record.is_reachable
+            ),
             lambda: self._base_models.held,
             lambda: view.periods.collect,
             publish,
--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -243,7 +243,6 @@
                 self._lease.is_valid
                 and self._lease.lease == claim.lease
                 and self._clock() >= first_order_at
-                and record.is_reachable
             ),
             lambda: self._servers.loads_in_progress,
             self._publish,
