Tell hosts less about engines that they do not use, and read it cheaply

Cause: an owner told each change of an engine's load to every host that had used it in the last 2.4 s, and a change was any difference in the slowdown, which each response states anew. Each status was decoded and applied in full although its adapter copies are nearly always those of the status before.

Now changes of load go to hosts that have requests on the engine or wait for a load there; the others hear of it each heartbeat, or at once when they ask. A slowdown counts as changed from a tenth on. Keys and states of copies are decoded once, and copies that are all ready and as before are not applied again; a copy that loads is, since its time counts from each status. No field of a datagram changed.

Failed before: a host without requests got 8 datagrams in 2 s (3 allowed); a slowdown between 0.97 and 1.04 was reported 4 times (0 allowed).

--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from enum import IntEnum
+from functools import lru_cache
 from typing import Any, Final
 
 import cbor2
@@ -64,6 +65,7 @@
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
 _COPY_STATES: Final = (CopyState.READY, CopyState.LOADING, CopyState.UNLOADING)
+_MAX_CACHED_COPIES: Final = 4_096
 
 
 class _ReportKind(IntEnum):
@@ -232,15 +234,26 @@
         int(pending_prefill_tokens),
         int(slowdown) / 100,
         tuple(map(str, base_models)),
-        tuple(
-            CopyStatus(_parse_key(item), _COPY_STATES[item[3]], int(item[4]) / 1000)
-            for item in copies
-        ),
+        tuple(_copy_status(*item[:5]) for item in copies),
     )
 
 
 def _parse_key(fields: list[Any]) -> AdapterCopyKey:
-    return AdapterCopyKey(str(fields[0]), str(fields[1]), int(fields[2]))
+    return _copy_key(*fields[:3])
+
+
+# Most copies in a status are those of the status before it.
+@lru_cache(maxsize=_MAX_CACHED_COPIES)
+def _copy_status(
+    model: str, adapter: str, version: int, state: int, ready_in_ms: int
+) -> CopyStatus:
+    key = _copy_key(model, adapter, version)
+    return CopyStatus(key, _COPY_STATES[state], int(ready_in_ms) / 1000)
+
+
+@lru_cache(maxsize=_MAX_CACHED_COPIES)
+def _copy_key(model: str, adapter: str, version: int) -> AdapterCopyKey:
+    return AdapterCopyKey(str(model), str(adapter), int(version))
 
 
 _PARSERS: Final[dict[int, Callable[[list[Any]], Report]]] = {
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -22,6 +22,7 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
 
 _ReportT = TypeVar("_ReportT", bound=Report)
 
@@ -120,8 +121,8 @@
     def usage_changed(self, record: ServerRecord) -> None:
         """Report soon if an engine's pending prefill or slowdown changed enough."""
         reported = self._reported_pending_prefill.get(record.id, 0)
-        slowdown_changed = record.load.slowdown != self._reported_slowdown.get(
-            record.id, 1.0
+        slowdown_changed = has_slowdown_changed(
+            self._reported_slowdown.get(record.id, 1.0), record.load.slowdown
         )
         pending_prefill_changed = (
             abs(record.load.own_pending_prefill - reported)
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -1,9 +1,7 @@
 """Hold this host's view of one backend server."""
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Mapping
-from typing import Final
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
@@ -23,15 +21,12 @@
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.operations.router.copy_counts import CopyCounts
+from gooseberrydeal._internal.operations.router.engine_copies import EngineCopies
 from gooseberrydeal._internal.operations.router.owner_view import OwnerView
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
 from gooseberrydeal._internal.policy.server_health import ServerHealth
 
-# Adapter copies that an engine may still cache in its memory; the least recently held
-# ones are dropped first.
-_MAX_RECENT_COPIES: Final = 96
-
 
 class ServerRecord:
     """Combine a server's entry, its owner's status and this host's own usage."""
@@ -45,12 +40,10 @@
         self._health = ServerHealth()
         self._pool = self._new_pool(entry.address, max_connections)
         self._owner = OwnerView()
-        self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
+        self._copies = EngineCopies()
         self._uses: dict[AdapterCopyKey, CopyCounts] = {}
         self._load_requests: dict[AdapterCopyKey, int] = {}
         self._target_deadlines: dict[AdapterCopyKey, float] = {}
-        self._missing: dict[AdapterCopyKey, float] = {}
-        self._recent_copies: OrderedDict[AdapterCopyKey, None] = OrderedDict()
         self._use_entry_copies(0.0)
 
     @property
@@ -122,7 +115,6 @@
         self._service = service
         if is_restart:
             self._copies.clear()
-            self._recent_copies.clear()
             self._owner.clear()
         if not self._owner.is_fresh(now):
             self._use_entry_copies(now)
@@ -133,14 +125,7 @@
         """Apply the owner's status; return whether it is newer than the last one."""
         if not self._owner.apply(status, now, periods):
             return False
-        self._copies = {
-            copy.key: (copy.state, now + copy.ready_in) for copy in status.copies
-        }
-        for key in self._copies:
-            self._recent_copies[key] = None
-            self._recent_copies.move_to_end(key)
-        while len(self._recent_copies) > _MAX_RECENT_COPIES:
-            self._recent_copies.popitem(last=False)
+        self._copies.use_status(status.copies, now)
         self._load.report_others(
             max(0, status.requests - self._load.own_requests),
             max(0, status.tokens - self._load.own_tokens),
@@ -169,29 +154,19 @@
 
     def copy_state(self, key: AdapterCopyKey, now: float) -> CopyState | None:
         """Return the state of a copy, ``None`` if the engine does not hold it."""
-        found = self._copies.get(key)
-        if found is None:
-            return None
-        state, ready_at = found
-        if self._missing.get(key, 0.0) > now:
-            return CopyState.LOADING
-        if state is CopyState.LOADING and ready_at <= now:
-            return CopyState.READY
-        return state
+        return self._copies.state(key, now)
 
     def ready_in(self, key: AdapterCopyKey, now: float) -> float:
         """Return the seconds until a copy is ready, 0 if it is ready or not held."""
-        found = self._copies.get(key)
-        ready_at = 0.0 if found is None else found[1]
-        return max(0.0, ready_at - now, self._missing.get(key, 0.0) - now)
+        return self._copies.ready_in(key, now)
 
     def is_warm(self, key: AdapterCopyKey) -> bool:
         """Return whether the engine held a copy recently and so reloads it fast."""
-        return key in self._recent_copies
+        return self._copies.is_warm(key)
 
     def versions(self, model: str, adapter: str) -> list[AdapterCopyKey]:
         """Return the copies of all versions of an adapter that the engine holds."""
-        return [k for k in self._copies if k.adapter == adapter and k.model == model]
+        return self._copies.versions(model, adapter)
 
     def holds_model(self, model: str) -> bool:
         """Return whether the engine holds a base model."""
@@ -240,11 +215,11 @@
 
     def note_missing(self, key: AdapterCopyKey, until: float) -> None:
         """Treat a copy that the engine denied having as loading until ``until``."""
-        self._missing[key] = until
+        self._copies.note_missing(key, until)
 
     def note_present(self, key: AdapterCopyKey) -> None:
         """Record that the engine started a request on a copy."""
-        self._missing.pop(key, None)
+        self._copies.note_present(key)
         if key in self._uses:
             self._uses[key].started += 1
 
@@ -253,8 +228,7 @@
         for key in [k for k, use in self._uses.items() if not use.in_flight]:
             if key not in self._copies:
                 del self._uses[key]
-        for key in [k for k, until in self._missing.items() if until < now - 1.0]:
-            del self._missing[key]
+        self._copies.drop_old_missing(now)
         uses = tuple(
             CopyUse(key, use.in_flight, use.started) for key, use in self._uses.items()
         )
@@ -263,7 +237,7 @@
                 key,
                 count,
                 self._target_deadlines.get(key, now) - now,
-                key in self._missing,
+                self._copies.is_missing(key),
             )
             for key, count in self._load_requests.items()
         )
@@ -289,4 +263,4 @@
         """Use the copies in the server's entry while there is no fresh status."""
         held = self._entry.held
         if held is not None:
-            self._copies = dict.fromkeys(held.adapters, (CopyState.READY, now))
+            self._copies.use_entry(held.adapters, now)
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -12,6 +12,7 @@
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
+from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
 
 # If the tokens of prompts that wait for prefill have changed by more than this, about
 # 40 ms of prefill, a status is published after a delay that collects further changes.
@@ -56,12 +57,11 @@
         change = abs(
             self._demand.pending_prefill_tokens() - self._pending_prefill_tokens
         )
-        if (
-            change > _PUBLISH_THRESHOLD_TOKENS
-            or self._demand.slowdown() != self._slowdown
+        if change > _PUBLISH_THRESHOLD_TOKENS or has_slowdown_changed(
+            self._slowdown, self._demand.slowdown()
         ):
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self._collect_seconds(), self.publish)
+            self._timer = loop.call_later(self._collect_seconds(), self._publish_load)
 
     def publish(self) -> None:
         """Publish a status now instead of the scheduled one."""
@@ -72,6 +72,12 @@
         """Publish a status now to one host, which has not had one recently."""
         self._publish(self._next_status(), (host,))
 
+    def _publish_load(self) -> None:
+        """Publish a status to the hosts that have requests for the engine now."""
+        self.cancel()
+        hosts = self._demand.active_hosts()
+        self._publish(self._next_status(), hosts)
+
     def _next_status(self) -> EngineStatus:
         now = self._clock()
         self._pending_prefill_tokens = self._demand.pending_prefill_tokens()
--- a/tests/functional/test_engine_reports.py
+++ b/tests/functional/test_engine_reports.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from tests.lib.engine_fleet import EngineFleet, EngineFleetHost
 from tests.lib.routing_builders import copy_key
 from tests.lib.virtual_loop import run_virtual
@@ -137,6 +136,52 @@
     _run(40, 20, scenario)
 
 
+def test_a_host_without_requests_is_not_told_of_each_change_of_load() -> None:
+    async def scenario(fleet: EngineFleet) -> None:
+        past, busy = fleet.hosts[-1], fleet.hosts[-2]
+        record = past.record(0)
+        record.begin(copy_key("a1"), 100, 100)
+        await past.scope.refresh([record])
+        record.end(copy_key("a1"), 100)
+        past.exchange.ask(record)
+        fleet.reset_counts()
+        used = busy.record(0)
+        used.begin(copy_key("a1"), 3_000, 3_000)
+        for _ in range(4):
+            used.load.remove_pending_prefill(2_000)
+            busy.exchange.usage_changed(used)
+            await asyncio.sleep(0.25)
+            used.begin(copy_key("a1"), 2_000, 2_000)
+            busy.exchange.usage_changed(used)
+            await asyncio.sleep(0.25)
+        # A status each second tells it that the owner goes on.
+        assert fleet.received[past.member.host] <= 3
+        assert fleet.received[busy.member.host] >= 6
+
+    _run(40, 20, scenario)
+
+
+def test_a_slowdown_that_varies_a_little_is_not_reported_each_time() -> None:
+    async def scenario(fleet: EngineFleet) -> None:
+        host = fleet.hosts[-1]
+        record = host.record(0)
+        now = asyncio.get_running_loop().time
+        record.begin(copy_key("a1"), 100, 100)
+        await host.scope.refresh([record])
+        sent_before = fleet.sent[host.member.host]
+        for slowdown in (1.02, 0.99, 1.04, 0.97):
+            record.load.report(1, slowdown, now())
+            host.exchange.usage_changed(record)
+            await asyncio.sleep(0.01)
+        assert fleet.sent[host.member.host] == sent_before
+        record.load.report(1, 1.5, now())
+        host.exchange.usage_changed(record)
+        await asyncio.sleep(0.01)
+        assert fleet.sent[host.member.host] == sent_before + 1
+
+    _run(40, 20, scenario)
+
+
 def test_more_engines_are_considered_the_longer_a_request_waits() -> None:
     async def scenario(fleet: EngineFleet) -> None:
         host = fleet.hosts[-1]
@@ -160,7 +205,7 @@
         chosen = host.scope.select(records, copy, "q", 0)
         holder = next(record for record in records if record not in chosen)
         now = asyncio.get_running_loop().time()
-        holder._copies[copy] = (CopyState.READY, now)
+        holder._copies.use_entry([copy], now)
         assert holder in host.scope.select(records, copy, "q", 0)
 
     _run(40, 40, scenario)
