Look up the servers of a service instead of going through all of them

The table of servers now keeps those of a service that accept requests, until an entry changes its service or state, or a server comes or goes. Requests that exclude no server, while no server has said that it leaves, wants a wait, has a limit or is brittle, take that list as it is. Whether all servers are unreachable ends at the first that is not.

--- a/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
@@ -67,6 +67,11 @@
         self._places: dict[ServiceName, _ServicePlaces] = {}
         self._waiting: dict[ServiceName, list[asyncio.Future[None]]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no service has servers that say that they are brittle."""
+        return not self._brittle_until
+
     def is_brittle(self, record: ServerRecord) -> bool:
         """Return whether a server may fall over if it turns requests away."""
         if not self._brittle_until:
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -155,7 +155,7 @@
             while True:
                 copy = self._copy_for(request, self._clock())
                 records = self._scope.select(
-                    self._sendable(request),
+                    self._eligible.find_sendable(request),
                     copy,
                     request.attributes.request_id,
                     checks_without_load,
@@ -263,10 +263,6 @@
             if record.copy_state(key, now) is CopyState.READY
         }
 
-    def _sendable(self, request: RoutedRequest) -> list[ServerRecord]:
-        eligible = self._eligible
-        return [item for item in eligible.find(request) if eligible.may_send(item)]
-
     def _decide(
         self,
         request: RoutedRequest,
@@ -278,12 +274,14 @@
         pause_limit = request.route.longest_pause
         if waited > request.route.target_latency * _PAUSE_LIMIT_FRACTION:
             pause_limit = math.inf
-        limited = {r.id for r in records if self._limits.is_limited(r)}
         candidates = [
             engine_candidate(record, copy, self._domain, pause_limit, now)
             for record in records
         ]
-        if len(limited) < len(records):
+        limited = set()
+        if not self._limits.is_empty:
+            limited = {r.id for r in records if self._limits.is_limited(r)}
+        if limited and len(limited) < len(records):
             candidates = [
                 replace(item, can_load=False, accepts_load_orders=False)
                 if item.server in limited
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -64,16 +64,23 @@
         Servers on which a suspect of crashes runs alone are left out, unless there are
         no others.
         """
-        eligible = [
-            record
-            for record in self._servers.of_service(request.service)
-            if request.may_use(record) and not self._notices.is_leaving(record)
-        ]
+        eligible = list(self._servers.of_service(request.service))
+        if request.excluded or request.origin is not None:
+            eligible = [record for record in eligible if request.may_use(record)]
+        if not self._notices.is_empty:
+            eligible = [r for r in eligible if not self._notices.is_leaving(r)]
         busy = self._turns.busy_servers(request.service, self._clock())
         if not busy:
             return eligible
         return [record for record in eligible if record.id not in busy] or eligible
 
+    def find_sendable(self, request: RoutedRequest) -> list[ServerRecord]:
+        """Return the servers that the request may be sent to and that take it now."""
+        eligible = self.find(request)
+        if self._limits.is_empty and self._notices.is_empty and self._brittle.is_empty:
+            return eligible
+        return [record for record in eligible if self.may_send(record)]
+
     def cut_off(self, request: RoutedRequest) -> NoAssignment | None:
         """Return the refusal of a request that another host should serve, if any."""
         if request.uses_unreachable or not self.are_unreachable(request):
@@ -82,12 +89,13 @@
 
     def are_unreachable(self, request: RoutedRequest) -> bool:
         """Return whether this host reaches no server that could serve a request."""
-        found = [
-            record
-            for record in self._servers.of_service(request.service)
-            if request.suits(record) and not self._notices.is_leaving(record)
-        ]
-        return bool(found) and not any(record.is_reachable for record in found)
+        has_found = False
+        for record in self._servers.of_service(request.service):
+            if request.suits(record) and not self._notices.is_leaving(record):
+                if record.is_reachable:
+                    return False
+                has_found = True
+        return has_found
 
     def may_send(self, record: ServerRecord) -> bool:
         """Return whether a server takes a request of this host now."""
--- a/src/gooseberrydeal/_internal/operations/router/server_limits.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_limits.py
@@ -73,6 +73,11 @@
         """Call a function with each limit that is new to this host, or was lifted."""
         self._on_change = on_change
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server has stated a limit that still counts."""
+        return not self._limited
+
     def note_request(self, service: ServiceName) -> None:
         """Count a request of a caller for a service."""
         self._demand.note_request(service, self._clock())
--- a/src/gooseberrydeal/_internal/operations/router/server_notices.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_notices.py
@@ -51,6 +51,11 @@
         self._notices: dict[ServerId, _Notice] = {}
         servers.add_start_listener(self._server_started)
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server has said anything that still counts."""
+        return not self._notices
+
     def is_leaving(self, record: ServerRecord) -> bool:
         """Return whether the server said that it leaves."""
         notice = self._find(record)
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -1,6 +1,6 @@
 """Hold the records of the backend servers of all services."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Sequence
 
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
@@ -26,6 +26,7 @@
         self._periods = ExchangePeriods()
         self._loads_in_progress: dict[ServerId, tuple[int, float]] = {}
         self._generation = 0
+        self._accepting: dict[ServiceName, tuple[ServerRecord, ...]] = {}
 
     @property
     def records(self) -> Iterable[ServerRecord]:
@@ -47,11 +48,17 @@
         """Return the record of a server, ``None`` if it is not known."""
         return self._records.get(server)
 
-    def of_service(self, service: ServiceName) -> Iterator[ServerRecord]:
-        """Yield the servers of a service that accept requests."""
-        for record in self._records.values():
-            if record.entry.service == service and record.accepts_requests:
-                yield record
+    def of_service(self, service: ServiceName) -> Sequence[ServerRecord]:
+        """Return the servers of a service that accept requests."""
+        found = self._accepting.get(service)
+        if found is None:
+            found = tuple(
+                record
+                for record in self._records.values()
+                if record.entry.service == service and record.accepts_requests
+            )
+            self._accepting[service] = found
+        return found
 
     def add_start_listener(self, on_start: Callable[[ServerEntry], None]) -> None:
         """Call a function with the entry of each server that registers after a start.
@@ -114,8 +121,12 @@
         if record is None:
             self._records[entry.id] = ServerRecord(entry, service, limit)
             self._generation += 1
-        else:
-            record.update(entry, service, limit, self._clock())
+            self._accepting.clear()
+            return
+        known = record.entry
+        record.update(entry, service, limit, self._clock())
+        if (known.service, known.state) != (entry.service, entry.state):
+            self._accepting.clear()
 
     def _drop(self, server: ServerId) -> None:
         self._loads_in_progress.pop(server, None)
@@ -123,6 +134,7 @@
         if record is not None:
             record.pool.retire()
             self._generation += 1
+            self._accepting.clear()
 
     def _connection_limit(self, entry: ServerEntry) -> int:
         if self._configuration is None:
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -196,7 +196,7 @@
             self._view.last_response_at,
             self._clock(),
         )
-        record = next(self._servers.of_service(service), None)
+        record = next(iter(self._servers.of_service(service)), None)
         if version is None or record is None:
             return None
         try:
