Let requests on an old adapter version start first at their engine

Cause: nothing kept such a request from waiting behind others, and older versions were used for 0.4 of the bound.

While a newer version is declared, a request on the older one carries the first rank, so that it is admitted before those that wait, and older versions are used for 0.3 of the bound. Few requests are concerned: those of one adapter until its newer version is loaded.

Failed before: the rank sent was that of the route.

--- a/src/gooseberrydeal/_internal/operations/router/assignment.py
+++ b/src/gooseberrydeal/_internal/operations/router/assignment.py
@@ -11,12 +11,14 @@
 class Assignment:
     """Hold the server of a request and the adapter copy that it uses there.
 
-    ``load_wait`` is the time, in seconds, that the request waited for a load.
+    ``load_wait`` is the time, in seconds, that the request waited for a load. With
+    ``is_superseded``, a newer version than that of the copy has been declared.
     """
 
     record: ServerRecord
     copy: AdapterCopyKey | None = None
     load_wait: float = 0.0
+    is_superseded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -54,7 +54,7 @@
 # Fraction of the adapter version bound after which only the newest version is used,
 # well before the bound itself. Until then an older version may serve requests while the
 # newest one loads.
-_OLD_VERSION_FRACTION: Final = 0.4
+_OLD_VERSION_FRACTION: Final = 0.3
 # For this fraction of the target latency a request waits rather than exceed the pause
 # limit of streams that are already running; after that the limit is ignored.
 _PAUSE_LIMIT_FRACTION: Final = 0.4
@@ -169,7 +169,10 @@
                     requested_at = (
                         now if pending_load is None else pending_load.requested_at
                     )
-                    return Assignment(record, copy, now - requested_at)
+                    newest = self._view.newest_version(copy.key)
+                    return Assignment(
+                        record, copy, now - requested_at, copy.version < newest
+                    )
                 if (cut_off := self._eligible.cut_off(request)) is not None:
                     return cut_off
                 eligible = self._eligible.find(request)
--- a/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
@@ -1,6 +1,7 @@
 """Send a request to a server."""
 
 from collections.abc import Callable
+from typing import Final
 
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
@@ -12,6 +13,10 @@
 from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 
+# A request must not begin on an old version once the newer one has to be in use, so it
+# does not wait behind others at the engine.
+_FIRST_RANK: Final = 0
+
 
 class RequestForwarder:
     """Encode the caller's request with the fields for its server, and send it.
@@ -50,7 +55,7 @@
         attributes = ForwardAttributes(
             server=assignment.record.id,
             seconds_left=request.deadline - self._clock(),
-            rank=request.route.rank,
+            rank=_FIRST_RANK if assignment.is_superseded else request.route.rank,
             adapter_version=copy.version if copy is not None and copy.adapter else 0,
             resume_after_event_id=self._events.last_event_id if is_resuming else None,
             forwards_last_event_id=request.route.is_resumable,
--- a/tests/functional/test_adapter_versions.py
+++ b/tests/functional/test_adapter_versions.py
@@ -1,11 +1,50 @@
 """Check which adapter version serves requests after a new one is declared."""
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
 
+from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
+from gooseberrydeal._internal.models.routing.http_heads import RequestHead
+from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.operations.router.assignment import Assignment
+from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
+from gooseberrydeal._internal.operations.router.request_forwarder import (
+    RequestForwarder,
+)
 from tests.lib.dispatch_world import VERSION_BOUND_SECONDS, DispatcherHarness
-from tests.lib.routing_builders import copy_key
+from tests.lib.routing_builders import copy_key, route, routed_request
 from tests.lib.virtual_loop import run_virtual
 
+_ROUTE_RANK = 3
+
+
+async def _sent_rank(harness: DispatcherHarness) -> int | None:
+    """Return the rank that a request carries to the engine that it is assigned."""
+    assignment = await harness.assign(route(rank=_ROUTE_RANK), 4.0)
+    assert isinstance(assignment, Assignment)
+    ranks = []
+
+    def forward_headers(head: RequestHead, attributes: ForwardAttributes) -> list[Any]:
+        ranks.append(attributes.rank)
+        return []
+
+    request = routed_request()
+    request.route = route(rank=_ROUTE_RANK)
+    head = RequestHead(b"POST", b"/a/b", (), True)
+    RequestForwarder(
+        request,
+        CallerExchange(head, b"", cast(Any, None)),
+        cast(Any, SimpleNamespace(forward_headers=forward_headers)),
+        EventSplitter(),
+        harness.now,
+    ).send(
+        assignment,
+        cast(Any, SimpleNamespace(send=lambda *_, **__: None)),
+        cast(Any, None),
+    )
+    return ranks[0]
+
 
 def test_the_old_version_serves_until_the_new_one_is_ready() -> None:
     async def scenario() -> None:
@@ -20,6 +59,21 @@
     run_virtual(scenario())
 
 
+def test_a_request_on_an_old_version_does_not_wait_behind_others_at_its_engine() -> (
+    None
+):
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.set_ready_copies(copy_key("a1", 1))
+        assert (await _sent_rank(harness)) == _ROUTE_RANK
+        harness.declare_version(2)
+        assert (await _sent_rank(harness)) == 0
+        harness.set_ready_copies(copy_key("a1", 1), copy_key("a1", 2))
+        assert (await _sent_rank(harness)) == _ROUTE_RANK
+
+    run_virtual(scenario())
+
+
 def test_the_old_version_serves_no_request_close_to_the_version_bound() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
