Watch declarations, and read other changes as seldom as the bounds allow

Servers rewrite their entries all the time, so each host reads all changes every 1.4 s, whatever the deployment allows, and a new configuration or adapter version was known 0.7 s after its acknowledgement on average.

Hosts now hold a watch of the operators' keys open, which returns when something is declared, and pause 1 s between its responses. All other changes are read after 0.6 of the time by which a configuration must be applied or a leaving server be left alone (settings of the platform): 1.8 s on the grown deployments, 2.4 s on the large one, 1.2 s at most where it is 2 s. The watch is an addition only: the reads return the same changes, after a silent connection, lost history or a restored store, whose older epoch is discarded.

When a response counts as an outage follows from that period; it was 2.5 s.

--- a/src/gooseberrydeal/_internal/models/routing/host_settings.py
+++ b/src/gooseberrydeal/_internal/models/routing/host_settings.py
@@ -12,13 +12,15 @@
     ``grace`` is the maximum time of a graceful shutdown. ``handover_gap`` is the
     minimum time between the orders of two successive owners of an engine.
     ``adapter_version`` is the maximum time until a newly declared adapter version is
-    in use. Within any ``retry_window``, all hosts together may send a service
+    in use, and ``store_change`` that until a change of the configuration or a leaving
+    server is heeded. Within any ``retry_window``, all hosts together may send a service
     ``retry_ratio`` retries per request, plus ``retry_slack``.
     """
 
     grace: float = 8.0
     handover_gap: float = 3.0
     adapter_version: float = 5.0
+    store_change: float = 2.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 50.0
--- a/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
@@ -14,6 +14,11 @@
 class MetadataDecoder(Protocol):
     """Decode the keys and values that the platform writes to the metadata store."""
 
+    @property
+    def declaration_prefix(self) -> str:
+        """Return how the keys begin under which operators declare."""
+        ...
+
     def configuration(self, item: StoreItem) -> RoutingConfiguration | None:
         """Return the configuration that an item holds, ``None`` for other items."""
         ...
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import (
@@ -89,7 +89,6 @@
             decoder, view, servers, lost_writes, clock, is_first_start=is_first_start
         )
         self._departed = DepartedServers(decoder, servers, lost_writes)
-        self._revision = 0
         self._removals = DelayedRemovals(self._remove_overdue_server, clock)
         self._host_removals = DelayedRemovals(self._remove_host, clock)
         self._availability = StoreAvailability(
@@ -103,18 +102,24 @@
         """Read all items, then watch for changes, until cancelled."""
         while True:
             try:
-                if self._revision == 0:
+                if self._view.revision == 0:
                     await self._read_all()
                 else:
                     await self._read_changes()
             except StoreHistoryError as error:
                 logger.info("rereading all metadata: %s", error)
-                self._revision = 0
+                self._view.revision = 0
             except StoreError as error:
                 self._availability.note_outage(error)
                 self._declared.use_newest()
                 await asyncio.sleep(_RETRY_DELAY_SECONDS * random.uniform(0.7, 1.3))
 
+    def apply_declarations(self, items: Iterable[StoreItem]) -> None:
+        """Apply changes of declarations that were read apart from the others."""
+        for item in items:
+            self._apply(item)
+        self._declared.use_newest()
+
     async def _read_all(self) -> None:
         started_at = self._clock()
         page = await self._store.list("")
@@ -148,7 +153,7 @@
             unowned = {record.id for record in self._servers.records}
             self._view.never_owned |= unowned - self._view.owners.keys()
         self._remove_unlisted(present)
-        self._revision = page.revision
+        self._view.revision = page.revision
         self._view.listed_at = self._clock()
         self._view.changes_read_until = started_at
         self._view.is_complete = True
@@ -157,7 +162,7 @@
     async def _read_changes(self) -> None:
         started_at = self._clock()
         page = await self._store.changes(
-            "", self._revision, _WATCH_WAIT_SECONDS, _WATCH_GRACE_SECONDS
+            "", self._view.revision, _WATCH_WAIT_SECONDS, _WATCH_GRACE_SECONDS
         )
         self._availability.note_response()
         for item in page.items:
@@ -165,7 +170,7 @@
             if server is not None and item.value is not None:
                 self._lost_writes.server_written(server)
             self._apply(item)
-        self._revision = max(self._revision, page.revision)
+        self._view.revision = max(self._view.revision, page.revision)
         self._declared.store_read()
         self._departed.update()
         self._view.changes_read_until = started_at
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -46,7 +46,9 @@
     followed. ``last_response_at`` is the time of the store's last response on the
     monotonic clock in seconds, 0 before the first. All changes since ``listed_at`` were
     read; some may have been missed before. All changes that were written before
-    ``changes_read_until`` were read, on the same clock.
+    ``changes_read_until`` were read, on the same clock. ``revision`` is that of the
+    last read, 0 while all items have to be read. ``change_bound`` is the time, in
+    seconds, by which hosts must act on a change in the store.
     """
 
     configuration: RoutingConfiguration | None = None
@@ -63,6 +65,8 @@
     starts_known_until: float = -math.inf
     listed_at: float = math.inf
     changes_read_until: float = -math.inf
+    revision: int = 0
+    change_bound: float = 2.0
 
     @property
     def is_settled(self) -> bool:
@@ -74,7 +78,7 @@
     @property
     def periods(self) -> ExchangePeriods:
         """Return the intervals of reports and store reads for this number of hosts."""
-        return ExchangePeriods.for_hosts(len(self.hosts))
+        return ExchangePeriods.for_hosts(len(self.hosts), self.change_bound)
 
     def newest_version(self, key: AdapterKey) -> int:
         """Return the newest declared version of an adapter, 0 if none is declared."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -25,6 +25,9 @@
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
 )
+from gooseberrydeal._internal.operations.router.declaration_watch import (
+    DeclarationWatch,
+)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.eligible_servers import (
     EligibleServers,
@@ -90,7 +93,7 @@
             rng.getrandbits(48),
         )
         self._metrics = RouterMetrics()
-        self._view = MetadataView()
+        self._view = MetadataView(change_bound=settings.bounds.store_change)
         self._servers = ServerTable(now)
         signal = ChangeSignal()
         self._report_exchange = ReportExchange(
@@ -165,6 +168,9 @@
             self._crash_protection.record_read,
             is_first_start=settings.is_first_start,
         )
+        self._declaration_watch = DeclarationWatch(
+            store, self._view, decoder.declaration_prefix, self._follower, now
+        )
         self._dispatcher = Dispatcher(
             self._servers,
             self._view,
@@ -239,6 +245,7 @@
         await self._peer_listener.start()
         await self._caller_listener.start()
         self._tasks.start(self._follower.run(), "metadata follower")
+        self._tasks.start(self._declaration_watch.run(), "declaration watch")
         self._tasks.start(self._lease_keeper.run(), "lease")
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
@@ -253,6 +260,7 @@
         """Apply changed settings; only changes of ``bounds`` take effect."""
         self._settings = settings
         self._handler.set_bounds(settings.bounds)
+        self._view.change_bound = settings.bounds.store_change
         self._dispatcher.set_version_bound(settings.bounds.adapter_version)
         self._ownership.set_handover_gap(settings.bounds.handover_gap)
 
--- a/src/gooseberrydeal/_internal/operations/router/store_availability.py
+++ b/src/gooseberrydeal/_internal/operations/router/store_availability.py
@@ -15,9 +15,9 @@
 
 # A server that starts registers, and a watch shows it, within this time.
 _REGISTRATION_SECONDS: Final = 3.0
-# Servers update their entries more often than this, so a longer gap between responses
-# means that the store was unavailable.
-_MAX_RESPONSE_GAP_SECONDS: Final = 2.5
+# Servers update their entries more often than this, so a response that comes so much
+# later than the next read was due means that the store was unavailable.
+_MAX_RESPONSE_DELAY_SECONDS: Final = 1.1
 
 
 class StoreAvailability:
@@ -58,9 +58,10 @@
     def note_response(self) -> None:
         """Record that the store answered a call that reads all changes."""
         now = self._clock()
+        longest_gap = self._view.periods.store_poll + _MAX_RESPONSE_DELAY_SECONDS
         had_gap = (
             self._view.last_response_at
-            and now - self._view.last_response_at > _MAX_RESPONSE_GAP_SECONDS
+            and now - self._view.last_response_at > longest_gap
         )
         if self._is_down or had_gap or not self._view.last_response_at:
             self._responding_since = now
--- a/src/gooseberrydeal/_internal/platform/boot_file.py
+++ b/src/gooseberrydeal/_internal/platform/boot_file.py
@@ -78,6 +78,10 @@
         handover_gap=from_milliseconds("leaseMs", defaults.handover_gap),
         # The platform spells this name in snake case, unlike the other bounds.
         adapter_version=from_milliseconds("version_ms", defaults.adapter_version),
+        store_change=min(
+            from_milliseconds("configApplyMs", defaults.store_change),
+            from_milliseconds("drainMs", defaults.store_change),
+        ),
         retry_ratio=number("retryBudgetRatio", defaults.retry_ratio),
         retry_window=number("budgetWindowS", defaults.retry_window),
         retry_slack=number("retryBudgetSlack", defaults.retry_slack),
--- a/src/gooseberrydeal/_internal/platform/metadata_names.py
+++ b/src/gooseberrydeal/_internal/platform/metadata_names.py
@@ -15,6 +15,7 @@
 )
 from gooseberrydeal._internal.platform.server_codec import decode_server
 
+_DECLARATION_PREFIX: Final = "op/"
 _CONFIGURATION_KEY: Final = "op/config"
 _VERSION_PREFIX: Final = "op/version/"
 _SERVER_PREFIX: Final = "servers/"
@@ -23,6 +24,11 @@
 class PlatformMetadataCodec:
     """Recognise the platform's keys and decode their values."""
 
+    @property
+    def declaration_prefix(self) -> str:
+        """Return how the keys begin under which operators declare."""
+        return _DECLARATION_PREFIX
+
     def configuration(self, item: StoreItem) -> RoutingConfiguration | None:
         """Return the routing configuration, or ``None`` if the item is something else.
 
--- a/src/gooseberrydeal/_internal/policy/exchange_periods.py
+++ b/src/gooseberrydeal/_internal/policy/exchange_periods.py
@@ -7,9 +7,10 @@
 # Up to this many hosts the shortest periods are cheap. Each host receives messages from
 # all others, so with more hosts the periods grow to keep the work per host about equal.
 _MAX_HOSTS_UNSCALED: Final = 16.0
-# With a store that answers within 0.2 s, this makes a leaving server known within the
-# two seconds allowed.
-_MAX_STORE_POLL_SECONDS: Final = 1.4
+# Fraction of the time by which hosts must act on a change in the store that may pass
+# before they read it. The rest is for the call, and for requests that are being sent.
+_STORE_POLL_FRACTION: Final = 0.6
+_DEFAULT_CHANGE_BOUND_SECONDS: Final = 2.0
 # An owner that stops sending is detected within about three heartbeats.
 _MAX_HEARTBEAT_SECONDS: Final = 1.0
 # An engine prefills its queued prompts in less time than this, so load updates that
@@ -38,9 +39,13 @@
 
     @classmethod
     @lru_cache(maxsize=64)
-    def for_hosts(cls, hosts: int) -> "ExchangePeriods":
+    def for_hosts(
+        cls, hosts: int, change_bound: float = _DEFAULT_CHANGE_BOUND_SECONDS
+    ) -> "ExchangePeriods":
         """Return the periods for a number of hosts.
 
+        Within ``change_bound`` seconds hosts must act on a change in the store.
+
         The periods grow with the number of hosts because in deployments of about 80
         hosts and engines the shortest periods used a tenth of a core and 4 MB/s over
         all links, even under light load.
@@ -50,7 +55,7 @@
             heartbeat=min(_MAX_HEARTBEAT_SECONDS, 0.4 * scale),
             collect=min(_MAX_COLLECT_SECONDS, 0.03 * scale),
             report=min(_MAX_REPORT_SECONDS, 0.25 * scale),
-            store_poll=min(_MAX_STORE_POLL_SECONDS, 0.8 * scale),
+            store_poll=min(change_bound * _STORE_POLL_FRACTION, 0.8 * scale),
             reports_all=hosts <= _MAX_HOSTS_UNSCALED,
         )
 
--- a/tests/functional/test_metadata_follower.py
+++ b/tests/functional/test_metadata_follower.py
@@ -4,105 +4,18 @@
 
 import pytest
 
-from gooseberrydeal._internal.exceptions import DeclarationError
-from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
-from gooseberrydeal._internal.models.routing.routing_configuration import (
-    RoutingConfiguration,
-)
-from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
-from gooseberrydeal._internal.models.routing.store_item import StoreItem
-from gooseberrydeal._internal.operations.router.metadata_follower import (
-    MetadataFollower,
-)
 from gooseberrydeal._internal.operations.router.metadata_view import (
     HOST_PREFIX,
-    MetadataView,
 )
-from gooseberrydeal._internal.operations.router.server_table import ServerTable
-from gooseberrydeal._internal.policy.lost_writes import LostWrites
-from gooseberrydeal._internal.utils.tasks import TaskOwner
-from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
-from tests.lib.routing_builders import configuration, membership, server_entry
+from tests.lib.follower_world import start_host
+from tests.lib.routing_builders import membership
 from tests.lib.virtual_loop import run_virtual
 
 
-class _Decoder:
-    """Decode values that are plain numbers; any other server entry is invalid.
-
-    The number is the version of a configuration or adapter, or the start of a server.
-    """
-
-    def configuration(self, item: StoreItem) -> RoutingConfiguration | None:
-        if item.key != "configuration" or item.value is None:
-            return None
-        return configuration(int(item.value))
-
-    def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
-        if not item.key.startswith("versions/") or item.value is None:
-            return None
-        return AdapterKey("base", item.key[9:]), int(item.value)
-
-    def server_id(self, key: str) -> ServerId | None:
-        return ServerId(key[8:]) if key.startswith("servers/") else None
-
-    def server_key(self, server: ServerId) -> str:
-        return f"servers/{server}"
-
-    def server(self, server: ServerId, value: bytes) -> ServerEntry:
-        if not value.isdigit():
-            raise DeclarationError([f"{server} is unreadable"])
-        return server_entry(server, started_at=int(value))
-
-
-class _Host:
-    def __init__(self, data: StoreData) -> None:
-        clock = asyncio.get_running_loop().time
-        self.data = data
-        self.store = FakeMetadataStore(data)
-        self.view = MetadataView()
-        self.servers = ServerTable(clock)
-        self.follower = MetadataFollower(
-            self.store,
-            _Decoder(),
-            self.view,
-            self.servers,
-            LostWrites(),
-            clock,
-            lambda: None,
-            lambda item: None,
-            is_first_start=True,
-        )
-        self.tasks = TaskOwner()
-        self.tasks.start(self.follower.run(), "follower")
-
-    def known_servers(self) -> set[str]:
-        return {str(record.id) for record in self.servers.records}
-
-    async def rewrite_entries(
-        self, seconds: float, servers: tuple[str, ...] = ("i-1",)
-    ) -> None:
-        """Rewrite the entries of the servers about once a second."""
-        for _ in range(int(seconds)):
-            for server in servers:
-                self.data.write(f"servers/{server}", b"1", None)
-            await asyncio.sleep(1.0)
-
-
-async def _start_host(*servers: str) -> _Host:
-    data = StoreData()
-    data.write("configuration", b"5", None)
-    for server in servers:
-        data.write(f"servers/{server}", b"1", None)
-    host = _Host(data)
-    await host.rewrite_entries(2.0, servers)
-    assert host.known_servers() == set(servers)
-    return host
-
-
 def test_a_server_that_leaves_is_removed_within_a_second() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1", "i-2")
+        host = await start_host("i-1", "i-2")
         host.data.write("servers/i-2", None, None)
         await host.rewrite_entries(1.0)
         assert host.known_servers() == {"i-1"}
@@ -112,7 +25,7 @@
 
 def test_servers_whose_entries_expired_in_an_outage_are_kept_for_a_while() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1", "i-2", "i-3")
+        host = await start_host("i-1", "i-2", "i-3")
         host.store.is_cut = True
         await asyncio.sleep(4.0)
         host.data.write("servers/i-2", None, None)
@@ -131,7 +44,7 @@
 def test_a_server_that_left_right_after_an_outage_is_removed_in_time() -> None:
     async def seconds_known_after(outage: float) -> float:
         """Return for how many seconds after the outage the server is still known."""
-        host = await _start_host("i-1", "i-2")
+        host = await start_host("i-1", "i-2")
         loop = asyncio.get_running_loop()
         host.store.is_cut = True
         await asyncio.sleep(outage)
@@ -157,10 +70,10 @@
 
 def test_all_items_are_read_again_after_the_history_was_compacted() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1", "i-2")
+        host = await start_host("i-1", "i-2")
         host.store.is_cut = True
         await asyncio.sleep(3.0)
-        host.data.write("configuration", b"9", None)
+        host.data.write("declared/configuration", b"9", None)
         host.data.write("servers/i-2", None, None)
         host.data.compact_history()
         host.store.is_cut = False
@@ -174,10 +87,10 @@
 
 def test_a_configuration_is_applied_soon_after_a_silent_store_recovers() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         host.store.is_silent = True
         await asyncio.sleep(6.0)
-        host.data.write("configuration", b"9", None)
+        host.data.write("declared/configuration", b"9", None)
         host.store.is_silent = False
         await host.rewrite_entries(2.0)
         assert host.view.configuration is not None
@@ -188,12 +101,12 @@
 
 def test_versions_never_decrease() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
-        host.data.write("configuration", b"8", None)
-        host.data.write("versions/a1", b"3", None)
+        host = await start_host("i-1")
+        host.data.write("declared/configuration", b"8", None)
+        host.data.write("declared/versions/a1", b"3", None)
         await host.rewrite_entries(1.0)
-        host.data.write("configuration", b"7", None)
-        host.data.write("versions/a1", b"2", None)
+        host.data.write("declared/configuration", b"7", None)
+        host.data.write("declared/versions/a1", b"2", None)
         await host.rewrite_entries(2.0)
         assert host.view.configuration is not None
         assert host.view.configuration.version == 8
@@ -204,7 +117,7 @@
 
 def test_an_unreadable_entry_affects_only_its_own_server() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1", "i-2")
+        host = await start_host("i-1", "i-2")
         host.data.write("servers/i-2", b"rubbish", None)
         host.data.write("servers/i-3", b"1", None)
         await host.rewrite_entries(1.0)
@@ -215,7 +128,7 @@
 
 def test_hosts_are_counted_until_they_had_time_to_register_again() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         for name in ("h1", "h2", "h3"):
             host.data.write(f"{HOST_PREFIX}{name}", membership(name).encode(), None)
         await host.rewrite_entries(2.0)
@@ -235,7 +148,7 @@
 
 def test_hosts_whose_leases_ran_out_in_an_outage_are_counted_for_a_while() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         for name in ("h1", "h2"):
             host.data.write(f"{HOST_PREFIX}{name}", membership(name).encode(), None)
         await host.rewrite_entries(2.0)
@@ -255,7 +168,7 @@
 
 def test_a_host_that_stops_is_no_longer_counted_at_once() -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         host.data.write(f"{HOST_PREFIX}h2", membership("h2").encode(), None)
         await host.rewrite_entries(2.0)
         host.data.write(f"{HOST_PREFIX}h2", None, None)
@@ -269,7 +182,7 @@
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         assert host.view.starts_known_until < started_at
         await host.rewrite_entries(3.0)
         assert host.view.starts_known_until > started_at
@@ -290,7 +203,7 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     async def scenario() -> None:
-        host = await _start_host("i-1")
+        host = await start_host("i-1")
         for value in (b"odd", b"odd", b"odd", b"1", b"odd"):
             host.data.write("servers/i-2", value, None)
             await host.rewrite_entries(2.0)
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -59,6 +59,10 @@
     def server_id(self, key: str) -> ServerId | None:
         return ServerId(key[8:]) if key.startswith("servers/") else None
 
+    @property
+    def declaration_prefix(self) -> str:
+        return "op/"
+
     def server_key(self, server: ServerId) -> str:
         return f"servers/{server}"
 
--- a/tests/lib/restored_world.py
+++ b/tests/lib/restored_world.py
@@ -52,6 +52,10 @@
             return None
         return ServerId(key.removeprefix(SERVER_PREFIX))
 
+    @property
+    def declaration_prefix(self) -> str:
+        return "op/"
+
     def server_key(self, server: ServerId) -> str:
         return SERVER_PREFIX + server
 
--- a/tests/lib/stream_world.py
+++ b/tests/lib/stream_world.py
@@ -70,6 +70,10 @@
     def server_id(self, key: str) -> ServerId | None:
         return ServerId(key.removeprefix("servers/"))
 
+    @property
+    def declaration_prefix(self) -> str:
+        return "op/"
+
     def server_key(self, server: ServerId) -> str:
         return f"servers/{server}"
 
