Pass requests on to a host with a place at brittle servers

Cause: places are dealt to hosts, and a host served only what its own places allow.

One that has no free place either refuses as busy within a round trip and is not avoided for that, since a place is free again when a response ends; four are asked at most. It never passes on again, so requests travel over two hosts at most, and a server gets no more than the places dealt.

Where hosts' views differ, the second host goes by its own places and refuses.

--- a/src/gooseberrydeal/_internal/operations/router/assignment.py
+++ b/src/gooseberrydeal/_internal/operations/router/assignment.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -23,7 +24,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NoAssignment:
-    """Hold the reason for a refusal and the ``Retry-After`` time in seconds."""
+    """Hold the reason for a refusal and the ``Retry-After`` time in seconds.
+
+    ``other_hosts`` are those that may serve the request instead of this one.
+    """
 
     reason: RefusalReason
     retry_after: float
+    other_hosts: tuple[HostId, ...] = ()
--- a/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
@@ -10,7 +10,10 @@
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
-from gooseberrydeal._internal.policy.place_division import divide_places
+from gooseberrydeal._internal.policy.place_division import (
+    divide_places,
+    place_holders,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -124,6 +127,12 @@
             statement.stated_at = now
             self._drop_ended(now)
 
+    def other_holders(self, service: ServiceName) -> tuple[HostId, ...]:
+        """Return the other hosts that have places at a service's servers."""
+        slots = [record.entry.slots for record in self._servers.of_service(service)]
+        holders = place_holders({self._own, *self._hosts()}, slots)
+        return tuple(host for host in holders if host != self._own)
+
     def place_released(self, record: ServerRecord) -> None:
         """Wake the first request that waits for a place at a server of this service."""
         waiting = self._waiting.get(record.entry.service, ())
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -134,7 +134,11 @@
                 reason = RefusalReason.STREAM_VERSION_GONE
             return NoAssignment(reason, _RETRY_AFTER_SECONDS)
         if self.lack_places(eligible):
-            return NoAssignment(RefusalReason.SERVER_BUSY, _FULL_RETRY_AFTER_SECONDS)
+            return NoAssignment(
+                RefusalReason.SERVER_BUSY,
+                _FULL_RETRY_AFTER_SECONDS,
+                self._brittle.other_holders(request.service),
+            )
         first = min(eligible, key=self._seconds_until_free)
         wait = self._notices.seconds_to_wait(first)
         if wait > 0.0:
--- a/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -19,6 +19,7 @@
     {
         RefusalReason.NO_SERVER,
         RefusalReason.SERVERS_UNREACHABLE,
+        RefusalReason.SERVER_BUSY,
         RefusalReason.SHUTTING_DOWN,
         RefusalReason.NO_CONFIGURATION,
         RefusalReason.UNKNOWN_OPERATION,
@@ -57,9 +58,15 @@
         self._on_reply = on_reply
         self._is_relaying = False
         self._is_refused = False
+        self._refusal: RefusalReason | None = None
         loop = asyncio.get_running_loop()
         self._done: asyncio.Future[PeerOutcome] = loop.create_future()
 
+    @property
+    def refusal(self) -> RefusalReason | None:
+        """Return why the host refused the request, ``None`` if it did not."""
+        return self._refusal
+
     async def outcome(self) -> PeerOutcome:
         """Wait for the end of the reply and return the outcome."""
         try:
@@ -71,6 +78,7 @@
         """Start relaying the reply, unless another host may serve the request."""
         reply = decode_peer_reply(head.headers)
         self._on_reply(reply)
+        self._refusal = reply.refusal
         if reply.refusal in _OTHERS_MAY_SERVE:
             self._is_refused = True
             return
--- a/src/gooseberrydeal/_internal/operations/router/peer_relay.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_relay.py
@@ -1,8 +1,8 @@
-"""Pass requests on to other hosts if no server can be reached from this one."""
+"""Pass requests on to other hosts if this one has no server for them."""
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import (
@@ -10,6 +10,7 @@
     ServerUnreachableError,
 )
 from gooseberrydeal._internal.models.ids import HostId, ServiceName
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
@@ -36,7 +37,7 @@
 
 
 class PeerRelay:
-    """Find a host that reaches servers of a service, and relay its reply.
+    """Find a host that has a server for a request, and relay its reply.
 
     A host passes on only what its own callers sent, so that no request travels over
     more than two hosts.
@@ -62,12 +63,18 @@
         self._peers: dict[HostId, PeerHost] = {}
 
     async def serve(
-        self, request: RoutedRequest, exchange: CallerExchange
+        self,
+        request: RoutedRequest,
+        exchange: CallerExchange,
+        among: Collection[HostId] | None = None,
     ) -> PeerOutcome:
-        """Pass a request on and relay the reply; it has not run if none takes it."""
+        """Pass a request on and relay the reply; it has not run if none takes it.
+
+        Only the hosts ``among`` are asked, all if that is ``None``.
+        """
         refused_by: set[HostId] = set()
         while len(refused_by) < _MAX_HOSTS:
-            peer = self._choose(request.service, refused_by)
+            peer = self._choose(request.service, refused_by, among)
             if peer is None:
                 break
             outcome = await self._pass_on(peer, request, exchange)
@@ -82,13 +89,20 @@
         for peer in self._peers.values():
             peer.pool.close()
 
-    def _choose(self, service: ServiceName, refused_by: set[HostId]) -> PeerHost | None:
+    def _choose(
+        self,
+        service: ServiceName,
+        refused_by: set[HostId],
+        among: Collection[HostId] | None,
+    ) -> PeerHost | None:
         now = self._clock()
         own = self._membership
         peers = {
             host: self._peer(membership)
             for host, membership in self._view.hosts.items()
-            if host != own.host and host not in refused_by
+            if host != own.host
+            and host not in refused_by
+            and (among is None or host in among)
         }
         for host in self._peers.keys() - self._view.hosts.keys():
             self._peers.pop(host).pool.retire()
@@ -144,14 +158,15 @@
             peer.end()
         peer.pool.release(connection)
         logger.info(
-            "request passed on to host %s, as no server can be reached from here: %s",
+            "request passed on to host %s, as this one has no server for it: %s",
             host,
             outcome.value,
             extra=fields,
         )
         if outcome is PeerOutcome.NOT_TAKEN:
             request.send_count -= 1
-            peer.note_failure(request.service, self._clock())
+            if attempt.refusal is not RefusalReason.SERVER_BUSY:
+                peer.note_failure(request.service, self._clock())
         elif outcome is PeerOutcome.SERVED:
             peer.note_served(request.service)
         return outcome
--- a/src/gooseberrydeal/_internal/operations/router/second_host.py
+++ b/src/gooseberrydeal/_internal/operations/router/second_host.py
@@ -1,7 +1,8 @@
 """Pass one request on to another host."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
+from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.operations.router.assignment import NoAssignment
@@ -16,10 +17,11 @@
 
 
 class SecondHost:
-    """Let another host serve a request for which no server can be reached here.
+    """Let another host serve a request for which this one has no server.
 
-    A request that another host has passed on is not passed on again, nor is one whose
-    reply has begun.
+    That is so if none can be reached from here, or if this host has no free place at
+    servers that must not be sent more than they have room for. A request that another
+    host has passed on is not passed on again, nor is one whose reply has begun.
     """
 
     def __init__(
@@ -46,13 +48,19 @@
         """
         request = self._request
         is_cut_off = refusal.reason is RefusalReason.SERVERS_UNREACHABLE
-        if not is_cut_off or request.peer is not None:
+        may_pass_on = is_cut_off or refusal.other_hosts
+        if not may_pass_on or request.peer is not None:
             self._failure.reject(refusal.reason, refusal.retry_after)
             return False
-        request.uses_unreachable = not await self._pass_on()
-        return request.uses_unreachable
+        is_taken = await self._pass_on(refusal.other_hosts or None)
+        if is_cut_off:
+            request.uses_unreachable = not is_taken
+            return request.uses_unreachable
+        if not is_taken:
+            self._failure.reject(refusal.reason, refusal.retry_after)
+        return False
 
-    async def _pass_on(self) -> bool:
+    async def _pass_on(self, among: Collection[HostId] | None) -> bool:
         request = self._request
         if self._exchange.is_started:
             return False
@@ -60,7 +68,7 @@
             request, self._consume_retry, self._clock
         ):
             return False
-        outcome = await self._peers.serve(request, self._exchange)
+        outcome = await self._peers.serve(request, self._exchange, among)
         if outcome is PeerOutcome.LOST:
             self._failure.server_failed()
         return outcome is not PeerOutcome.NOT_TAKEN
--- a/src/gooseberrydeal/_internal/policy/place_division.py
+++ b/src/gooseberrydeal/_internal/policy/place_division.py
@@ -25,3 +25,11 @@
         shares[server] = max(0, (places[server] - first + count - 1) // count)
         dealt += places[server]
     return shares
+
+
+def place_holders(hosts: Iterable[HostId], places: Iterable[int]) -> list[HostId]:
+    """Return the hosts that have a place at some server, as they are dealt.
+
+    Designed for more hosts than places, where the others have to pass requests on.
+    """
+    return sorted(set(hosts))[: sum(places)]
--- a/tests/functional/test_brittle_servers.py
+++ b/tests/functional/test_brittle_servers.py
@@ -14,6 +14,9 @@
 # The platform's bound: servers may let fewer wait from this time after the notice.
 _STABLE_SECONDS = 3.0
 _BRITTLE_SECONDS = 8.0
+_MANY_HOSTS = 24
+_FEW_SERVERS = 3
+_MANY_HOSTS_LOAD = 0.75
 _CAPACITY_PER_SECOND = _SERVERS * PLACES / _SERVICE_SECONDS
 
 
@@ -56,6 +59,29 @@
     assert statuses.keys() <= {200, 503} | given_up
 
 
+def test_hosts_without_a_place_at_brittle_servers_pass_their_requests_on() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        cluster = BrittleCluster(_MANY_HOSTS, _FEW_SERVERS, 3.0, _SERVICE_SECONDS)
+        async with cluster:
+            for server in cluster.brittle_servers:
+                server.is_brittle = True
+                server.shrinks_at = loop.time() + _STABLE_SECONDS
+            for host in cluster.host_names * 2:
+                await cluster.call(host, b"notice")
+            capacity = _FEW_SERVERS * PLACES / _SERVICE_SECONDS
+            rate = _MANY_HOSTS_LOAD * capacity
+            calls = int(rate * _BRITTLE_SECONDS)
+            statuses = await cluster.call_steadily(
+                calls, 1 / rate, b"steady", ("/safe/a",)
+            )
+            assert cluster.falls == 0
+            assert statuses[200] >= 0.9 * calls
+            assert statuses.keys() <= {200, 503}
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
+
+
 def test_requests_are_not_refused_for_the_fall_of_a_brittle_server() -> None:
     async def run() -> None:
         async with BrittleCluster(hosts=2, servers=2, down_seconds=0.5) as cluster:
--- a/tests/unit/test_place_division.py
+++ b/tests/unit/test_place_division.py
@@ -4,7 +4,10 @@
 from hypothesis import strategies as st
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
-from gooseberrydeal._internal.policy.place_division import divide_places
+from gooseberrydeal._internal.policy.place_division import (
+    divide_places,
+    place_holders,
+)
 
 _SERVERS = st.dictionaries(
     st.sampled_from([f"s{n}" for n in range(9)]).map(ServerId), st.integers(0, 40)
@@ -23,3 +26,11 @@
         assert sum(share[server] for share in shares) == count
     totals = [sum(share.values()) for share in shares]
     assert max(totals) - min(totals) <= 1
+
+
+@given(_HOSTS, _SERVERS)
+def test_the_holders_are_those_that_have_a_place(
+    hosts: list[HostId], places: dict[ServerId, int]
+) -> None:
+    having = [h for h in hosts if sum(divide_places(h, hosts, places).values())]
+    assert place_holders(hosts, places.values()) == sorted(having)
