Read host records and evidence that have fields of a later version

A host that is upgraded could not be seen by those of the version before if its record got a field: a record of the hosts in the store was valid with exactly four fields, and so were the items of crash evidence, limits and isolated requests in datagrams. No version has added such a field yet; the next one could not have.

Fields after the known ones are now skipped there too, as in all other messages.

--- a/src/gooseberrydeal/_internal/models/routing/host_membership.py
+++ b/src/gooseberrydeal/_internal/models/routing/host_membership.py
@@ -28,7 +28,7 @@
     def decode(cls, data: bytes) -> "HostMembership":
         """Parse a stored record; raise ``ValueError`` if it is malformed."""
         try:
-            host, domain, address, incarnation = decode_list(data)
+            host, domain, address, incarnation = decode_list(data)[:4]
             return cls(
                 HostId(str(host)),
                 DomainName(str(domain)),
--- a/src/gooseberrydeal/_internal/network/crash_codec.py
+++ b/src/gooseberrydeal/_internal/network/crash_codec.py
@@ -56,12 +56,12 @@
             _parse_crashes(crashes),
             int(milliseconds_ago) / 1000,
         )
-        for outline, body, milliseconds_ago, crashes in items
+        for outline, body, milliseconds_ago, crashes, *_ in items
     )
 
 
 def _parse_crashes(items: list[Any]) -> Mapping[CrashId, bool]:
     return {
         CrashId(ServerId(str(server)), int(started_at), int(number)): bool(is_refuted)
-        for server, started_at, number, is_refuted in items
+        for server, started_at, number, is_refuted, *_ in items
     }
--- a/src/gooseberrydeal/_internal/network/isolation_codec.py
+++ b/src/gooseberrydeal/_internal/network/isolation_codec.py
@@ -35,7 +35,7 @@
         ServerId(str(server)),
         tuple(
             RequestFeature(bytes(outline), bytes(content))
-            for outline, content in features
+            for outline, content, *_ in features
         ),
         IsolationState(state),
     )
--- a/src/gooseberrydeal/_internal/network/limit_codec.py
+++ b/src/gooseberrydeal/_internal/network/limit_codec.py
@@ -36,7 +36,7 @@
         HostId(str(host)),
         {
             ServiceName(str(service)): max(0, int(demand)) / 1000
-            for service, demand in demands
+            for service, demand, *_ in demands
         },
         tuple(
             LimitStatement(
@@ -45,7 +45,7 @@
                 None if limit is None else max(0, int(limit)) / 1000,
                 max(0, int(milliseconds_ago)) / 1000,
             )
-            for server, started_at, limit, milliseconds_ago in statements
+            for server, started_at, limit, milliseconds_ago, *_ in statements
         ),
     )
 
