Pause longer between two responses of the watch of declarations

The first of several declarations is what must be known at once; the others come with the paced read of all changes, after 1.8 s there. The watch now pauses 3 s after a response instead of 1 s.

--- a/src/gooseberrydeal/_internal/operations/router/declaration_watch.py
+++ b/src/gooseberrydeal/_internal/operations/router/declaration_watch.py
@@ -19,8 +19,8 @@
 # How long the store may hold a watch request open when nothing is declared.
 _WATCH_WAIT_SECONDS: Final = 20.0
 _WATCH_GRACE_SECONDS: Final = 1.2
-# Declarations that follow one another are read together.
-_PAUSE_SECONDS: Final = 1.0
+# Declarations that follow one another soon are known with the next paced read.
+_PAUSE_SECONDS: Final = 3.0
 # How often it is checked whether the watch can begin.
 _RECHECK_SECONDS: Final = 0.3
 
