Leave engines whose batch is full out of the checks of waiting requests

Engines whose batch is full, which take no request in any case, are not described. A wait for a status uses one timer instead of a task's wait. The choices are the same; a property test compares them.

--- a/src/gooseberrydeal/_internal/operations/router/change_signal.py
+++ b/src/gooseberrydeal/_internal/operations/router/change_signal.py
@@ -12,12 +12,15 @@
 
     async def wait(self, topic: Hashable, seconds: float) -> None:
         """Return when the topic is notified or ``seconds`` have passed."""
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[None] = loop.create_future()
         waiters = self._waiters.setdefault(topic, set())
         waiters.add(future)
+        timer = loop.call_later(seconds, _wake, future)
         try:
-            await asyncio.wait((future,), timeout=seconds)
+            await future
         finally:
+            timer.cancel()
             waiters.discard(future)
             if not waiters and self._waiters.get(topic) is waiters:
                 del self._waiters[topic]
@@ -25,5 +28,9 @@
     def notify(self, topic: Hashable) -> None:
         """Wake all waiters of a topic."""
         for future in self._waiters.get(topic, ()):
-            if not future.done():
-                future.set_result(None)
+            _wake(future)
+
+
+def _wake(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -38,6 +38,7 @@
     EngineDecision,
     RequestSize,
     choose_engine,
+    is_batch_full,
 )
 from gooseberrydeal._internal.policy.plain_server_choice import (
     PlainCandidate,
@@ -280,7 +281,10 @@
         candidates = [
             engine_candidate(record, copy, self._domain, pause_limit, now)
             for record in records
+            if not is_batch_full(record.load.requests(now), record.entry.slots)
         ]
+        if records and not candidates:
+            return EngineDecision(EngineAction.WAIT)
         limited = set()
         if not self._limits.is_empty:
             limited = {r.id for r in records if self._limits.is_limited(r)}
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -112,7 +112,7 @@
 
         An engine without other requests accepts one of any size.
         """
-        if self.requests >= self.batch_size * _MAX_BATCH_FRACTION:
+        if is_batch_full(self.requests, self.batch_size):
             return False
         if self.pending_prefill_tokens >= self.pending_prefill_limit:
             return False
@@ -163,6 +163,15 @@
     cost_seconds: float = 0.0
 
 
+def is_batch_full(requests: float, batch_size: int) -> bool:
+    """Return whether an engine with so many requests takes none in any case.
+
+    Such engines need not be described any further. Designed for crests, in which most
+    engines are full and each waiting request checks them again and again.
+    """
+    return requests >= batch_size * _MAX_BATCH_FRACTION
+
+
 def pending_prefill_limit(
     longest_pause: float, event_tokens: int, slowdown: float
 ) -> float:
--- a/tests/unit/test_engine_choice.py
+++ b/tests/unit/test_engine_choice.py
@@ -3,12 +3,16 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.policy.engine_choice import (
     EngineAction,
+    EngineCandidate,
     RequestSize,
     choose_engine,
+    is_batch_full,
     pending_prefill_limit,
 )
 from tests.lib.routing_builders import candidate, copy_key
@@ -149,3 +153,33 @@
         pending[found.server] += 650
     mean = sum(pending.values()) / len(pending)
     assert max(pending.values()) < 2 * mean
+
+
+_ENGINES = st.lists(
+    st.builds(
+        candidate,
+        st.sampled_from([f"i-{number}" for number in range(6)]),
+        requests=st.floats(0.0, 140.0),
+        pending_prefill_tokens=st.floats(0.0, 9_000.0),
+        tokens=st.floats(0.0, 150_000.0),
+        copy=st.sampled_from([None, *CopyState]),
+        can_load=st.booleans(),
+        accepts_load_orders=st.booleans(),
+        is_warm=st.booleans(),
+        has_model=st.booleans(),
+    ),
+    min_size=1,
+    unique_by=lambda item: item.server,
+)
+
+
+@given(_ENGINES)
+def test_engines_whose_batch_is_full_change_no_choice(
+    engines: list[EngineCandidate],
+) -> None:
+    others = [e for e in engines if not is_batch_full(e.requests, e.batch_size)]
+    found = choose_engine(copy_key(), SIZE, engines)
+    if others:
+        assert found == choose_engine(copy_key(), SIZE, others)
+    else:
+        assert found.action is EngineAction.WAIT
