Tell hosts that pass requests on that servers are still brittle

Cause: a host that passes all its requests on hears nothing from the servers itself, and a notice that nothing confirms is forgotten after 10 s. It then sends to the servers as if they were sound, with the other hosts without a place, and they turn more away than they bear. With a retention of 2 s the same play let 4 servers fall over.

The reply of a second host now says so if its server stated that it is brittle (Gooseberrydeal-Brittle), which confirms the notice.

Now: 0 falls with both retentions. Failed before: 4 falls with 2 s, 0 allowed.

--- a/src/gooseberrydeal/_internal/models/routing/peer_reply.py
+++ b/src/gooseberrydeal/_internal/models/routing/peer_reply.py
@@ -13,8 +13,10 @@
     ``refusal`` is ``None`` if the reply is that of a server. ``in_progress`` is the
     number of requests that the host serves, ``None`` if it does not say. ``leaving``
     names the server of the reply and its start if it stated that it leaves.
+    ``is_brittle`` says whether the server stated that it is brittle.
     """
 
     refusal: RefusalReason | None = None
     in_progress: int | None = None
     leaving: tuple[ServerId, int] | None = None
+    is_brittle: bool = False
--- a/src/gooseberrydeal/_internal/network/http1/peer_fields.py
+++ b/src/gooseberrydeal/_internal/network/http1/peer_fields.py
@@ -11,13 +11,17 @@
 from gooseberrydeal._internal.models.routing.http_heads import Header
 from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
+from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 
 _HOST: Final = b"gooseberrydeal-host"
 _MAX_SERVERS: Final = b"gooseberrydeal-max-servers"
 _REFUSAL: Final = b"gooseberrydeal-refusal"
 _IN_PROGRESS: Final = b"gooseberrydeal-in-progress"
 _LEAVING: Final = b"gooseberrydeal-leaving"
-PEER_FIELDS: Final = frozenset({_HOST, _MAX_SERVERS, _REFUSAL, _IN_PROGRESS, _LEAVING})
+_BRITTLE: Final = b"gooseberrydeal-brittle"
+PEER_FIELDS: Final = frozenset(
+    {_HOST, _MAX_SERVERS, _REFUSAL, _IN_PROGRESS, _LEAVING, _BRITTLE}
+)
 _MAX_DIGITS: Final = 18
 
 
@@ -52,6 +56,19 @@
     return (_LEAVING, f"{server} {started_at}".encode())
 
 
+def brittle_field() -> Header:
+    """Return the field of a reply whose server states that it is brittle."""
+    return (_BRITTLE, b"1")
+
+
+def notice_fields(
+    server: ServerId, started_at: int, attributes: ResponseAttributes
+) -> list[Header]:
+    """Return the fields for what a server states of itself in a response."""
+    fields = [leaving_field(server, started_at)] if attributes.is_leaving else []
+    return [*fields, brittle_field()] if attributes.is_brittle else fields
+
+
 def decode_peer_reply(headers: Iterable[Header]) -> PeerReply:
     """Return what a host says of a request; malformed fields count as absent."""
     fields = {name.lower(): value for name, value in headers}
@@ -64,7 +81,8 @@
     leaving = None
     if server and start is not None:
         leaving = ServerId(server.decode("latin-1")), start
-    return PeerReply(refusal, _number(fields.get(_IN_PROGRESS, b"")), leaving)
+    in_progress = _number(fields.get(_IN_PROGRESS, b""))
+    return PeerReply(refusal, in_progress, leaving, _BRITTLE in fields)
 
 
 def _number(value: bytes) -> int | None:
--- a/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
@@ -133,6 +133,14 @@
         holders = place_holders({self._own, *self._hosts()}, slots)
         return tuple(host for host in holders if host != self._own)
 
+    def confirmed_elsewhere(self, service: ServiceName) -> None:
+        """Record that a server of a service told another host that it is brittle.
+
+        A host that passes all its requests on hears nothing from the servers itself.
+        """
+        if service in self._brittle_until:
+            self._brittle_until[service] = self._clock() + _RETENTION_SECONDS
+
     def place_released(self, record: ServerRecord) -> None:
         """Wake the first request that waits for a place at a server of this service."""
         waiting = self._waiting.get(record.entry.service, ())
--- a/src/gooseberrydeal/_internal/operations/router/peer_relay.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_relay.py
@@ -20,6 +20,7 @@
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.brittle_servers import BrittleServers
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.peer_attempt import (
     PeerAttempt,
@@ -49,6 +50,7 @@
         view: MetadataView,
         codec: RelayCodec,
         notices: ServerNotices,
+        brittle: BrittleServers,
         metrics: RouterMetrics,
         clock: Callable[[], float],
         rng: random.Random,
@@ -57,6 +59,7 @@
         self._view = view
         self._codec = codec
         self._notices = notices
+        self._brittle = brittle
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -143,7 +146,7 @@
             return PeerOutcome.NOT_TAKEN
 
         def on_reply(reply: PeerReply) -> None:
-            self._note_reply(peer, reply)
+            self._note_reply(peer, request.service, reply)
 
         attempt = PeerAttempt(exchange, self._codec, connection, on_reply)
         peer.begin()
@@ -189,8 +192,12 @@
         data = encode_request(head.method, head.target, headers, exchange.body)
         connection.send(data, attempt, is_head_request=head.method == b"HEAD")
 
-    def _note_reply(self, peer: PeerHost, reply: PeerReply) -> None:
+    def _note_reply(
+        self, peer: PeerHost, service: ServiceName, reply: PeerReply
+    ) -> None:
         if reply.in_progress is not None:
             peer.note_load(reply.in_progress, self._clock())
         if reply.leaving is not None:
             self._notices.note_leaving(*reply.leaving)
+        if reply.is_brittle:
+            self._brittle.confirmed_elsewhere(service)
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -8,7 +8,7 @@
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
-from gooseberrydeal._internal.network.http1.peer_fields import leaving_field
+from gooseberrydeal._internal.network.http1.peer_fields import notice_fields
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
@@ -277,9 +277,8 @@
         """Record what the head of a response says of the request and its server."""
         times = self._times
         times.head_at = self._clock()
-        if attributes.is_leaving:
-            entry = record.entry
-            self._exchange.add_peer_field(leaving_field(entry.id, entry.started_at))
+        for field in notice_fields(record.id, record.entry.started_at, attributes):
+            self._exchange.add_peer_field(field)
         self._continuation.note_response(status, record, connection)
         self._has_response_begun = True
         self._asked_to_wait = attributes.wait_seconds is not None
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -200,8 +200,9 @@
             self._crash_protection.detector.probed,
             rng,
         )
+        brittle = self._dispatcher.eligible.brittle
         self._peers = PeerRelay(
-            membership, self._view, codec, notices, self._metrics, now, rng
+            membership, self._view, codec, notices, brittle, self._metrics, now, rng
         )
         self._handler = RequestHandler(
             self._view,
--- a/tests/functional/test_brittle_servers.py
+++ b/tests/functional/test_brittle_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberrydeal._internal.operations.router import brittle_servers
 from tests.lib.brittle_server import PLACES, BrittleCluster
 
 _HOSTS = 6
@@ -60,6 +61,19 @@
 
 
 def test_hosts_without_a_place_at_brittle_servers_pass_their_requests_on() -> None:
+    _play_more_hosts_than_places()
+
+
+def test_hosts_that_pass_all_requests_on_do_not_forget_that_servers_are_brittle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(brittle_servers, "_RETENTION_SECONDS", 2.0)
+    _play_more_hosts_than_places()
+
+
+def _play_more_hosts_than_places() -> None:
+    """Send more hosts than brittle servers have places most of what these can serve."""
+
     async def run() -> None:
         loop = asyncio.get_running_loop()
         cluster = BrittleCluster(_MANY_HOSTS, _FEW_SERVERS, 3.0, _SERVICE_SECONDS)
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -172,6 +172,7 @@
                 self.view,
                 PlatformRelayCodec(),
                 self.notices,
+                dispatcher.eligible.brittle,
                 self.metrics,
                 clock,
                 random.Random(5),
--- a/tests/unit/test_peer_fields.py
+++ b/tests/unit/test_peer_fields.py
@@ -10,6 +10,7 @@
 from gooseberrydeal._internal.models.routing.http_heads import Header, RequestHead
 from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
+from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.network.http1.framing import end_to_end_headers
 from gooseberrydeal._internal.network.http1.peer_fields import (
     PEER_FIELDS,
@@ -17,12 +18,13 @@
     decode_peer_request,
     encode_peer_request,
     in_progress_field,
-    leaving_field,
+    notice_fields,
     refusal_field,
 )
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
 from gooseberrydeal._internal.policy.peer_choice import PeerCandidate, choose_peer
 
+_NOTICES = ResponseAttributes("q1", False, False, is_leaving=True, is_brittle=True)
 _NAMES = st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1)
 
 
@@ -40,9 +42,9 @@
     fields = [
         refusal_field(reason),
         in_progress_field(load),
-        leaving_field(ServerId(server), start),
+        *notice_fields(ServerId(server), start, _NOTICES),
     ]
-    expected = PeerReply(reason, load, (ServerId(server), start))
+    expected = PeerReply(reason, load, (ServerId(server), start), is_brittle=True)
     assert decode_peer_reply(fields) == expected
 
 
