Tell all hosts that used an engine of changes of its load again

Cause: a host considers engines that it used a moment ago for its next request. Without the changes between two heartbeats its view of them was up to a second old, and prompts queued behind prompts of other hosts.

Changes go to the hosts of the last 2.4 s again.

--- a/src/gooseberrydeal/_internal/operations/router/engine_demand.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_demand.py
@@ -31,14 +31,6 @@
         """Return the hosts that have reported recently."""
         return self._usages.keys()
 
-    def active_hosts(self) -> list[HostId]:
-        """Return the hosts that have requests on the engine, or wait for a load."""
-        return [
-            host
-            for host, (_, usage) in self._usages.items()
-            if usage.requests or usage.load_requests
-        ]
-
     def apply(
         self, host: HostId, usage: EngineUsage, now: float
     ) -> list[tuple[AdapterCopyKey, int]]:
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -61,7 +61,7 @@
             self._slowdown, self._demand.slowdown()
         ):
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self._collect_seconds(), self._publish_load)
+            self._timer = loop.call_later(self._collect_seconds(), self.publish)
 
     def publish(self) -> None:
         """Publish a status now instead of the scheduled one."""
@@ -72,12 +72,6 @@
         """Publish a status now to one host, which has not had one recently."""
         self._publish(self._next_status(), (host,))
 
-    def _publish_load(self) -> None:
-        """Publish a status to the hosts that have requests for the engine now."""
-        self.cancel()
-        hosts = self._demand.active_hosts()
-        self._publish(self._next_status(), hosts)
-
     def _next_status(self) -> EngineStatus:
         now = self._clock()
         self._pending_prefill_tokens = self._demand.pending_prefill_tokens()
