Do not pass requests on that have waited long for a place

Found by reading: a request that waited for a place at brittle engines until half of its time was gone was passed on, waited as long again of what was left at each of four hosts, and was refused when nearly all of its time had passed, with nothing left for its caller to come back.

A request is passed on for a place only within its target latency; later it is refused at once. Failed before: the hosts to ask were named after that time.

--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
@@ -127,17 +128,22 @@
     def refusal(
         self, request: RoutedRequest, eligible: Sequence[ServerRecord]
     ) -> NoAssignment:
-        """Return the refusal of a request that none of the eligible servers takes."""
+        """Return the refusal of a request that none of the eligible servers takes.
+
+        A request that has waited for a place for long is not passed on to wait again.
+        """
         if not eligible:
             reason = RefusalReason.NO_SERVER
             if request.origin is not None:
                 reason = RefusalReason.STREAM_VERSION_GONE
             return NoAssignment(reason, _RETRY_AFTER_SECONDS)
         if self.lack_places(eligible):
+            waited = self._clock() - request.arrived_at
+            other_hosts: tuple[HostId, ...] = ()
+            if waited < request.route.target_latency:
+                other_hosts = self._brittle.other_holders(request.service)
             return NoAssignment(
-                RefusalReason.SERVER_BUSY,
-                _FULL_RETRY_AFTER_SECONDS,
-                self._brittle.other_holders(request.service),
+                RefusalReason.SERVER_BUSY, _FULL_RETRY_AFTER_SECONDS, other_hosts
             )
         first = min(eligible, key=self._seconds_until_free)
         wait = self._notices.seconds_to_wait(first)
--- a/tests/functional/test_dispatcher.py
+++ b/tests/functional/test_dispatcher.py
@@ -7,11 +7,12 @@
 
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.operations.router.assignment import NoAssignment
 from gooseberrydeal._internal.operations.router.engine_scope import EngineScope
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from tests.lib.dispatch_world import DispatcherHarness
-from tests.lib.routing_builders import route
+from tests.lib.routing_builders import membership, route, routed_request
 from tests.lib.virtual_loop import run_virtual
 
 
@@ -32,6 +33,31 @@
     run_virtual(scenario())
 
 
+def test_a_request_that_waited_for_a_place_in_vain_is_not_passed_on_to_wait_again() -> (
+    None
+):
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        other_host = membership("h2")
+        harness.view.hosts[other_host.host] = other_host
+        (record,) = harness.servers.records
+        brittle = harness.dispatcher.eligible.brittle
+        notice = ResponseAttributes("q0", False, False, is_brittle=True)
+        brittle.response_received(record, notice, harness.now())
+        while brittle.has_place(record):
+            record.load.begin(0)
+        request = routed_request()
+        request.arrived_at = harness.now()
+        refusal = harness.dispatcher.eligible.refusal(request, [record])
+        assert refusal.other_hosts == (other_host.host,)
+        await asyncio.sleep(request.route.target_latency + 0.01)
+        refusal = harness.dispatcher.eligible.refusal(request, [record])
+        assert refusal.reason is RefusalReason.SERVER_BUSY
+        assert refusal.other_hosts == ()
+
+    run_virtual(scenario())
+
+
 def test_a_request_that_waits_for_a_load_asks_no_further_engines(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
