Report each change of a slowdown in small deployments again

Cause, as plays without processor time suggest (one each): reports and statuses that a small change of the slowdown brought had the counts of requests and prompts too, on which hosts with few engines base their choice.

Up to 16 hosts, where all hosts hear everything, any difference counts again. Larger deployments keep the threshold. Failed before: none of three changes was reported at once.

--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -122,7 +122,9 @@
         """Report soon if an engine's pending prefill or slowdown changed enough."""
         reported = self._reported_pending_prefill.get(record.id, 0)
         slowdown_changed = has_slowdown_changed(
-            self._reported_slowdown.get(record.id, 1.0), record.load.slowdown
+            self._reported_slowdown.get(record.id, 1.0),
+            record.load.slowdown,
+            reports_all=self._view.periods.reports_all,
         )
         pending_prefill_changed = (
             abs(record.load.own_pending_prefill - reported)
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -12,6 +12,7 @@
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
+from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
 
 # If the tokens of prompts that wait for prefill have changed by more than this, about
@@ -31,7 +32,7 @@
         slots: AdapterSlots,
         may_load: Callable[[], bool],
         base_models: Callable[[], Collection[str]],
-        collect_seconds: Callable[[], float],
+        periods: Callable[[], ExchangePeriods],
         publish: StatusSender,
         clock: Callable[[], float],
     ) -> None:
@@ -42,7 +43,7 @@
         self._slots = slots
         self._may_load = may_load
         self._base_models = base_models
-        self._collect_seconds = collect_seconds
+        self._periods = periods
         self._publish = publish
         self._clock = clock
         self._sequence = 0
@@ -57,11 +58,12 @@
         change = abs(
             self._demand.pending_prefill_tokens() - self._pending_prefill_tokens
         )
+        periods = self._periods()
         if change > _PUBLISH_THRESHOLD_TOKENS or has_slowdown_changed(
-            self._slowdown, self._demand.slowdown()
+            self._slowdown, self._demand.slowdown(), reports_all=periods.reports_all
         ):
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self._collect_seconds(), self.publish)
+            self._timer = loop.call_later(periods.collect, self.publish)
 
     def publish(self) -> None:
         """Publish a status now instead of the scheduled one."""
--- a/src/gooseberrydeal/_internal/policy/load_change.py
+++ b/src/gooseberrydeal/_internal/policy/load_change.py
@@ -7,9 +7,13 @@
 _SLOWDOWN_CHANGE_FRACTION: Final = 0.1
 
 
-def has_slowdown_changed(reported: float, current: float) -> bool:
+def has_slowdown_changed(reported: float, current: float, *, reports_all: bool) -> bool:
     """Return whether the slowdown differs enough from the one reported last.
 
-    Designed for hundreds of hosts whose responses each state a slowdown.
+    Designed for hundreds of hosts whose responses each state a slowdown. Where all
+    hosts hear everything, any change is worth a message, which has the other counts
+    of the engine's load too.
     """
+    if reports_all:
+        return current != reported
     return abs(current - reported) > reported * _SLOWDOWN_CHANGE_FRACTION
--- a/tests/functional/test_engine_reports.py
+++ b/tests/functional/test_engine_reports.py
@@ -157,6 +157,23 @@
     _run(40, 20, scenario)
 
 
+def test_small_deployments_report_each_change_of_a_slowdown() -> None:
+    async def scenario(fleet: EngineFleet) -> None:
+        host = fleet.hosts[-1]
+        record = host.record(0)
+        now = asyncio.get_running_loop().time
+        record.begin(copy_key("a1"), 100, 100)
+        await asyncio.sleep(0.3)
+        sent_before = fleet.sent[host.member.host]
+        for slowdown in (1.02, 0.99, 1.04):
+            record.load.report(1, slowdown, now())
+            host.exchange.usage_changed(record)
+            await asyncio.sleep(0.05)
+        assert fleet.sent[host.member.host] >= sent_before + 3
+
+    _run(8, 8, scenario)
+
+
 def test_more_engines_are_considered_the_longer_a_request_waits() -> None:
     async def scenario(fleet: EngineFleet) -> None:
         host = fleet.hosts[-1]
