--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -285,9 +285,7 @@
         ]
         if records and not candidates:
             return EngineDecision(EngineAction.WAIT)
-        limited = set()
-        if not self._limits.is_empty:
-            limited = {r.id for r in records if self._limits.is_limited(r)}
+        limited = {r.id for r in records if self._limits.is_limited(r)}
         if limited and len(limited) < len(records):
             candidates = [
                 replace(item, can_load=False, accepts_load_orders=False)
