--- /dev/null
+++ b/review/2/two_holders.py
@@ -0,0 +1,141 @@
+"""A host that claimed an engine is killed before its first order may be sent."""
+
+import asyncio
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib"))
+
+from deployment import HOST, Record, start_routers, temporary_folder, wait_ready  # noqa: E402
+from engines import ModelEngine  # noqa: E402
+from store import Store  # noqa: E402
+from traffic import Answer, MODEL, configuration, send_forever  # noqa: E402
+
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+OWNER_KEY = "gooseberrydeal/owners/i-1"
+LEASE_MS = 3000
+# The longest time for which the store turns some machines away.
+TURNED_AWAY_SECONDS = 9.0
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+
+
+def owner_of(store: Store) -> str | None:
+    item = store.items.get(OWNER_KEY)
+    return None if item is None else json.loads(item.value)[0]
+
+
+async def play(record: Record, folder: Path) -> int:
+    orders: list[tuple[float, str, int]] = []
+    renewals: dict[str, float] = {}
+
+    def on_call(machine: str, method: str, target: str, body: bytes, status: int) -> None:
+        if "/kv-keep/" in target and status == 200:
+            renewals[machine] = time.monotonic()
+        elif method == "POST":
+            text = body.decode() if "owners" in body.decode() else ""
+            record.write("store", {"machine": machine, "call": target, "status": status, "body": text})
+
+    def on_event(what: str, details: dict) -> None:
+        record.write(what, details)
+        if what == "order":
+            orders.append((record.now(), details["holder"], details["fencingToken"]))
+
+    store = Store(on_call)
+    expiry = asyncio.create_task(store.expire_forever())
+    engine = ModelEngine("i-1", "models", "z1", MODEL, 17, on_event)
+    await engine.open(HOST)
+    store.put("op/config", configuration())
+    routers = await start_routers(store, ["edge-1", "edge-2", "edge-3"], "z1", folder)
+    store.put("servers/i-1", engine.entry())
+
+    async def beat() -> None:
+        while True:
+            await asyncio.sleep(1.2)
+            store.put("servers/i-1", engine.entry())
+
+    tasks = [expiry, asyncio.create_task(beat())]
+    alive = set(routers)
+    try:
+        ready = await asyncio.gather(*map(wait_ready, routers.values()))
+        while (owner := owner_of(store)) is None and record.now() < 20:
+            await asyncio.sleep(0.02)
+        if not all(ready) or owner is None:
+            return NOT_RUN
+
+        def on_answer(answer: Answer) -> None:
+            record.write("answer", {"id": answer.request_id, "status": answer.status, "whole": answer.is_whole})
+
+        tasks.append(
+            asyncio.create_task(
+                send_forever(
+                    lambda: [routers[name].front for name in sorted(alive)],
+                    "ask",
+                    400,
+                    40.0,
+                    on_answer,
+                )
+            )
+        )
+        await asyncio.sleep(6.0)
+        if not any(holder == owner for _, holder, _ in orders):
+            return NOT_RUN
+        if HAS_TROUBLE:
+            # Just before the next renewal, so that the lease ends meanwhile.
+            last = renewals[owner]
+            while renewals[owner] == last:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(1.0)
+            record.write("the store turns a machine away", {"machine": owner})
+            store.refused.add(owner)
+            asyncio.get_running_loop().call_later(
+                TURNED_AWAY_SECONDS, store.refused.discard, owner
+            )
+            until = time.monotonic() + 12.0
+            while (second := owner_of(store)) in (owner, None):
+                if time.monotonic() > until:
+                    return NOT_RUN
+                await asyncio.sleep(0.005)
+            record.write("kill", {"machine": second})
+            alive.discard(second)
+            await routers[second].kill()
+            await routers[second].start(is_first=False)
+            await wait_ready(routers[second])
+            alive.add(second)
+            record.write("back", {"machine": second})
+        await asyncio.sleep(8.0)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*(router.kill() for router in routers.values()))
+    return judge(record, orders)
+
+
+def judge(record: Record, orders: list[tuple[float, str, int]]) -> int:
+    verdict = HELD
+    for before, after in zip(orders, orders[1:]):
+        gap_ms = (after[0] - before[0]) * 1000
+        if before[1] != after[1]:
+            is_broken = gap_ms < LEASE_MS
+            verdict = BROKEN if is_broken else verdict
+            text = f"orders of {before[1]} and {after[1]} are {gap_ms:.0f} ms apart"
+            record.write("ONE broken" if is_broken else "hand-over", {"what": text})
+            print(("ONE broken: " if is_broken else "hand-over: ") + text)
+    print(f"{len(orders)} orders; exit {verdict}")
+    return verdict
+
+
+def main() -> int:
+    with temporary_folder() as name:
+        record = Record(FOLDER)
+        code = asyncio.run(play(record, Path(name)))
+        if os.environ.get("KEEP_LOGS"):
+            os.system(f"cp {name}/*.log /tmp/")
+        return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
