--- a/review/2/two_holders.py
+++ b/review/2/two_holders.py
@@ -132,8 +132,6 @@
     with temporary_folder() as name:
         record = Record(FOLDER)
         code = asyncio.run(play(record, Path(name)))
-        if os.environ.get("KEEP_LOGS"):
-            os.system(f"cp {name}/*.log /tmp/")
         return code
 
 
