--- a/review/2/two_holders.py
+++ b/review/2/two_holders.py
@@ -10,7 +10,16 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from deployment import HOST, Record, start_routers, temporary_folder, wait_ready  # noqa: E402
+from deployment import (  # noqa: E402
+    BROKEN,
+    HELD,
+    HOST,
+    NOT_RUN,
+    Record,
+    run_case,
+    start_routers,
+    wait_ready,
+)
 from engines import ModelEngine  # noqa: E402
 from store import Store  # noqa: E402
 from traffic import Answer, MODEL, configuration, send_forever  # noqa: E402
@@ -20,7 +29,6 @@
 LEASE_MS = 3000
 # The longest time for which the store turns some machines away.
 TURNED_AWAY_SECONDS = 9.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def owner_of(store: Store) -> str | None:
@@ -128,12 +136,5 @@
     return verdict
 
 
-def main() -> int:
-    with temporary_folder() as name:
-        record = Record(FOLDER)
-        code = asyncio.run(play(record, Path(name)))
-        return code
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, play))
--- a/review/3/slow_reader.py
+++ b/review/3/slow_reader.py
@@ -10,7 +10,17 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from deployment import HOST, Record, start_routers, temporary_folder, wait_ready  # noqa: E402
+from deployment import (  # noqa: E402
+    BROKEN,
+    HELD,
+    HOST,
+    NOT_RUN,
+    Record,
+    Router,
+    run_case,
+    start_routers,
+    wait_ready,
+)
 from engines import PlainServer  # noqa: E402
 from slow_client import Received, receive  # noqa: E402
 from store import Store  # noqa: E402
@@ -24,7 +34,6 @@
 BUFFER_BYTES = 98_304
 ROUNDS = 3
 GRACE_SECONDS = 8.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 async def play_round(router: Router, record: Record) -> Received:
@@ -84,10 +93,5 @@
     return verdict
 
 
-def main() -> int:
-    with temporary_folder() as name:
-        return asyncio.run(play(Record(FOLDER), Path(name)))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, play))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -8,12 +8,16 @@
 import sys
 import tempfile
 import time
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+# Exit codes of a case.
+HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 def free_ports(count: int) -> list[int]:
@@ -166,6 +170,13 @@
     return False
 
 
-def temporary_folder() -> tempfile.TemporaryDirectory:
-    """Return a folder for settings and logs that is removed at the end."""
-    return tempfile.TemporaryDirectory(prefix="review-")
+def run_case(folder: Path, play: Callable[[Record, Path], Awaitable[int]]) -> int:
+    """Play a case; return its exit code, 2 if it could not run."""
+    record = Record(folder)
+    try:
+        with tempfile.TemporaryDirectory(prefix="review-") as name:
+            return asyncio.run(play(record, Path(name)))
+    except Exception:
+        traceback.print_exc()
+        record.write("the case could not run", {"error": traceback.format_exc()})
+        return NOT_RUN
