--- a/review/2/two_holders.py
+++ b/review/2/two_holders.py
@@ -16,6 +16,7 @@
     HOST,
     NOT_RUN,
     Record,
+    Router,
     run_case,
     start_routers,
     wait_ready,
@@ -29,6 +30,7 @@
 LEASE_MS = 3000
 # The longest time for which the store turns some machines away.
 TURNED_AWAY_SECONDS = 9.0
+ROUNDS = 3
 
 
 def owner_of(store: Store) -> str | None:
@@ -36,6 +38,46 @@
     return None if item is None else json.loads(item.value)[0]
 
 
+async def play_round(
+    store: Store,
+    routers: dict[str, Router],
+    renewals: dict[str, float],
+    alive: set[str],
+    record: Record,
+) -> bool:
+    """Turn the holder away from the store, and kill the machine that claims next.
+
+    Return whether there was such a machine.
+    """
+    owner = owner_of(store)
+    if owner is None:
+        return False
+    # Turned away just before its next renewal, so that its lease ends meanwhile.
+    last = renewals[owner]
+    while renewals[owner] == last:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(1.0)
+    record.write("the store turns a machine away", {"machine": owner})
+    store.refused.add(owner)
+    asyncio.get_running_loop().call_later(
+        TURNED_AWAY_SECONDS, store.refused.discard, owner
+    )
+    until = time.monotonic() + 12.0
+    while (second := owner_of(store)) in (owner, None):
+        if time.monotonic() > until:
+            return False
+        await asyncio.sleep(0.005)
+    record.write("kill", {"machine": second})
+    alive.discard(second)
+    await routers[second].kill()
+    await routers[second].start(is_first=False)
+    await wait_ready(routers[second])
+    alive.add(second)
+    record.write("back", {"machine": second})
+    await asyncio.sleep(5.0)
+    return True
+
+
 async def play(record: Record, folder: Path) -> int:
     orders: list[tuple[float, str, int]] = []
     renewals: dict[str, float] = {}
@@ -91,30 +133,11 @@
         await asyncio.sleep(6.0)
         if not any(holder == owner for _, holder, _ in orders):
             return NOT_RUN
-        if HAS_TROUBLE:
-            # Just before the next renewal, so that the lease ends meanwhile.
-            last = renewals[owner]
-            while renewals[owner] == last:
-                await asyncio.sleep(0.005)
-            await asyncio.sleep(1.0)
-            record.write("the store turns a machine away", {"machine": owner})
-            store.refused.add(owner)
-            asyncio.get_running_loop().call_later(
-                TURNED_AWAY_SECONDS, store.refused.discard, owner
-            )
-            until = time.monotonic() + 12.0
-            while (second := owner_of(store)) in (owner, None):
-                if time.monotonic() > until:
-                    return NOT_RUN
-                await asyncio.sleep(0.005)
-            record.write("kill", {"machine": second})
-            alive.discard(second)
-            await routers[second].kill()
-            await routers[second].start(is_first=False)
-            await wait_ready(routers[second])
-            alive.add(second)
-            record.write("back", {"machine": second})
-        await asyncio.sleep(8.0)
+        for _ in range(ROUNDS):
+            if not HAS_TROUBLE:
+                await asyncio.sleep(16.0)
+            elif not await play_round(store, routers, renewals, alive, record):
+                return NOT_RUN
     finally:
         for task in tasks:
             task.cancel()
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -22,7 +22,7 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free for TCP and UDP, one after the other."""
-    for first in range(21_000 + os.getpid() % 8_000, 60_000, count):
+    for first in range(20_000 + os.getpid() * 16 % 10_000, 32_000, count):
         sockets = []
         try:
             for port in range(first, first + count):
@@ -170,12 +170,26 @@
     return False
 
 
+async def _play_until_signal(
+    play: Callable[[Record, Path], Awaitable[int]], record: Record, folder: Path
+) -> int:
+    """Play a case; SIGTERM and SIGINT end it and all that it started."""
+    task = asyncio.ensure_future(play(record, folder))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        return NOT_RUN
+
+
 def run_case(folder: Path, play: Callable[[Record, Path], Awaitable[int]]) -> int:
     """Play a case; return its exit code, 2 if it could not run."""
     record = Record(folder)
     try:
         with tempfile.TemporaryDirectory(prefix="review-") as name:
-            return asyncio.run(play(record, Path(name)))
+            return asyncio.run(_play_until_signal(play, record, Path(name)))
     except Exception:
         traceback.print_exc()
         record.write("the case could not run", {"error": traceback.format_exc()})
