Add cases of the review: a silent server, an engine past its slots, a late version

Answers of sound servers that fall silent for a second are cut: 12 of 12. Six requests of six begin on an old version 5.2 to 5.5 s after the new one at an engine that keeps what was closed.

--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -8,7 +8,11 @@
 
 from http_messages import Message, encode_response, listen, read_request
 
-_LOAD_SECONDS = 0.1
+_LOAD_SECONDS = 0.25
+
+
+def _adapter(name: str) -> str:
+    return name.partition("@")[0]
 
 
 class ModelEngine:
@@ -25,11 +29,15 @@
         model: str,
         slots: int,
         on_event: Callable[[str, dict], None],
+        *,
+        drops_closed: bool = True,
     ) -> None:
         self.name = name
         self.service = service
         self.zone = zone
         self.model = model
+        self.queue_seconds = 0.0
+        self._drops_closed = drops_closed
         self.slots = slots
         self.address = ""
         self._on_event = on_event
@@ -83,7 +91,7 @@
             elif request.target == "/-/order":
                 self._answer_json(writer, self._order(json.loads(request.body)), {})
             else:
-                await self._run(request, writer)
+                await self._run(request, reader, writer)
 
     def _answer_json(
         self, writer: asyncio.StreamWriter, status: int, body: dict
@@ -97,7 +105,7 @@
             return 409
         name = f"{order.get('adapter', '')}@{order.get('version', 1)}"
         if order["operation"] == "unload":
-            held = [n for n in self._ready_at if n.partition("@")[0] == order["adapter"]]
+            held = [n for n in self._ready_at if _adapter(n) == order["adapter"]]
             self._sequence += 1
             used = [n for n in held if self._running[n]]
             self._unloading.update(used)
@@ -105,27 +113,53 @@
                 del self._ready_at[idle]
             return 202 if used else 200
         if name not in self._ready_at:
+            # Another version of the adapter gives its place to this one.
+            for other in [n for n in self._ready_at if _adapter(n) == _adapter(name)]:
+                del self._ready_at[other]
             self._ready_at[name] = time.monotonic() + _LOAD_SECONDS
             if len(self._ready_at) > self.slots:
                 self._on_event("too many adapters", {"engine": self.name})
         self._sequence += 1
         return 202
 
-    async def _run(self, request: Message, writer: asyncio.StreamWriter) -> None:
+    async def _run(
+        self,
+        request: Message,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         adapter = request.headers.get("x-model", "").partition("/")[2]
-        name = f"{adapter}@{request.headers.get('x-expect-version', '1')}"
-        headers = {"X-Request-Id": request.headers.get("x-request-id", "")}
+        version = request.headers.get("x-expect-version", "1")
+        name = f"{adapter}@{version}"
+        request_id = request.headers.get("x-request-id", "")
+        headers = {"X-Request-Id": request_id}
+        seconds_left = int(request.headers.get("x-deadline-ms", "10000")) / 1000
+        not_run = {**headers, "X-Not-Executed": "1"}
         if self._ready_at.get(name, float("inf")) > time.monotonic():
-            headers["X-Not-Executed"] = "1"
-            writer.write(encode_response(421, headers, b""))
+            writer.write(encode_response(421, not_run, b""))
             return
-        self._on_event("run", {"engine": self.name, "id": headers["X-Request-Id"]})
+        if self.queue_seconds:
+            details = {"engine": self.name, "id": request_id, "version": version}
+            self._on_event("queued", details)
+            await asyncio.sleep(min(self.queue_seconds, seconds_left))
+            if self.queue_seconds >= seconds_left:
+                writer.write(encode_response(503, not_run, b""))
+                return
+            if self._drops_closed and reader.at_eof():
+                self._on_event("dropped", {"engine": self.name, "id": request_id})
+                return
+            if name not in self._ready_at:
+                writer.write(encode_response(421, not_run, b""))
+                return
+        self._on_event(
+            "run", {"engine": self.name, "id": request_id, "version": version}
+        )
         self._running[name] += 1
         try:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                 b"Transfer-Encoding: chunked\r\nX-Response-Seal: s\r\n"
-                + f"X-Request-Id: {headers['X-Request-Id']}\r\n\r\n".encode()
+                + f"X-Request-Id: {request_id}\r\n\r\n".encode()
             )
             for number in range(1, 4):
                 event = f"id: {number}\ndata: {adapter}\n\n".encode()
@@ -140,7 +174,7 @@
 
 
 class PlainServer:
-    """Answer requests of a plain service after a short time."""
+    """Answer requests of a plain service, maybe with a silence in the middle."""
 
     def __init__(
         self,
@@ -150,6 +184,7 @@
         on_event: Callable[[str, dict], None],
         work_seconds: float = 0.02,
         body: bytes = b"x" * 800,
+        silence_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.service = service
@@ -158,6 +193,7 @@
         self._on_event = on_event
         self._work_seconds = work_seconds
         self._body = body
+        self._silence_seconds = silence_seconds
         self._born = int(time.time() * 1000)
 
     async def open(self, host: str) -> None:
@@ -192,5 +228,11 @@
             self._on_event("run", {"server": self.name, "id": request_id})
             await asyncio.sleep(self._work_seconds)
             headers["X-Response-Seal"] = "s"
-            writer.write(encode_response(200, headers, self._body))
+            data = encode_response(200, headers, self._body)
+            middle = len(data) - len(self._body) // 2
+            writer.write(data[:middle])
+            if self._silence_seconds:
+                await asyncio.sleep(self._silence_seconds)
+            writer.write(data[middle:])
             await writer.drain()
+            self._on_event("answered whole", {"server": self.name, "id": request_id})
