--- a/review/2/full_engine.py
+++ b/review/2/full_engine.py
@@ -1,4 +1,4 @@
-"""An engine's owner is killed just after it filled the last slot for adapters."""
+"""The store turns an engine's owner away while the last slot has just been filled."""
 
 import asyncio
 import json
@@ -28,6 +28,8 @@
 SLOTS = 17
 OWNER_KEY = "gooseberrydeal/owners/i-1"
 HEARTBEAT_SECONDS = 1.2
+# The longest time for which the store turns some machines away.
+TURNED_AWAY_SECONDS = 9.0
 
 
 async def play(record: Record, folder: Path) -> int:
@@ -82,14 +84,17 @@
         last = asyncio.create_task(ask(other, f"a{SLOTS}"))
         async with asyncio.timeout(5.0):
             await filled.wait()
-        await asyncio.sleep(0.2)
+        # The owner reads the store every 0.8 s, and so that heartbeat, but not the next.
+        heartbeat_at = beat_at + HEARTBEAT_SECONDS
+        await asyncio.sleep(heartbeat_at + 1.0 - time.monotonic())
         if HAS_TROUBLE:
-            record.write("kill", {"machine": owner})
-            await routers[owner].kill()
-            await routers[owner].start(is_first=False)
-            await wait_ready(routers[owner])
-            record.write("back", {"machine": owner})
-        await asyncio.sleep(0.6)
+            record.write("the store turns a machine away", {"machine": owner})
+            store.refused.add(owner)
+            asyncio.get_running_loop().call_later(
+                TURNED_AWAY_SECONDS, store.refused.discard, owner
+            )
+        # Nothing new is asked for, so the owner gives no orders.
+        await asyncio.sleep(4.0)
         await asyncio.gather(
             last, *(ask(other, f"a{number}") for number in range(SLOTS + 1, SLOTS + 5))
         )
