--- a/review/2/full_engine.py
+++ b/review/2/full_engine.py
@@ -48,7 +48,7 @@
     await engine.open(HOST)
     store.put("servers/i-1", engine.entry())
     store.put("op/config", configuration(adapter_slots=SLOTS))
-    routers = await start_routers(store, ["edge-1", "edge-2"], "z1", folder)
+    routers = await start_routers(store, ["edge-1", "edge-2", "edge-3"], "z1", folder)
     beat_at = time.monotonic()
 
     async def beat() -> None:
