--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -18,6 +18,9 @@
 HOST = "127.0.0.1"
 # Exit codes of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A case may take 120 seconds; one that takes longer than this could not run.
+MAX_CASE_SECONDS = 112.0
+_STARTED: list[asyncio.subprocess.Process] = []
 
 
 def free_ports(count: int) -> list[int]:
@@ -98,6 +101,7 @@
             stdout=log,
             stderr=log,
         )
+        _STARTED.append(self._process)
         log.close()
 
     async def kill(self, number: signal.Signals = signal.SIGKILL) -> int:
@@ -179,9 +183,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
     try:
-        return await task
+        return await asyncio.wait_for(task, MAX_CASE_SECONDS)
     except asyncio.CancelledError:
         return NOT_RUN
+    finally:
+        for process in _STARTED:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
 
 
 def run_case(folder: Path, play: Callable[[Record, Path], Awaitable[int]]) -> int:
