Read a reused connection to a server again that a slow caller had paused

Callers could see: a request that waits until its deadline at a sound server.

Cause: while the caller's buffer is full, the connection to the server is not read. If the end of the response arrives together with the bytes that fill the buffer, the response ends while the connection is paused. Its callback was then removed and the connection went back to the pool, where nothing reads it again. The next request on it never gets its response.

Evidence: by reading; three attempts to meet it over real sockets did not (bodies of 250 kB and 8 MB, a caller that stops reading). test_reply_relay.py checks the new class, so it could not be run on the code before.

Fix: ReplyRelay, which servers' responses and replies of other hosts share from now on in place of two copies, reads the connection again when a response ends.

--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -20,6 +20,7 @@
     is_event_stream,
     outcome_of_head,
 )
+from gooseberrydeal._internal.operations.router.reply_relay import ReplyRelay
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 
 logger = logging.getLogger(__name__)
@@ -53,7 +54,6 @@
         on_head: Callable[[int, ResponseAttributes], None],
         on_answering: Callable[[], None],
     ) -> None:
-        self._exchange = exchange
         self._codec = codec
         self._record = assignment.record
         self._copy = assignment.copy
@@ -66,7 +66,7 @@
         if last_event and request.route.is_resumable:
             events.resume_after(last_event)
         self._is_resuming = exchange.is_started
-        self._is_relaying = False
+        self._relay = ReplyRelay(exchange, codec, connection)
         self._is_named = False
         self._is_event_stream = False
         self._rejection: AttemptOutcome | None = None
@@ -179,7 +179,7 @@
         if self._last_body_at:
             self._longest_pause = max(self._longest_pause, now - self._last_body_at)
         self._last_body_at = now
-        if not self._is_relaying:
+        if not self._relay.is_active:
             self._discard(data)
             return
         self._check_answering(now)
@@ -191,7 +191,7 @@
             self._has_relayed_event |= bool(data.strip())
             if self._events.is_overfull:
                 self._stop("an event of the stream has no end", AttemptOutcome.CUT)
-        self._exchange.write(data)
+        self._relay.write(data)
 
     def response_ended(self, end: ResponseEnd) -> None:
         """Finish the caller's reply, or set the outcome of the failed attempt."""
@@ -207,11 +207,11 @@
                 # A repetition of this response could not be told from another's.
                 self._connection.abort()
             self._finish(self._rejection)
-        elif not self._is_relaying:
+        elif not self._relay.is_active:
             self._finish(AttemptOutcome.LOST)
         elif end.is_whole and not is_broken_off:
-            self._exchange.write(self._events.rest())
-            self._exchange.finish()
+            self._relay.write(self._events.rest())
+            self._relay.finish()
             self._finish(AttemptOutcome.SERVED)
         else:
             self._events.rest()
@@ -256,31 +256,19 @@
         self._sent_excess_bytes = True
         self._finish(outcome)
 
-    def _set_backpressure(self, is_full: bool) -> None:
-        """Pause reading from the server while the caller's send buffer is full."""
-        if is_full:
-            self._connection.pause()
-        else:
-            self._connection.resume()
-
     def _abandon(self) -> None:
         self._connection.abort()
         self._events.rest()
-        self._exchange.set_backpressure_callback(None)
+        self._relay.stop()
         if not self._done.done():
             self._done.cancel()
 
     def _start_relay(self, head: ResponseHead) -> None:
-        self._is_relaying = True
         if self._copy is not None:
             self._record.note_present(self._copy)
-        self._exchange.set_backpressure_callback(self._set_backpressure)
-        if self._is_resuming:
-            return
-        headers = self._codec.reply_headers(head)
-        self._exchange.start(head.status, head.reason, headers, head.content_length)
+        self._relay.start(head)
 
     def _finish(self, outcome: AttemptOutcome) -> None:
-        self._exchange.set_backpressure_callback(None)
+        self._relay.stop()
         if not self._done.done():
             self._done.set_result(outcome)
--- a/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -13,6 +13,7 @@
 from gooseberrydeal._internal.network.http1.response_sink import ResponseEnd
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.operations.router.reply_relay import ReplyRelay
 
 # Another host may serve a request that a host refused for one of these reasons.
 _OTHERS_MAY_SERVE: Final = frozenset(
@@ -52,11 +53,8 @@
         connection: ServerConnection,
         on_reply: Callable[[PeerReply], None],
     ) -> None:
-        self._exchange = exchange
-        self._codec = codec
-        self._connection = connection
+        self._relay = ReplyRelay(exchange, codec, connection)
         self._on_reply = on_reply
-        self._is_relaying = False
         self._is_refused = False
         self._refusal: RefusalReason | None = None
         loop = asyncio.get_running_loop()
@@ -72,7 +70,7 @@
         try:
             return await self._done
         finally:
-            self._exchange.set_backpressure_callback(None)
+            self._relay.stop()
 
     def head_received(self, head: ResponseHead) -> None:
         """Start relaying the reply, unless another host may serve the request."""
@@ -82,33 +80,24 @@
         if reply.refusal in _OTHERS_MAY_SERVE:
             self._is_refused = True
             return
-        self._is_relaying = True
-        self._exchange.set_backpressure_callback(self._set_backpressure)
-        headers = self._codec.reply_headers(head)
-        self._exchange.start(head.status, head.reason, headers, head.content_length)
+        self._relay.start(head)
 
     def body_received(self, data: bytes) -> None:
         """Relay a part of the body."""
-        if self._is_relaying:
-            self._exchange.write(data)
+        if self._relay.is_active:
+            self._relay.write(data)
 
     def response_ended(self, end: ResponseEnd) -> None:
         """End the caller's reply; one that was broken off must not look complete."""
         is_whole = end in (ResponseEnd.COMPLETE, ResponseEnd.EXCESS)
         if self._is_refused:
             self._finish(PeerOutcome.NOT_TAKEN)
-        elif self._is_relaying and is_whole:
-            self._exchange.finish()
+        elif self._relay.is_active and is_whole:
+            self._relay.finish()
             self._finish(PeerOutcome.SERVED)
         else:
             self._finish(PeerOutcome.LOST)
 
-    def _set_backpressure(self, is_full: bool) -> None:
-        if is_full:
-            self._connection.pause()
-        else:
-            self._connection.resume()
-
     def _finish(self, outcome: PeerOutcome) -> None:
         if not self._done.done():
             self._done.set_result(outcome)
--- /dev/null
+++ b/tests/unit/test_reply_relay.py
@@ -0,0 +1,38 @@
+"""Check how a response is passed on to a caller that reads slowly."""
+
+from unittest.mock import create_autospec
+
+from gooseberrydeal._internal.models.routing.http_heads import (
+    RequestHead,
+    ResponseHead,
+)
+from gooseberrydeal._internal.network.http1.caller_exchange import (
+    CallerExchange,
+    ReplyChannel,
+)
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
+from gooseberrydeal._internal.operations.router.reply_relay import ReplyRelay
+from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
+from tests.lib.virtual_loop import run_virtual
+
+
+def test_a_connection_is_read_again_after_a_response_that_paused_it() -> None:
+    """The next request on the connection waited in vain for its response."""
+
+    async def scenario() -> None:
+        connection = create_autospec(ServerConnection, instance=True)
+        exchange = CallerExchange(
+            RequestHead(b"GET", b"/", (), accepts_chunks=True),
+            b"",
+            create_autospec(ReplyChannel, instance=True, is_closing_after_reply=False),
+        )
+        relay = ReplyRelay(exchange, PlatformRelayCodec(), connection)
+        relay.start(ResponseHead(200, b"OK", ((b"Content-Length", b"4"),)))
+        relay.write(b"body")
+        exchange.backpressure_changed(is_full=True)
+        connection.pause.assert_called_once()
+        relay.finish()
+        relay.stop()
+        connection.resume.assert_called_once()
+
+    run_virtual(scenario())
