Do not end a response because its server is silent, unless another takes over

Callers saw: 400 of 800 bytes of a 200 response, and a closed connection.

Cause: whether another server may run a request was decided at the send, and the idle timeout that followed from it stayed after the response had begun, when no other server could take it over. A stream could be given up, too, before it was known whether it could be resumed; and a pause of this host, as a caller reads slowly, counted as the server's silence.

Fix: ResponseWait asks at each silence whether another server takes over (ResponseTakeover: retry budget, ready server, certain origin, no suspect), or whether the server is gone.

--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Collection
 from functools import partial
 from typing import Final
@@ -40,6 +41,7 @@
         self._idle: list[ServerConnection] = []
         self._in_use = 0
         self._process = ServerProcess()
+        self._opened_at = -math.inf
 
     @property
     def heard_at(self) -> float:
@@ -49,6 +51,14 @@
         """
         return self._process.heard_at
 
+    @property
+    def opened_at(self) -> float:
+        """Return when a connection was last opened, on the loop's clock in seconds.
+
+        That is minus infinity if none was.
+        """
+        return self._opened_at
+
     @property
     def has_idle(self) -> bool:
         """Return whether a request can be sent without opening a connection."""
@@ -147,4 +157,5 @@
             raise ServerUnreachableError(
                 f"cannot connect to {self._address}: {error or 'timeout'}"
             ) from error
+        self._opened_at = loop.time()
         return connection
--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -71,7 +71,6 @@
         self._is_event_stream = False
         self._rejection: AttemptOutcome | None = None
         self._status = 0
-        self._receive_count = 0
         self._lost_connection = False
         self._ending = "no response"
         self._sent_excess_bytes = False
@@ -83,6 +82,7 @@
         self._on_head = on_head
         self._on_answering: Callable[[], None] | None = on_answering
         self._loop = asyncio.get_running_loop()
+        self._received_at = self._loop.time()
         self._done: asyncio.Future[AttemptOutcome] = self._loop.create_future()
 
     @property
@@ -110,22 +110,53 @@
         """Return the longest time between two chunks of the body, in seconds."""
         return self._longest_pause
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the response is being passed on to the caller."""
+        return self._relay.is_active
+
+    @property
+    def is_ended(self) -> bool:
+        """Return whether the attempt has an outcome."""
+        return self._done.done()
+
+    @property
+    def silent_since(self) -> float:
+        """Return when the server last sent something, on the loop's clock in seconds.
+
+        That is now while this host does not read, since the caller reads slowly.
+        """
+        return max(self._received_at, self._relay.paused_until)
+
+    @property
+    def silent_seconds(self) -> float:
+        """Return for how many seconds the server has sent nothing."""
+        return self._loop.time() - self.silent_since
+
     async def outcome(self) -> AttemptOutcome:
         """Wait for the end of the attempt and return its outcome."""
         return await self._done
 
-    async def outcome_with_idle_timeout(self, seconds: float) -> AttemptOutcome:
-        """Return the outcome; abort the attempt if nothing arrives for ``seconds``."""
-        while True:
-            count_before = self._receive_count
+    async def outcome_unless_silent(self, seconds: float) -> AttemptOutcome | None:
+        """Return the outcome, or ``None`` once the server is silent for ``seconds``."""
+        while not self._done.done():
+            remaining = seconds - self.silent_seconds
+            if remaining <= 0.0:
+                return None
             try:
-                async with asyncio.timeout(seconds):
-                    return await asyncio.shield(self._done)
+                async with asyncio.timeout(remaining):
+                    await asyncio.shield(self._done)
             except TimeoutError:
-                if self._receive_count == count_before:
-                    self._ending = f"server silent for {seconds:.1f} s"
-                    self._abandon()
-                    return AttemptOutcome.CUT if count_before else AttemptOutcome.LOST
+                continue
+        return self._done.result()
+
+    def give_up(self, reason: str) -> AttemptOutcome:
+        """Close the connection to a silent server, and return the outcome."""
+        self._ending = f"server silent for {self.silent_seconds:.1f} s; {reason}"
+        self._connection.abort()
+        self._events.rest()
+        self._finish(AttemptOutcome.CUT if self._status else AttemptOutcome.LOST)
+        return self._done.result()
 
     def withdraw(self, reason: str) -> None:
         """Close the connection, unless the server has begun to answer."""
@@ -140,7 +171,7 @@
     def head_received(self, head: ResponseHead) -> None:
         """Start relaying the response, or record why it is not relayed."""
         self._status = head.status
-        self._receive_count += 1
+        self._received_at = self._loop.time()
         attributes = self._codec.read_response(head)
         self._on_head(head.status, attributes)
         if attributes.load is not None:
@@ -174,8 +205,7 @@
 
     def body_received(self, data: bytes) -> None:
         """Relay a chunk of the body; from an event stream, complete events only."""
-        self._receive_count += 1
-        now = self._loop.time()
+        now = self._received_at = self._loop.time()
         if self._last_body_at:
             self._longest_pause = max(self._longest_pause, now - self._last_body_at)
         self._last_body_at = now
@@ -256,13 +286,6 @@
         self._sent_excess_bytes = True
         self._finish(outcome)
 
-    def _abandon(self) -> None:
-        self._connection.abort()
-        self._events.rest()
-        self._relay.stop()
-        if not self._done.done():
-            self._done.cancel()
-
     def _start_relay(self, head: ResponseHead) -> None:
         if self._copy is not None:
             self._record.note_present(self._copy)
--- a/src/gooseberrydeal/_internal/operations/router/crash_screening.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_screening.py
@@ -44,6 +44,10 @@
             self._failure.refuse_as_crashing(cause)
         return cause is not None
 
+    def is_suspect(self) -> bool:
+        """Return whether the request may crash servers, and so has to run alone."""
+        return self._isolation.must_isolate(self._request, self._identity)
+
     async def wait_for_turn(self) -> bool:
         """Wait until the request may be sent; refuse it if that takes too long.
 
@@ -65,7 +69,7 @@
 
         Returns false if another such request goes first.
         """
-        if not self._isolation.must_isolate(self._request, self._identity):
+        if not self.is_suspect():
             return True
         return await self._isolation.claim(self._request, self._identity, record.id)
 
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/head_notes.py
@@ -0,0 +1,55 @@
+"""Record what the heads of responses say of requests and servers."""
+
+from collections.abc import Callable
+
+from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
+from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
+from gooseberrydeal._internal.network.http1.peer_fields import notice_fields
+from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.eligible_servers import (
+    EligibleServers,
+)
+from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.stream_continuation import (
+    StreamContinuation,
+)
+
+
+class HeadNotes:
+    """Pass the head of each response on to all that depend on it."""
+
+    def __init__(
+        self,
+        exchange: CallerExchange,
+        continuation: StreamContinuation,
+        eligible: EligibleServers,
+        metrics: RouterMetrics,
+        times: ServeTimes,
+        clock: Callable[[], float],
+    ) -> None:
+        self._exchange = exchange
+        self._continuation = continuation
+        self._eligible = eligible
+        self._metrics = metrics
+        self._times = times
+        self._clock = clock
+
+    def note(
+        self,
+        record: ServerRecord,
+        connection: ServerConnection,
+        status: int,
+        attributes: ResponseAttributes,
+    ) -> None:
+        """Record what the head of a response says of the request and its server."""
+        times = self._times
+        times.head_at = self._clock()
+        for field in notice_fields(record.id, record.entry.started_at, attributes):
+            self._exchange.add_peer_field(field)
+        self._continuation.note_response(status, record, connection)
+        self._eligible.response_received(
+            record, connection, status, attributes, times.sent_at
+        )
+        self._metrics.observe_first_byte(times.head_at - times.sent_at)
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -77,6 +77,28 @@
         """Probe a server that has not answered for a while; it may be slow only."""
         self._start_probe(record)
 
+    async def is_gone(self, record: ServerRecord, silent_since: float) -> bool:
+        """Return whether a server can't be reached that was silent since a time.
+
+        It can if it was heard of on another connection since, or accepts a new one.
+        """
+        heard_at = max(record.pool.heard_at, record.pool.opened_at)
+        if heard_at >= silent_since:
+            return False
+        began_at = asyncio.get_running_loop().time()
+        try:
+            await record.pool.probe()
+        except ServerUnreachableError as error:
+            logger.info(
+                "server silent for %.1f s cannot be reached: %s",
+                began_at - silent_since,
+                error,
+                extra={"server": record.id},
+            )
+            self.connect_failed(record, error, began_at)
+            return True
+        return False
+
     async def stop(self) -> None:
         """Cancel all probes."""
         await self._tasks.stop()
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -9,8 +9,6 @@
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
-from gooseberrydeal._internal.network.http1.peer_fields import notice_fields
-from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
@@ -29,6 +27,7 @@
     RETRY_AFTER_SECONDS,
     FailedReply,
 )
+from gooseberrydeal._internal.operations.router.head_notes import HeadNotes
 from gooseberrydeal._internal.operations.router.outcome_handler import OutcomeHandler
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.request_connector import (
@@ -38,9 +37,11 @@
     RequestForwarder,
 )
 from gooseberrydeal._internal.operations.router.request_log import RequestLog
+from gooseberrydeal._internal.operations.router.response_takeover import (
+    ResponseTakeover,
+)
 from gooseberrydeal._internal.operations.router.retry_limits import (
     RetryBudget,
-    wait_for_outcome,
     wait_for_retry_budget,
 )
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
@@ -119,9 +120,27 @@
             request, exchange, codec, self._events, dispatcher.rollout, clock
         )
         self._times = ServeTimes(request.arrived_at)
+        self._heads = HeadNotes(
+            exchange,
+            self._continuation,
+            dispatcher.eligible,
+            metrics,
+            self._times,
+            clock,
+        )
         self._second_host = SecondHost(
             request, exchange, peers, self._failure, consume_retry, clock
         )
+        self._takeover = ResponseTakeover(
+            request,
+            exchange,
+            dispatcher,
+            self._screening,
+            lambda: self._can_run_again(pending=1),
+            consume_retry,
+            callbacks,
+            clock,
+        )
         self._outcomes = OutcomeHandler(
             request,
             self._failure,
@@ -227,14 +246,15 @@
         if connection is None:
             return None
         request.send_count += 1
-        times = self._times
-        times.note_sent(self._clock(), assignment.load_wait)
+        self._times.note_sent(self._clock(), assignment.load_wait)
         if request.send_count == 1:
-            self._metrics.observe_wait(times.sent_at - request.arrived_at)
+            self._metrics.observe_wait(self._times.sent_at - request.arrived_at)
 
         def on_head(status: int, attributes: ResponseAttributes) -> None:
             use.response_started(has_begun=status < HTTPStatus.BAD_REQUEST)
-            self._note_head(record, connection, status, attributes)
+            self._heads.note(record, connection, status, attributes)
+            self._has_response_begun = True
+            self._asked_to_wait = attributes.wait_seconds is not None
 
         can_run_again = self._can_run_again(pending=1)
         attempt = Attempt(
@@ -252,8 +272,8 @@
             self._forwarder.send(assignment, connection, attempt)
             self._callbacks.sent(record)
             with self._dispatcher.rollout.withdraw_in_time(attempt, assignment.copy):
-                outcome = await wait_for_outcome(
-                    attempt, request.route, can_run_again=can_run_again
+                outcome = await self._takeover.outcome(
+                    attempt, record, can_run_again=can_run_again
                 )
         except BaseException:
             pool.discard(connection)
@@ -268,26 +288,6 @@
         self._metrics.count_attempt(outcome.value)
         return outcome
 
-    def _note_head(
-        self,
-        record: ServerRecord,
-        connection: ServerConnection,
-        status: int,
-        attributes: ResponseAttributes,
-    ) -> None:
-        """Record what the head of a response says of the request and its server."""
-        times = self._times
-        times.head_at = self._clock()
-        for field in notice_fields(record.id, record.entry.started_at, attributes):
-            self._exchange.add_peer_field(field)
-        self._continuation.note_response(status, record, connection)
-        self._has_response_begun = True
-        self._asked_to_wait = attributes.wait_seconds is not None
-        self._eligible.response_received(
-            record, connection, status, attributes, times.sent_at
-        )
-        self._metrics.observe_first_byte(times.head_at - times.sent_at)
-
     def _note_ended(self, attempt: Attempt, record: ServerRecord) -> None:
         self._last = attempt
         if attempt.sent_excess_bytes:
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -26,7 +26,8 @@
     began that the request goes on with, ``None`` if it begins one. ``peer`` describes
     the host that passed the request on, ``None`` if a caller sent it to this one. With
     ``uses_unreachable``, servers are tried that could not be reached. With
-    ``needs_newest``, only the newest version of its adapter may serve it.
+    ``needs_newest``, only the newest version of its adapter may serve it. With
+    ``has_retry``, the retry budget was charged for the next attempt already.
     """
 
     attributes: RequestAttributes
@@ -43,6 +44,7 @@
     peer: PeerRequest | None = None
     uses_unreachable: bool = False
     needs_newest: bool = False
+    has_retry: bool = False
 
     def may_use(self, record: ServerRecord) -> bool:
         """Return whether the request may be sent to a server, going by its entry.
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -218,6 +218,7 @@
                 self._reachability.mark_unreachable,
                 self._reachability.connect_failed,
                 SilenceWatch(self._reachability.probe_silent).request_sent,
+                self._reachability.is_gone,
             ),
             self._peers,
             now,
--- a/src/gooseberrydeal/_internal/operations/router/server_callbacks.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_callbacks.py
@@ -1,6 +1,6 @@
 """Define what the request path reports of a server."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from gooseberrydeal._internal.exceptions import ServerUnreachableError
@@ -15,7 +15,8 @@
     ``copy_released`` when no request of this host uses an adapter copy there any more,
     ``unreachable`` when the server cannot be reached, ``connect_failed`` when no
     connection to it could be opened, with the error and when the attempt began on the
-    loop's clock, and ``sent`` when a request was sent there.
+    loop's clock, and ``sent`` when a request was sent there. ``is_gone`` returns
+    whether a server can't be reached that was silent since a time on that clock.
     """
 
     usage_changed: Callable[[ServerRecord], None]
@@ -23,3 +24,4 @@
     unreachable: Callable[[ServerRecord], None]
     connect_failed: Callable[[ServerRecord, ServerUnreachableError, float], None]
     sent: Callable[[ServerRecord], None]
+    is_gone: Callable[[ServerRecord, float], Awaitable[bool]]
--- /dev/null
+++ b/tests/functional/test_silent_responses.py
@@ -0,0 +1,141 @@
+"""Check over real sockets that silence of a sound server ends no response."""
+
+import asyncio
+
+import pytest
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from tests.lib.link_proxy import LinkState
+from tests.lib.relay_scripts import request_id_line, run_relay
+from tests.lib.relay_world import Caller, RelayHarness
+from tests.lib.scripted_server import ReceivedRequest, ScriptedServer
+from tests.lib.silent_cluster import SilentCluster
+from tests.lib.silent_scripts import (
+    FIRST_HALF,
+    SECOND_HALF,
+    Framing,
+    chunk,
+    event,
+    silent_stream,
+    silent_within,
+)
+
+_WHOLE = FIRST_HALF + SECOND_HALF
+_EVENTS = b"".join(map(event, range(1, 6)))
+
+
+@pytest.mark.parametrize("first", [b"", FIRST_HALF])
+@pytest.mark.parametrize("servers", [1, 2])
+@pytest.mark.parametrize("framing", list(Framing))
+def test_a_response_whose_server_is_silent_for_a_second_is_whole(
+    framing: Framing, servers: int, first: bytes
+) -> None:
+    """LOST: silence of over twice the target latency cut responses that had begun."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        for number in range(2):
+            caller.send("/patient/a", f"q{number}")
+            status, _, body = await caller.read_response()
+            assert (status, body) == (200, _WHOLE)
+
+    started = run_relay(scenario, [silent_within(framing, first)] * servers)
+    assert sum(len(server.requests) for server in started) == 2
+
+
+def test_a_stream_goes_on_at_its_silent_engine_if_no_other_can_take_over() -> None:
+    """LOST: a stream was given up before it was known whether it could be resumed."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    (engine,) = run_relay(scenario, engines=[silent_stream()])
+    assert len(engine.requests) == 1
+
+
+def test_a_stream_goes_on_at_its_silent_engine_without_retry_budget() -> None:
+    """LOST: a stream was given up although the retry budget was exhausted."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        harness.handler.set_bounds(RoutingBounds(retry_ratio=0.0, retry_slack=0.0))
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    engines = run_relay(scenario, engines=[silent_stream(), silent_stream()])
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
+def test_a_stream_of_a_silent_engine_is_taken_over_by_another() -> None:
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    script = silent_stream(silence_seconds=20.0)
+    engines = run_relay(scenario, engines=[script, script])
+    assert [len(engine.requests) for engine in engines] == [1, 1]
+
+
+def test_a_response_ends_once_its_silent_server_is_known_to_be_gone() -> None:
+    """A server that is gone without an end of the connection must still be found."""
+
+    async def run() -> None:
+        server = ScriptedServer(silent_within(Framing.LENGTH, silence_seconds=20.0))
+        await server.start()
+        async with RelayHarness([server], []) as harness:
+            caller = await Caller.connect(harness)
+            caller.send("/patient/a")
+            await caller.read_head()
+            await server.stop()
+            # The route allows 30 s.
+            await asyncio.wait_for(caller.read_to_end(), 10.0)
+            record = harness.servers.get(ServerId("p-0"))
+            assert record is not None
+            assert record.health.is_unreachable
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_reads_slowly_does_not_make_its_server_silent() -> None:
+    """LOST: a pause of this host, for a slow caller, was taken for the server's."""
+    block = b"id: 1\ndata: %b\n\n" % bytes(1_000_000).replace(b"\0", b"x")
+
+    async def flood(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"{request_id_line(request)}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(1, 17):
+            writer.write(chunk(block.replace(b"id: 1", b"id: %d" % number)))
+            await writer.drain()
+        writer.write(chunk(b""))
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/resumable/a")
+        await caller.read_head()
+        await asyncio.sleep(1.0)
+        assert len(await caller.read_chunked_body()) > 16 * len(block)
+
+    engines = run_relay(scenario, engines=[flood, flood])
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
+def test_a_response_through_a_second_host_is_whole_after_a_silence() -> None:
+    """LOST: the second host cut the responses of its silent servers."""
+
+    async def run() -> None:
+        async with SilentCluster(hosts=2, servers=2) as cluster:
+            await cluster.cut(["host-0"], LinkState.RESET_AND_REFUSED)
+            while not cluster.nodes["host-0"]._reachability.is_isolated:
+                await cluster.call("host-0", b"notice")
+            cluster.fall_silent()
+            bodies = [b"%016x" % number for number in range(8)]
+            replies = await asyncio.gather(
+                *(cluster.fetch(f"host-{n % 2}", body) for n, body in enumerate(bodies))
+            )
+            for body, reply in zip(bodies, replies, strict=True):
+                assert reply.startswith(b"HTTP/1.1 200")
+                assert reply.endswith(body)
+
+    asyncio.run(asyncio.wait_for(run(), 30.0))
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -30,6 +30,7 @@
 
 _ROUTES: tuple[tuple[str, str, dict[str, Any]], ...] = (
     ("safe", "safe", {}),
+    ("safe", "quick", {"targetLatencyMs": 100}),
     ("unsafe", "once", {}),
     ("streaming", "stream", {}),
     ("streaming", "resumable", {"resumable": True, "maxAttempts": 1}),
@@ -46,9 +47,9 @@
 class CrashCluster:
     """Run hosts, plain servers and a metadata store in one process.
 
-    Requests under ``/safe/`` may be repeated, those under ``/once/`` and the streams
-    under ``/stream/`` may not. Streams under ``/resumable/`` may be taken up by their
-    callers, those under ``/onward/`` by the hosts too.
+    Requests under ``/safe/`` and ``/quick/`` may be repeated, those under ``/once/``
+    and the streams under ``/stream/`` may not. Streams under ``/resumable/`` may be
+    taken up by their callers, those under ``/onward/`` by the hosts too.
     """
 
     server_class: type[CrashingServer] = CrashingServer
--- a/tests/lib/crashing_server.py
+++ b/tests/lib/crashing_server.py
@@ -173,7 +173,8 @@
                     return
                 else:
                     fields = [f"X-Request-Id: {request_id}", *self._stated_fields()]
-                    writer.write(response(request.body, "200 OK", *fields))
+                    answer = response(request.body, "200 OK", *fields)
+                    await self._write_answer(answer, writer)
                 self.answered.append(request_id)
                 self._finished()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -182,6 +183,9 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _write_answer(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer)
+
     async def _run_crashing(self, name: str) -> None:
         start = self._start_number
         self.bad_arrivals.append((name, asyncio.get_running_loop().time()))
--- a/tests/lib/relay_routes.py
+++ b/tests/lib/relay_routes.py
@@ -42,4 +42,13 @@
             target_latency=0.1,
             max_servers=2,
         ),
+        route(
+            name="patient",
+            path_prefix="/patient/",
+            kind=RequestKind.IDEMPOTENT,
+            services=plain,
+            timeout=30.0,
+            target_latency=0.1,
+            max_servers=2,
+        ),
     )
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -166,6 +166,7 @@
                 self.reachability.mark_unreachable,
                 self.reachability.connect_failed,
                 SilenceWatch(self.reachability.probe_silent).request_sent,
+                self.reachability.is_gone,
             ),
             PeerRelay(
                 membership(),
--- a/tests/unit/test_reply_relay.py
+++ b/tests/unit/test_reply_relay.py
@@ -1,5 +1,6 @@
 """Check how a response is passed on to a caller that reads slowly."""
 
+import asyncio
 from unittest.mock import create_autospec
 
 from gooseberrydeal._internal.models.routing.http_heads import (
@@ -36,3 +37,27 @@
         connection.resume.assert_called_once()
 
     run_virtual(scenario())
+
+
+def test_a_pause_for_the_caller_is_no_silence_of_the_server() -> None:
+    """LOST: such a pause was taken for the server's, and the response was cut."""
+
+    async def scenario() -> None:
+        now = asyncio.get_running_loop().time
+        connection = create_autospec(ServerConnection, instance=True)
+        exchange = CallerExchange(
+            RequestHead(b"GET", b"/", (), accepts_chunks=True),
+            b"",
+            create_autospec(ReplyChannel, instance=True, is_closing_after_reply=False),
+        )
+        relay = ReplyRelay(exchange, PlatformRelayCodec(), connection)
+        relay.start(ResponseHead(200, b"OK", ()))
+        exchange.backpressure_changed(is_full=True)
+        await asyncio.sleep(2.0)
+        assert relay.paused_until == now()
+        exchange.backpressure_changed(is_full=False)
+        resumed_at = now()
+        await asyncio.sleep(2.0)
+        assert relay.paused_until == resumed_at
+
+    run_virtual(scenario())
