Do not take an engine's entry for its state of now

Cause: an accepted load counts at once in an entry but is listed when it ends, and entries may be of any age. The owner replaced its list by the entry's if the counts of orders were equal and it had sent no order for 2.5 s, a new owner without any wait. So it forgot a copy and ordered a load without an unload. An entry of an earlier start, read late, also cleared all copies, as if the engine had restarted.

Fix: EntryCheck compares each entry once; a difference only leads to a read of the engine's report, 0.3 s later, as an earlier one could be older than the entry.

--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -23,6 +23,7 @@
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.operations.router.base_models import BaseModels
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
+from gooseberrydeal._internal.operations.router.entry_check import EntryCheck
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.order_sequence import OrderSequence
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
@@ -50,8 +51,6 @@
 _LOAD_EXTENSION_SECONDS: Final = 0.04
 # Time after which the engine's report is read if an unload waits for running requests.
 _UNLOAD_RECHECK_SECONDS: Final = 1.5
-# Entries may be a heartbeat old: they are compared only without orders for this long.
-_ENTRY_SETTLE_SECONDS: Final = 2.5
 
 
 class EngineOwner:
@@ -85,6 +84,7 @@
         self._load_time = load_time
         self._clock = clock
         self._slots = AdapterSlots(engine.adapter_slots if engine else 0)
+        self._entry_check = EntryCheck(self._sequence, self._slots, clock)
         self._demand = EngineDemand()
         self._wake = asyncio.Event()
         self._started_at = record.entry.started_at
@@ -125,31 +125,24 @@
         self._status.publish_if_load_changed()
 
     def reconcile_entry(self, entry: ServerEntry) -> None:
-        """Reconcile the local state with the engine's entry in the metadata store."""
-        is_older = entry.started_at < self._started_at
-        if is_older and self._clock() - self._last_report_at < _ENTRY_SETTLE_SECONDS:
-            # The entry predates a restart that the engine's report has shown.
-            return
-        if entry.started_at != self._started_at:
+        """Read the engine's report soon if its entry in the store shows another state.
+
+        An entry never frees a slot for an order: after a restart, none is sent until
+        the report has been read.
+        """
+        if entry.started_at > self._started_at:
             logger.info("engine restarted; copies cleared", extra={"server": entry.id})
             self._started_at = entry.started_at
             self._sequence.set_count(0, is_count_known=False)
             self._slots.reset([], [], self._clock())
             self._load_time.note_restart()
             self._wake.set()
-            return
-        is_settled = self._clock() - self._sequence.last_sent_at > _ENTRY_SETTLE_SECONDS
-        if entry.held is not None and is_settled and self._sequence.is_count_known:
-            if entry.order_count != self._sequence.count:
-                self._sequence.invalidate_count()
-                self._wake.set()
-            elif set(entry.held.adapters) != set(self._slots.copies):
-                logger.info(
-                    "adapter copies of engine %s differ from the expected ones;"
-                    " using the list in its metadata store entry",
-                    entry.id,
-                )
-                self._slots.reset(list(entry.held.adapters), [], self._clock())
+        elif self._entry_check.differs(entry, self._started_at):
+            # An earlier report could be older than the entry.
+            report_at = self._clock() + _REPORT_LAG_SECONDS
+            self._next_report_at = min(self._next_report_at, report_at)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_REPORT_LAG_SECONDS, self._wake.set)
 
     async def run(self) -> None:
         """Send orders and publish the status until cancelled."""
--- /dev/null
+++ b/tests/functional/test_old_entries.py
@@ -0,0 +1,119 @@
+"""Check that no entry of an engine, however old, lets its owner exceed the slots."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.entry_world import EntryWorld
+from tests.lib.fake_engine_orders import LOAD_SECONDS
+from tests.lib.routing_builders import copy_key
+from tests.lib.virtual_loop import run_virtual
+
+# Entries are compared after a time without orders.
+_QUIET_SECONDS = 4.0
+
+
+async def _fill(world: EntryWorld) -> None:
+    """Fill all slots; an entry is written while the last copy is on its way."""
+    await asyncio.sleep(1.0)
+    for number in range(1, world.slots + 1):
+        world.request([copy_key(f"a{number}")])
+        await asyncio.sleep(LOAD_SECONDS / 2)
+        world.write_entry()
+        await asyncio.sleep(1.0)
+
+
+async def _request_more(world: EntryWorld) -> None:
+    for number in range(10, 14):
+        world.request([copy_key(f"a{number}")])
+        await asyncio.sleep(1.0)
+
+
+def test_an_entry_written_during_a_load_frees_no_slot() -> None:
+    """LIMIT: an old list with an equal count of orders hid a copy from the owner."""
+
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        await asyncio.sleep(_QUIET_SECONDS)
+        world.read_entry(0)
+        await _request_more(world)
+        assert world.engine.crashes == 0
+        assert copy_key("a13") in world.engine.copies
+        world.stop()
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("host", ["h1", "h2"])
+def test_an_old_entry_frees_no_slot_for_a_new_owner(host: str) -> None:
+    """LIMIT: an owner that had sent no order yet took entries as they are."""
+
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        world.replace_owner(host, 0)
+        await asyncio.sleep(1.0)
+        world.read_entry(0)
+        await _request_more(world)
+        assert world.engine.crashes == 0
+        assert copy_key("a13") in world.engine.copies
+        world.stop()
+
+    run_virtual(scenario())
+
+
+def test_an_entry_of_an_earlier_start_clears_no_copies() -> None:
+    """LIMIT: an old entry read late was taken for a restart of the engine."""
+
+    async def scenario() -> None:
+        world = EntryWorld()
+        world.restart_engine()
+        world.write_entry()
+        world.read_entry(0)
+        await _fill(world)
+        await asyncio.sleep(_QUIET_SECONDS)
+        copies = set(world.owner._slots.copies)
+        world.read_entry(len(world.entries) - 1)
+        assert set(world.owner._slots.copies) == copies
+        reports = world.orders.report_count
+        for _ in range(10):
+            world.read_entry(len(world.entries) - 1)
+            await asyncio.sleep(0.5)
+        assert world.orders.report_count == reports + 1
+        await _request_more(world)
+        assert world.engine.crashes == 0
+        world.stop()
+
+    run_virtual(scenario())
+
+
+def test_copies_that_an_engine_has_lost_are_found_by_its_entry() -> None:
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        await asyncio.sleep(_QUIET_SECONDS)
+        world.engine.copies.clear()
+        world.write_entry()
+        world.read_entry(0)
+        await asyncio.sleep(1.0)
+        assert not world.owner._slots.copies
+        world.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_restart_that_an_entry_shows_is_found_at_once() -> None:
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        world.restart_engine()
+        world.write_entry()
+        world.read_entry(0)
+        assert not world.owner._slots.copies
+        await _request_more(world)
+        assert copy_key("a13") in world.engine.copies
+        assert world.engine.crashes == 0
+        world.stop()
+
+    run_virtual(scenario())
