Keep to the number of adapter slots that is configured now

An owner that orders past the slots crashes its engine (LIMIT).

Cause: an owner read the number of slots once, when it started, and kept to it after the configuration had changed. Found in the search for other things that are taken for the state of now although they may be old. Besides, one unload was taken to make room even if more copies were held than there are slots.

Evidence: test_an_owner_keeps_to_the_slots_that_are_configured_now fails on the code before.

Fix: the owner reads the number before each round of orders, and loads only if a slot is free after an unload.

--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -73,7 +73,6 @@
         load_time: LoadTime,
         clock: Callable[[], float],
     ) -> None:
-        engine = record.service.engine
         self._record = record
         self._orders = orders
         self._view = view
@@ -83,7 +82,7 @@
         self._count_loads = count_loads
         self._load_time = load_time
         self._clock = clock
-        self._slots = AdapterSlots(engine.adapter_slots if engine else 0)
+        self._slots = AdapterSlots(self._configured_slots)
         self._entry_check = EntryCheck(self._sequence, self._slots, clock)
         self._demand = EngineDemand()
         self._wake = asyncio.Event()
@@ -106,6 +105,11 @@
             clock,
         )
 
+    @property
+    def _configured_slots(self) -> int:
+        engine = self._record.service.engine
+        return engine.adapter_slots if engine is not None else 0
+
     def apply_usage(self, host: HostId, usage: EngineUsage) -> None:
         """Apply a host's usage report, and wake the run loop if it requests a load."""
         now = self._clock()
@@ -172,6 +176,7 @@
         if not self._may_order() or entry.state is not ServerState.READY:
             return
         now = self._clock()
+        self._slots.resize(self._configured_slots)
         if now >= self._next_report_at:
             self._sequence.invalidate_count()
         if not self._sequence.is_count_known and not await self._read_report():
@@ -226,7 +231,7 @@
         outcome = await self._sequence.send(OrderAction.UNLOAD, victim)
         if outcome is OrderOutcome.DONE:
             self._slots.remove(victim)
-            return True
+            return self._slots.free > 0
         if outcome is OrderOutcome.ACCEPTED:
             # A request that was not yet reported to this host still runs on it.
             self._slots.begin_unload(victim)
--- a/src/gooseberrydeal/_internal/policy/adapter_slots.py
+++ b/src/gooseberrydeal/_internal/policy/adapter_slots.py
@@ -64,9 +64,13 @@
 
     @property
     def free(self) -> int:
-        """Return the number of empty slots."""
+        """Return the number of empty slots, below 0 if there are too few."""
         return self._slots - len(self._copies)
 
+    def resize(self, slots: int) -> None:
+        """Change the number of slots; copies beyond it stay until they are evicted."""
+        self._slots = slots
+
     def spare_slots(
         self,
         in_use: Mapping[AdapterCopyKey, int],
--- a/tests/functional/test_old_entries.py
+++ b/tests/functional/test_old_entries.py
@@ -117,3 +117,20 @@
         world.stop()
 
     run_virtual(scenario())
+
+
+def test_an_owner_keeps_to_the_slots_that_are_configured_now() -> None:
+    """LIMIT: an owner kept to the number of slots that was configured at its start."""
+
+    async def scenario() -> None:
+        world = EntryWorld(slots=4)
+        await _fill(world)
+        world.configure(2)
+        world.engine.slots = 2
+        await _request_more(world)
+        assert world.engine.crashes == 0
+        assert copy_key("a13") in world.engine.copies
+        assert len(world.engine.copies) == 2
+        world.stop()
+
+    run_virtual(scenario())
