Leave a request at a silent server if there is no other server for it

Callers saw: 502, although the only server of the service answered after a second of silence.

Cause: a request that may run again was taken from a silent server without a look at whether there is another.

Fix: another server that can be reached must be there. If this host reaches no other and the silent one can't be reached either, the request is taken from it, too, as another host may serve it (test_partitioned_hosts.py holds).

--- a/src/gooseberrydeal/_internal/operations/router/response_takeover.py
+++ b/src/gooseberrydeal/_internal/operations/router/response_takeover.py
@@ -67,25 +67,28 @@
         """
         if not self._can_run_again():
             return False
+        others = self._others(silent)
         if not self._exchange.is_started:
-            return True
-        if self._screening.is_suspect() or not self._has_ready_server(silent):
+            # Another host may reach servers that this one does not.
+            return bool(others) or silent.health.is_unreachable
+        if self._screening.is_suspect() or not self._is_continued_by(others):
             return False
         self._request.has_retry = self._consume_retry(self._request)
         return self._request.has_retry
 
-    def _has_ready_server(self, silent: ServerRecord) -> bool:
+    def _others(self, silent: ServerRecord) -> list[ServerRecord]:
+        """Return the other servers that the request may be sent to now."""
+        sendable = self._dispatcher.eligible.find_sendable(self._request)
+        return [r for r in sendable if r is not silent and r.is_reachable]
+
+    def _is_continued_by(self, others: list[ServerRecord]) -> bool:
+        """Return whether one of the servers can go on with the reply at once."""
         origin = self._request.origin
         if origin is not None and not origin.is_certain:
             return False
-        return any(
-            record is not silent and record.is_reachable and self._is_ready(record)
-            for record in self._dispatcher.eligible.find_sendable(self._request)
-        )
-
-    def _is_ready(self, record: ServerRecord) -> bool:
         adapter = self._request.attributes.adapter
         if adapter is None:
-            return True
+            return bool(others)
         newest = self._dispatcher.rollout.newest(adapter)
-        return record.copy_state(newest, self._clock()) is CopyState.READY
+        now = self._clock()
+        return any(r.copy_state(newest, now) is CopyState.READY for r in others)
--- a/tests/functional/test_silent_responses.py
+++ b/tests/functional/test_silent_responses.py
@@ -7,13 +7,14 @@
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from tests.lib.link_proxy import LinkState
-from tests.lib.relay_scripts import request_id_line, run_relay
+from tests.lib.relay_scripts import echo, request_id_line, run_relay
 from tests.lib.relay_world import Caller, RelayHarness
 from tests.lib.scripted_server import ReceivedRequest, ScriptedServer
 from tests.lib.silent_cluster import SilentCluster
 from tests.lib.silent_scripts import (
     FIRST_HALF,
     SECOND_HALF,
+    SOUND_SILENCE_SECONDS,
     Framing,
     chunk,
     event,
@@ -43,6 +44,21 @@
     assert sum(len(server.requests) for server in started) == 2
 
 
+def test_a_request_stays_at_a_silent_server_if_there_is_no_other() -> None:
+    """Callers got 502 although their only server answered after a second."""
+
+    async def late(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(SOUND_SILENCE_SECONDS)
+        await echo(request, writer)
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        caller.send("/patient/a", body=_WHOLE)
+        status, _, body = await caller.read_response()
+        assert (status, body) == (200, _WHOLE)
+
+    run_relay(scenario, [late])
+
+
 def test_a_stream_goes_on_at_its_silent_engine_if_no_other_can_take_over() -> None:
     """LOST: a stream was given up before it was known whether it could be resumed."""
 
--- a/tests/unit/test_reply_relay.py
+++ b/tests/unit/test_reply_relay.py
@@ -1,6 +1,7 @@
 """Check how a response is passed on to a caller that reads slowly."""
 
 import asyncio
+from typing import Any
 from unittest.mock import create_autospec
 
 from gooseberrydeal._internal.models.routing.http_heads import (
@@ -17,17 +18,22 @@
 from tests.lib.virtual_loop import run_virtual
 
 
+def _relay() -> tuple[ReplyRelay, CallerExchange, Any]:
+    """Return a relay, and what it stands between."""
+    connection = create_autospec(ServerConnection, instance=True)
+    exchange = CallerExchange(
+        RequestHead(b"GET", b"/", (), accepts_chunks=True),
+        b"",
+        create_autospec(ReplyChannel, instance=True, is_closing_after_reply=False),
+    )
+    return ReplyRelay(exchange, PlatformRelayCodec(), connection), exchange, connection
+
+
 def test_a_connection_is_read_again_after_a_response_that_paused_it() -> None:
     """The next request on the connection waited in vain for its response."""
 
     async def scenario() -> None:
-        connection = create_autospec(ServerConnection, instance=True)
-        exchange = CallerExchange(
-            RequestHead(b"GET", b"/", (), accepts_chunks=True),
-            b"",
-            create_autospec(ReplyChannel, instance=True, is_closing_after_reply=False),
-        )
-        relay = ReplyRelay(exchange, PlatformRelayCodec(), connection)
+        relay, exchange, connection = _relay()
         relay.start(ResponseHead(200, b"OK", ((b"Content-Length", b"4"),)))
         relay.write(b"body")
         exchange.backpressure_changed(is_full=True)
@@ -44,13 +50,7 @@
 
     async def scenario() -> None:
         now = asyncio.get_running_loop().time
-        connection = create_autospec(ServerConnection, instance=True)
-        exchange = CallerExchange(
-            RequestHead(b"GET", b"/", (), accepts_chunks=True),
-            b"",
-            create_autospec(ReplyChannel, instance=True, is_closing_after_reply=False),
-        )
-        relay = ReplyRelay(exchange, PlatformRelayCodec(), connection)
+        relay, exchange, _ = _relay()
         relay.start(ResponseHead(200, b"OK", ()))
         exchange.backpressure_changed(is_full=True)
         await asyncio.sleep(2.0)
