Check a server that resumes a reply for being gone before it responds, too

Callers could see: a resumed stream that waits until its deadline at a server that is gone, if no other server has the adapter and more attempts are left. The first version of ResponseWait checked a server only once it had responded itself.

Evidence: by reading; test_a_reply_that_is_resumed_has_begun_before_the_next_response checks the property.

--- a/src/gooseberrydeal/_internal/operations/router/attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/attempt.py
@@ -30,6 +30,8 @@
 _ANSWERING_SECONDS: Final = 0.25
 # Longest body that is read to its end although it is not relayed.
 _MAX_DISCARDED_BYTES: Final = 65_536
+# Lengths of silence that differ by less than this count as equal.
+SILENCE_RESOLUTION_SECONDS: Final = 0.001
 
 
 class Attempt:
@@ -112,8 +114,8 @@
 
     @property
     def has_begun(self) -> bool:
-        """Return whether the response is being passed on to the caller."""
-        return self._relay.is_active
+        """Return whether the caller's reply has begun, with any server's response."""
+        return self._relay.has_begun
 
     @property
     def is_ended(self) -> bool:
@@ -141,7 +143,7 @@
         """Return the outcome, or ``None`` once the server is silent for ``seconds``."""
         while not self._done.done():
             remaining = seconds - self.silent_seconds
-            if remaining <= 0.0:
+            if remaining <= SILENCE_RESOLUTION_SECONDS:
                 return None
             try:
                 async with asyncio.timeout(remaining):
--- a/src/gooseberrydeal/_internal/operations/router/reply_relay.py
+++ b/src/gooseberrydeal/_internal/operations/router/reply_relay.py
@@ -33,6 +33,11 @@
         """Return whether a response is being passed on."""
         return self._is_active
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller has got a part of the reply, of any server."""
+        return self._exchange.is_started
+
     @property
     def paused_until(self) -> float:
         """Return until when the connection was not read, on the loop's clock.
--- a/src/gooseberrydeal/_internal/operations/router/response_wait.py
+++ b/src/gooseberrydeal/_internal/operations/router/response_wait.py
@@ -1,18 +1,20 @@
 """Wait for the end of a response while its server may be silent or gone."""
 
-import math
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from gooseberrydeal._internal.models.routing.route import Route
-from gooseberrydeal._internal.operations.router.attempt import Attempt
+from gooseberrydeal._internal.operations.router.attempt import (
+    SILENCE_RESOLUTION_SECONDS,
+    Attempt,
+)
 from gooseberrydeal._internal.operations.router.attempt_outcome import AttemptOutcome
 
 # A server is silent if it sends nothing for this multiple of the route's target
 # latency, though for no less than the minimum. Another server may then take over.
 _SILENCE_TARGET_LATENCIES: Final = 2.0
 _MIN_SILENCE_SECONDS: Final = 0.3
-# A server that has begun to respond is checked after this fraction of that time.
+# Once the caller's reply has begun, a server is checked after this fraction of it.
 _FIRST_CHECK_FRACTION: Final = 0.5
 _RECHECK_SECONDS: Final = 0.5
 # A sound server may fall silent for about a second, even if it cannot be connected to
@@ -49,28 +51,27 @@
             outcome = await attempt.outcome_unless_silent(self._next_check())
             if outcome is not None:
                 return outcome
-            if attempt.silent_seconds >= self._silence and self._take_over():
+            if self._is_silent_for(self._silence) and self._take_over():
                 return attempt.give_up("another server takes over")
-            if await self._has_ended_unnoticed():
+            if await self._is_server_gone():
                 return attempt.give_up("the server can't be reached")
 
     def _next_check(self) -> float:
         """Return after how many seconds of silence to check the server next."""
-        silent = self._attempt.silent_seconds
         first = self._silence
         if self._attempt.has_begun:
             first *= _FIRST_CHECK_FRACTION
-        if silent < first:
-            return first
-        if silent < self._silence:
-            return self._silence
-        checks = math.floor((silent - self._silence) / _RECHECK_SECONDS) + 1
-        return self._silence + checks * _RECHECK_SECONDS
+        for seconds in (first, self._silence):
+            if not self._is_silent_for(seconds):
+                return seconds
+        return self._attempt.silent_seconds + _RECHECK_SECONDS
 
-    async def _has_ended_unnoticed(self) -> bool:
-        """Return whether a server is gone without an end of its connection."""
+    def _is_silent_for(self, seconds: float) -> bool:
+        return self._attempt.silent_seconds >= seconds - SILENCE_RESOLUTION_SECONDS
+
+    async def _is_server_gone(self) -> bool:
+        """Return whether a server is gone in the middle of the caller's reply."""
         attempt = self._attempt
         if not attempt.has_begun or not await self._is_gone(attempt.silent_since):
             return False
-        is_silent = attempt.silent_seconds >= _SOUND_SILENCE_SECONDS
-        return is_silent and not attempt.is_ended
+        return self._is_silent_for(_SOUND_SILENCE_SECONDS) and not attempt.is_ended
--- a/tests/unit/test_reply_relay.py
+++ b/tests/unit/test_reply_relay.py
@@ -61,3 +61,16 @@
         assert relay.paused_until == resumed_at
 
     run_virtual(scenario())
+
+
+def test_a_reply_that_is_resumed_has_begun_before_the_next_response() -> None:
+    """A server that was gone before it resumed a reply would be waited for."""
+
+    async def scenario() -> None:
+        relay, exchange, _ = _relay()
+        assert not relay.has_begun
+        exchange.start(200, b"OK", (), None)
+        assert relay.has_begun
+        assert not relay.is_active
+
+    run_virtual(scenario())
