Do not take the last byte before a silence for a sign of life after it

Callers could see: a response that waits until its deadline at a server that is gone, on hosts whose clock is coarse.

Cause: the byte after which the silence began can have the same time as the start of the silence, and counted as a sign of life since.

Evidence: test_the_last_sign_of_life_before_a_silence_is_none_after_it fails on the code before.

Fix: only what came later counts.

--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -82,8 +82,8 @@
 
         It can if it was heard of on another connection since, or accepts a new one.
         """
-        heard_at = max(record.pool.heard_at, record.pool.opened_at)
-        if heard_at >= silent_since:
+        # The last sign of life before the silence may have the same time.
+        if max(record.pool.heard_at, record.pool.opened_at) > silent_since:
             return False
         began_at = asyncio.get_running_loop().time()
         try:
--- a/tests/functional/test_silent_responses.py
+++ b/tests/functional/test_silent_responses.py
@@ -112,6 +112,25 @@
     asyncio.run(run())
 
 
+def test_the_last_sign_of_life_before_a_silence_is_none_after_it() -> None:
+    """With a coarse clock, both have the same time, and no server was checked."""
+
+    async def run() -> None:
+        server = await ScriptedServer(echo).start()
+        async with RelayHarness([server], []) as harness:
+            caller = await Caller.connect(harness)
+            caller.send("/patient/a")
+            await caller.read_response()
+            record = harness.servers.get(ServerId("p-0"))
+            assert record is not None
+            heard_at = record.pool.heard_at
+            await server.stop()
+            assert await harness.reachability.is_gone(record, heard_at)
+            assert not await harness.reachability.is_gone(record, heard_at - 0.001)
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_reads_slowly_does_not_make_its_server_silent() -> None:
     """LOST: a pause of this host, for a slow caller, was taken for the server's."""
     block = b"id: 1\ndata: %b\n\n" % bytes(1_000_000).replace(b"\0", b"x")
