--- a/tests/lib/entry_world.py
+++ b/tests/lib/entry_world.py
@@ -138,7 +138,7 @@
         self.orders.record()
 
     def replace_owner(self, host: str, age: int) -> None:
-        """Start an owner that has read the entry that was written ``age`` ago."""
+        """Start an owner that has read the entry written ``age`` entries ago."""
         assert self._run is not None
         self._run.cancel()
         self._start(host, self.entries[max(0, len(self.entries) - 1 - age)])
