Do not reset callers, hosts and servers that read slowly but answer

Cause: TCP_USER_TIMEOUT of 1.8 s. Linux counts it also while the peer's window is too small for what is next to be sent, though the peer acknowledges everything. The same class as the responses that were cut in a server's silence: a response that no other server takes over is ended although both sides are sound.

Evidence: all six tests of test_slow_callers.py fail on: steady and pausing callers, length and chunks, a second host, a server with a long request.

Fix: AcknowledgementWatch reads from the kernel (TCP_INFO) whether the peer answers what it is sent, every 0.25 s and only while something is unacknowledged or unsent, and closes the connection after 1.8 s without an answer, so a peer that is gone is given up as soon as before (test_acknowledgement_watch.py). Connections to servers keep the kernel's timeout until a request of over 16 KiB.

--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -9,6 +9,9 @@
 import httptools
 
 from gooseberrydeal._internal.models.routing.http_heads import Header, RequestHead
+from gooseberrydeal._internal.network.http1.acknowledgement_watch import (
+    AcknowledgementWatch,
+)
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.framing import (
     encode_error,
@@ -16,10 +19,8 @@
     framing_allowance,
 )
 from gooseberrydeal._internal.network.http1.request_handling import RequestHandler
-from gooseberrydeal._internal.network.http1.socket_options import (
-    enable_dead_peer_detection,
-    set_reset_on_close,
-)
+from gooseberrydeal._internal.network.http1.socket_options import set_reset_on_close
+from gooseberrydeal._internal.utils.restartable_timer import RestartableTimer
 
 logger = logging.getLogger(__name__)
 
@@ -47,8 +48,10 @@
         handler: RequestHandler,
         on_open: Callable[["CallerConnection"], None],
         on_close: Callable[["CallerConnection"], None],
+        watch: AcknowledgementWatch,
     ) -> None:
         self._handler = handler
+        self._watch = watch
         self._on_open = on_open
         self._on_close = on_close
         self._loop = asyncio.get_running_loop()
@@ -67,7 +70,7 @@
         self._pipelined: list[tuple[RequestHead, bytes]] = []
         self._exchange: CallerExchange | None = None
         self._task: asyncio.Task[None] | None = None
-        self._timeout: asyncio.TimerHandle | None = None
+        self._timeout = RestartableTimer()
         self._is_closing = False
         self._must_close = False
 
@@ -85,9 +88,9 @@
         """Register the connection and start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        enable_dead_peer_detection(transport)
+        self._watch.begin(transport)
         self._on_open(self)
-        self._start_timeout(self._handler.limits.idle_timeout)
+        self._timeout.start(self._handler.limits.idle_timeout, self._on_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request if one is complete."""
@@ -113,7 +116,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel the request that is being served."""
         self._is_closing = True
-        self._cancel_timeout()
+        self._timeout.cancel()
         self._on_close(self)
         if self._task is not None:
             self._task.cancel()
@@ -141,7 +144,7 @@
         self._framing_bytes = 0
         self._begun_requests += 1
         if self._exchange is None:
-            self._start_timeout(self._handler.limits.header_timeout)
+            self._timeout.start(self._handler.limits.header_timeout, self._on_timeout)
 
     def on_url(self, url: bytes) -> None:
         """Append a fragment of the request target."""
@@ -169,7 +172,7 @@
         accepts_interim = self._parser.get_http_version() != _OLD_HTTP_VERSION
         if accepts_interim and expects_continue(self._headers) and not self._is_closing:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._start_timeout(self._handler.limits.idle_timeout)
+        self._timeout.start(self._handler.limits.idle_timeout, self._on_timeout)
 
     def on_body(self, body: bytes) -> None:
         """Store a fragment of the body and check the size received so far."""
@@ -195,6 +198,7 @@
         """Send bytes to the caller, unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._watch.data_sent(self._transport)
 
     def reply_finished(self, *, keep_open: bool) -> None:
         """Start the next request, or close the connection."""
@@ -203,7 +207,7 @@
         if not keep_open:
             self.close()
             return
-        self._start_timeout(self._handler.limits.idle_timeout)
+        self._timeout.start(self._handler.limits.idle_timeout, self._on_timeout)
         self._loop.call_soon(self._start_next_request)
 
     def set_reset_on_close(self, *, is_enabled: bool) -> None:
@@ -221,7 +225,7 @@
     def close(self) -> None:
         """Close the connection once all written bytes have been sent."""
         self._is_closing = True
-        self._cancel_timeout()
+        self._timeout.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -234,7 +238,7 @@
             return
         head, body = self._pipelined.pop(0)
         self._transport.resume_reading()
-        self._cancel_timeout()
+        self._timeout.cancel()
         self._exchange = CallerExchange(head, body, self)
         self._task = self._loop.create_task(self._serve(self._exchange))
 
@@ -271,23 +275,14 @@
             return
         logger.info("request rejected with status %d: %s", status, reason)
         self._is_closing = True
-        self._cancel_timeout()
+        self._timeout.cancel()
         self._must_close = True
         if self._exchange is not None:
             return
         self.write(encode_error(status, reason))
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
-        self._timeout = self._loop.call_later(_LINGERING_CLOSE_SECONDS, self.close)
-
-    def _start_timeout(self, seconds: float) -> None:
-        self._cancel_timeout()
-        self._timeout = self._loop.call_later(seconds, self._on_timeout)
-
-    def _cancel_timeout(self) -> None:
-        if self._timeout is not None:
-            self._timeout.cancel()
-            self._timeout = None
+        self._timeout.start(_LINGERING_CLOSE_SECONDS, self.close)
 
     def _on_timeout(self) -> None:
         if self._exchange is not None:
--- a/src/gooseberrydeal/_internal/network/http1/caller_listener.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_listener.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from gooseberrydeal._internal.network.http1.acknowledgement_watch import (
+    AcknowledgementWatch,
+)
 from gooseberrydeal._internal.network.http1.caller_connection import CallerConnection
 from gooseberrydeal._internal.network.http1.request_handling import RequestHandler
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
@@ -15,6 +18,7 @@
     def __init__(self, address: str, handler: RequestHandler) -> None:
         self._address = address
         self._handler = handler
+        self._watch = AcknowledgementWatch()
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -73,5 +77,8 @@
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(
-            self._handler, self._connections.add, self._connections.discard
+            self._handler,
+            self._connections.add,
+            self._connections.discard,
+            self._watch,
         )
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -15,6 +15,7 @@
     DEFAULT_IDLE_TIMEOUT_SECONDS,
     parse_idle_timeout,
 )
+from gooseberrydeal._internal.network.http1.request_writer import RequestWriter
 from gooseberrydeal._internal.network.http1.response_budget import ResponseBudget
 from gooseberrydeal._internal.network.http1.response_sink import (
     ResponseEnd,
@@ -66,12 +67,12 @@
         self._opened_at = 0.0
         self._running_since = math.inf
         self._was_paused = False
-        self._sent_count = 0
+        self._writer = RequestWriter()
 
     @property
     def is_first_request(self) -> bool:
         """Return whether no more than one request was sent on the connection."""
-        return self._sent_count <= 1
+        return self._writer.count <= 1
 
     @property
     def running_since(self) -> float:
@@ -97,12 +98,11 @@
         """Send an encoded request and pass its response to the sink."""
         assert self._transport is not None
         self._sink = sink
-        self._sent_count += 1
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._budget = ResponseBudget()
         self._reset_message()
-        self._transport.write(data)
+        self._writer.write(self._transport, data)
 
     def pause(self) -> None:
         """Pause reading, which makes the server wait while the caller reads slowly."""
--- /dev/null
+++ b/tests/functional/test_slow_callers.py
@@ -0,0 +1,154 @@
+"""Check over real sockets that callers that read slowly get whole responses."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from tests.lib.crash_cluster import CALLER_HOST
+from tests.lib.crashing_server import CrashingServer
+from tests.lib.link_proxy import LinkState
+from tests.lib.partition_cluster import PartitionCluster
+from tests.lib.relay_scripts import request_id_line
+from tests.lib.relay_world import RelayHarness
+from tests.lib.scripted_server import ReceivedRequest, ScriptedServer
+from tests.lib.silent_scripts import chunk
+from tests.lib.slow_caller import ReadingPace, read_slowly
+
+_BODY = bytes(range(256)) * 2_000
+_STEADY = ReadingPace(pause_seconds=0.2)
+_PAUSE = ReadingPace(piece_bytes=500_000, pause_once=4.0)
+
+
+class LargeAnswerServer(CrashingServer):
+    """Answer with a body that is longer than the sockets' buffers hold."""
+
+    body = _BODY
+
+    async def _write_answer(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        head = answer.partition(b"\r\nContent-Length")[0]
+        writer.write(b"%b\r\nContent-Length: %d\r\n\r\n" % (head, len(self.body)))
+        writer.write(self.body)
+
+
+class LargeAnswerCluster(PartitionCluster):
+    """Run hosts before servers with large answers."""
+
+    server_class = LargeAnswerServer
+
+
+def _request(path: bytes, host: bytes = b"example") -> bytes:
+    return (
+        b"POST %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: 00000000000000aa\r\n"
+        b"X-Deadline-Ms: 20000\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"
+        % (path, host)
+    )
+
+
+def _body_of(response: bytes) -> bytes:
+    head, _, body = response.partition(b"\r\n\r\n")
+    if b"chunked" not in head:
+        return body
+    pieces = []
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        length = int(size, 16)
+        pieces.append(body[:length])
+        body = body[length + 2 :]
+    return b"".join(pieces)
+
+
+def _check_whole(response: bytes, expected: bytes) -> None:
+    """Check a body without the listing of a long difference."""
+    body = _body_of(response)
+    assert len(body) == len(expected)
+    is_equal = body == expected
+    assert is_equal
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("pace", [_STEADY, _PAUSE])
+def test_a_caller_that_reads_slowly_gets_the_whole_response(
+    pace: ReadingPace, is_chunked: bool
+) -> None:
+    """LOST: the kernel reset callers whose window was too small for 1.8 s."""
+
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"HTTP/1.1 200 OK\r\n{request_id_line(request)}\r\n"
+        if is_chunked:
+            writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            writer.write(chunk(_BODY) + chunk(b""))
+        else:
+            writer.write(f"{head}Content-Length: {len(_BODY)}\r\n\r\n".encode())
+            writer.write(_BODY)
+
+    async def run() -> bytes:
+        server = await ScriptedServer(answer).start()
+        async with RelayHarness([server], []) as harness:
+            request = _request(b"/patient/a")
+            return await read_slowly(harness.address, request, pace)
+
+    _check_whole(asyncio.run(run()), _BODY)
+
+
+def test_a_caller_that_reads_slowly_gets_the_whole_response_of_a_second_host() -> None:
+    """LOST: the second host reset the first one, which waited for its caller."""
+
+    async def run() -> bytes:
+        async with LargeAnswerCluster(hosts=2, servers=1) as cluster:
+            await cluster.cut(["host-0"], LinkState.RESET_AND_REFUSED)
+            while not cluster.nodes["host-0"]._reachability.is_isolated:
+                await cluster.call("host-0", b"notice")
+            for server in cluster.servers:
+                assert isinstance(server, LargeAnswerServer)
+                # More than the sockets of the two hosts hold.
+                server.body = _BODY * 16
+            request = _request(b"/safe/a", CALLER_HOST.encode())
+            address = cluster.address_of("host-0")
+            pace = ReadingPace(piece_bytes=500_000, pause_once=2.5)
+            return await read_slowly(address, request, pace)
+
+    _check_whole(asyncio.run(asyncio.wait_for(run(), 30.0)), _BODY * 16)
+
+
+def test_a_server_that_reads_a_long_request_slowly_answers_it() -> None:
+    """LOST: the kernel reset servers that left a long request unread for 1.8 s."""
+
+    async def run() -> tuple[int, bytes]:
+        received = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal received
+            head = await reader.readuntil(b"\r\n\r\n")
+            request = ReceivedRequest(head[:-4], b"")
+            length = int(request.header("content-length") or 0)
+            await asyncio.sleep(3.0)
+            while received < length:
+                received += len(await reader.read(65_536))
+            line = request_id_line(request)
+            writer.write(f"HTTP/1.1 200 OK\r\n{line}\r\n".encode())
+            writer.write(b"Content-Length: 4\r\n\r\ndone")
+            await writer.drain()
+            writer.close()
+
+        server = ScriptedServer(_unused)
+        server._server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=4_096)
+        async with RelayHarness([server], []) as harness:
+            configuration = harness.view.configuration
+            assert configuration is not None
+            limits = replace(configuration.limits, body_bytes=8_000_000)
+            harness.view.configuration = replace(configuration, limits=limits)
+            body = bytes(7_000_000)
+            request = _request(b"/patient/a").removesuffix(b"x")
+            request = request.replace(b"Length: 1", b"Length: %d" % len(body))
+            response = await read_slowly(harness.address, request + body, ReadingPace())
+        await server.stop()
+        return received, _body_of(response)
+
+    assert asyncio.run(run()) == (7_000_000, b"done")
+
+
+async def _unused(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    raise NotImplementedError
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -32,6 +32,7 @@
     ("safe", "safe", {}),
     ("safe", "quick", {"targetLatencyMs": 100}),
     ("unsafe", "once", {}),
+    ("unsafe", "long", {"timeoutMs": 20_000}),
     ("streaming", "stream", {}),
     ("streaming", "resumable", {"resumable": True, "maxAttempts": 1}),
     ("streaming", "onward", {"resumable": True, "maxAttempts": 2}),
@@ -48,8 +49,9 @@
     """Run hosts, plain servers and a metadata store in one process.
 
     Requests under ``/safe/`` and ``/quick/`` may be repeated, those under ``/once/``
-    and the streams under ``/stream/`` may not. Streams under ``/resumable/`` may be
-    taken up by their callers, those under ``/onward/`` by the hosts too.
+    and ``/long/`` and the streams under ``/stream/`` may not. Streams under
+    ``/resumable/`` may be taken up by their callers, those under ``/onward/`` by the
+    hosts too.
     """
 
     server_class: type[CrashingServer] = CrashingServer
