Send what a stopping host has of a response while its grace lasts

Cause: a connection counted as idle when its response was finished, though bytes of it still waited to be sent; the stop then aborted it.

Evidence: test_a_stopping_host_sends_all_that_it_has_of_a_response gets 1,315,376 of 1,536,000 bytes on.

--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -79,6 +79,13 @@
         """Return whether no request is being received or served."""
         return self._exchange is None and not self._is_receiving and not self._pipelined
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of a response waits to be sent."""
+        return self._transport is not None and (
+            self._transport.get_write_buffer_size() > 0
+        )
+
     @property
     def is_closing_after_reply(self) -> bool:
         """Return whether the connection is closed after the current response."""
--- a/src/gooseberrydeal/_internal/network/http1/caller_listener.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_listener.py
@@ -29,8 +29,11 @@
 
     @property
     def busy_count(self) -> int:
-        """Return how many connections are receiving or serving a request."""
-        return sum(not connection.is_idle for connection in self._connections)
+        """Return how many connections have a request or unsent bytes of a response."""
+        return sum(
+            not connection.is_idle or connection.has_unsent
+            for connection in self._connections
+        )
 
     @property
     def bound_address(self) -> str:
--- a/tests/functional/test_slow_callers.py
+++ b/tests/functional/test_slow_callers.py
@@ -1,6 +1,7 @@
 """Check over real sockets that callers that read slowly get whole responses."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
@@ -18,6 +19,8 @@
 _BODY = bytes(range(256)) * 2_000
 _STEADY = ReadingPace(pause_seconds=0.2)
 _PAUSE = ReadingPace(piece_bytes=500_000, pause_once=4.0)
+_GRACE_SECONDS = 8.0
+_SEND_BUFFER_BYTES = 32_768
 
 
 class LargeAnswerServer(CrashingServer):
@@ -152,3 +155,32 @@
 
 async def _unused(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     raise NotImplementedError
+
+
+def test_a_stopping_host_sends_all_that_it_has_of_a_response() -> None:
+    """LOST: what a stopping host had not sent yet was discarded, with grace left."""
+
+    async def run() -> bytes:
+        async with LargeAnswerCluster(hosts=1, servers=1) as cluster:
+            for server in cluster.servers:
+                assert isinstance(server, LargeAnswerServer)
+                server.body = _BODY * 3
+            node = cluster.nodes["host-0"]
+            bounds = replace(node._settings.bounds, grace=_GRACE_SECONDS)
+            node.apply(replace(node._settings, bounds=bounds))
+            address = cluster.address_of("host-0")
+            listening = node._caller_listener._server
+            assert listening is not None
+            # Accepted connections get the same buffer.
+            sock = listening.sockets[0]
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+            request = _request(b"/long/a", CALLER_HOST.encode())
+            # The response goes on until after the host has left the rotation.
+            pace = ReadingPace(piece_bytes=16_384, pause_seconds=0.05)
+            reading = asyncio.create_task(read_slowly(address, request, pace))
+            await asyncio.sleep(0.5)
+            del cluster.nodes["host-0"]
+            assert await node.stop() == 0
+            return await reading
+
+    _check_whole(asyncio.run(asyncio.wait_for(run(), 30.0)), _BODY * 3)
