Find a server that is gone as soon as before, and end its response at once then

Cause: the first check was planned when the request was sent, at the whole time of silence, since the reply had not begun yet; and each check tried to connect again, for up to 0.4 s, although another attempt had just failed.

Evidence: test_a_reply_of_a_server_that_is_gone_ends_before_the_timeout, whose reply now begins after the send as it does in practice, fails on the code before.

Fix: the first check comes after half the time in any case, one comes when a sound server's silence is over, and an attempt that failed in the silence counts.

--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -42,6 +42,7 @@
         self._in_use = 0
         self._process = ServerProcess()
         self._opened_at = -math.inf
+        self._failed_at = -math.inf
 
     @property
     def heard_at(self) -> float:
@@ -59,6 +60,14 @@
         """
         return self._opened_at
 
+    @property
+    def failed_at(self) -> float:
+        """Return when the last attempt to open a connection began that failed.
+
+        That is on the loop's clock in seconds, minus infinity if none failed.
+        """
+        return self._failed_at
+
     @property
     def has_idle(self) -> bool:
         """Return whether a request can be sent without opening a connection."""
@@ -142,6 +151,7 @@
     async def _open(self) -> ServerConnection:
         host, port = split_ip_and_port(self._address)
         loop = asyncio.get_running_loop()
+        began_at = loop.time()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
@@ -150,10 +160,12 @@
                     port,
                 )
         except ConnectionRefusedError as error:
+            self._failed_at = began_at
             raise ServerNotListeningError(
                 f"cannot connect to {self._address}: {error}"
             ) from error
         except (OSError, TimeoutError) as error:
+            self._failed_at = began_at
             raise ServerUnreachableError(
                 f"cannot connect to {self._address}: {error or 'timeout'}"
             ) from error
--- a/src/gooseberrydeal/_internal/operations/router/reachability.py
+++ b/src/gooseberrydeal/_internal/operations/router/reachability.py
@@ -82,12 +82,16 @@
 
         It can if it was heard of on another connection since, or accepts a new one.
         """
+        pool = record.pool
         # The last sign of life before the silence may have the same time.
-        if max(record.pool.heard_at, record.pool.opened_at) > silent_since:
+        if max(pool.heard_at, pool.opened_at) > silent_since:
             return False
+        if pool.failed_at > silent_since:
+            # It is probed again and again since.
+            return True
         began_at = asyncio.get_running_loop().time()
         try:
-            await record.pool.probe()
+            await pool.probe()
         except ServerUnreachableError as error:
             logger.info(
                 "server silent for %.1f s cannot be reached: %s",
--- a/src/gooseberrydeal/_internal/operations/router/response_wait.py
+++ b/src/gooseberrydeal/_internal/operations/router/response_wait.py
@@ -41,6 +41,9 @@
         self._silence = max(
             _MIN_SILENCE_SECONDS, _SILENCE_TARGET_LATENCIES * route.target_latency
         )
+        # The reply may begin during the wait for the first check.
+        first_check = self._silence * _FIRST_CHECK_FRACTION
+        self._checks = sorted((first_check, self._silence, _SOUND_SILENCE_SECONDS))
         self._take_over = take_over
         self._is_gone = is_gone
 
@@ -58,10 +61,7 @@
 
     def _next_check(self) -> float:
         """Return after how many seconds of silence to check the server next."""
-        first = self._silence
-        if self._attempt.has_begun:
-            first *= _FIRST_CHECK_FRACTION
-        for seconds in (first, self._silence):
+        for seconds in self._checks:
             if not self._is_silent_for(seconds):
                 return seconds
         return self._attempt.silent_seconds + _RECHECK_SECONDS
--- a/tests/unit/test_response_wait.py
+++ b/tests/unit/test_response_wait.py
@@ -22,10 +22,15 @@
     """Stand in for an attempt whose response ends after a long silence."""
 
     def __init__(self, *, has_begun: bool) -> None:
-        self.has_begun = has_begun
+        self._has_begun = has_begun
         self.reason = ""
         self.silent_since = asyncio.get_running_loop().time()
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the reply has begun, which it has not at the send."""
+        return self._has_begun and self.silent_seconds > 0.0
+
     @property
     def silent_seconds(self) -> float:
         return asyncio.get_running_loop().time() - self.silent_since
