Close the connections of a test server that reads slowly

They were those of the test before it in the same process: its server stood in `readuntil` on connections that the host had opened and not used when the loop ended, and did not close them. The server is a class with a `finally` like the other test servers.

A second test of this file failed when its process was slowed with tracemalloc (7,569,156 and 8,120,580 of 8,192,000 bytes): its route gives a response 3 s, of which the caller pauses for 2.5 s. It uses the route of 20 s now; what it checks is that no pause ends the response.

--- a/tests/functional/test_slow_callers.py
+++ b/tests/functional/test_slow_callers.py
@@ -21,6 +21,8 @@
 _PAUSE = ReadingPace(piece_bytes=500_000, pause_once=4.0)
 _GRACE_SECONDS = 8.0
 _SEND_BUFFER_BYTES = 32_768
+_READ_LIMIT_BYTES = 4_096
+_UNREAD_SECONDS = 3.0
 
 
 class LargeAnswerServer(CrashingServer):
@@ -40,6 +42,38 @@
     server_class = LargeAnswerServer
 
 
+class SlowReadingServer(ScriptedServer):
+    """Leave the body of a request unread for a while before reading it."""
+
+    received_bytes = 0
+
+    async def start(self) -> "SlowReadingServer":
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=_READ_LIMIT_BYTES
+        )
+        return self
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            request = ReceivedRequest(head[:-4], b"")
+            length = int(request.header("content-length") or 0)
+            await asyncio.sleep(_UNREAD_SECONDS)
+            while self.received_bytes < length:
+                self.received_bytes += len(await reader.read(65_536))
+            line = request_id_line(request)
+            writer.write(f"HTTP/1.1 200 OK\r\n{line}\r\n".encode())
+            writer.write(b"Content-Length: 4\r\n\r\ndone")
+            await writer.drain()
+        except asyncio.IncompleteReadError:
+            # Probes close their connections without a request.
+            return
+        finally:
+            writer.close()
+
+
 def _request(path: bytes, host: bytes = b"example") -> bytes:
     return (
         b"POST %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: 00000000000000aa\r\n"
@@ -106,7 +140,7 @@
                 assert isinstance(server, LargeAnswerServer)
                 # More than the sockets of the two hosts hold.
                 server.body = _BODY * 16
-            request = _request(b"/safe/a", CALLER_HOST.encode())
+            request = _request(b"/long/a", CALLER_HOST.encode())
             address = cluster.address_of("host-0")
             pace = ReadingPace(piece_bytes=500_000, pause_once=2.5)
             return await read_slowly(address, request, pace)
@@ -118,26 +152,8 @@
     """LOST: the kernel reset servers that left a long request unread for 1.8 s."""
 
     async def run() -> tuple[int, bytes]:
-        received = 0
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            nonlocal received
-            head = await reader.readuntil(b"\r\n\r\n")
-            request = ReceivedRequest(head[:-4], b"")
-            length = int(request.header("content-length") or 0)
-            await asyncio.sleep(3.0)
-            while received < length:
-                received += len(await reader.read(65_536))
-            line = request_id_line(request)
-            writer.write(f"HTTP/1.1 200 OK\r\n{line}\r\n".encode())
-            writer.write(b"Content-Length: 4\r\n\r\ndone")
-            await writer.drain()
-            writer.close()
-
-        server = ScriptedServer(_unused)
-        server._server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=4_096)
+        server = SlowReadingServer(_unused)
+        await server.start()
         async with RelayHarness([server], []) as harness:
             configuration = harness.view.configuration
             assert configuration is not None
@@ -148,7 +164,7 @@
             request = request.replace(b"Length: 1", b"Length: %d" % len(body))
             response = await read_slowly(harness.address, request + body, ReadingPace())
         await server.stop()
-        return received, _body_of(response)
+        return server.received_bytes, _body_of(response)
 
     assert asyncio.run(run()) == (7_000_000, b"done")
 
