Test what keeps a response at a silent server, and entries of any age at several numbers of slots

Removing single lines of the fixes on a copy showed lines that no test guarded: a stream whose adapter no other engine has, whose origin is uncertain, or which may crash others stays at its engine; a server whose last attempt to connect failed in the silence is not tried again; a response that ends during that attempt is whole. Loads are checked for engines of 1, 2 and 17 slots, with the newest and the second newest entry, and the reads of reports that entries cost are counted.

--- a/tests/functional/test_old_entries.py
+++ b/tests/functional/test_old_entries.py
@@ -29,14 +29,16 @@
         await asyncio.sleep(1.0)
 
 
-def test_an_entry_written_during_a_load_frees_no_slot() -> None:
+@pytest.mark.parametrize("age", [0, 1])
+@pytest.mark.parametrize("slots", [1, 2, 17])
+def test_an_entry_written_during_a_load_frees_no_slot(slots: int, age: int) -> None:
     """LIMIT: an old list with an equal count of orders hid a copy from the owner."""
 
     async def scenario() -> None:
-        world = EntryWorld()
+        world = EntryWorld(slots)
         await _fill(world)
         await asyncio.sleep(_QUIET_SECONDS)
-        world.read_entry(0)
+        world.read_entry(age)
         await _request_more(world)
         assert world.engine.crashes == 0
         assert copy_key("a13") in world.engine.copies
@@ -88,6 +90,21 @@
     run_virtual(scenario())
 
 
+def test_entries_cost_no_reads_of_the_report_while_orders_are_sent() -> None:
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        await _request_more(world)
+        reports = world.orders.report_count
+        for age in range(len(world.entries)):
+            world.read_entry(age)
+            await asyncio.sleep(0.1)
+        assert world.orders.report_count == reports
+        world.stop()
+
+    run_virtual(scenario())
+
+
 def test_copies_that_an_engine_has_lost_are_found_by_its_entry() -> None:
     async def scenario() -> None:
         world = EntryWorld()
--- a/tests/functional/test_silent_responses.py
+++ b/tests/functional/test_silent_responses.py
@@ -1,11 +1,13 @@
 """Check over real sockets that silence of a sound server ends no response."""
 
 import asyncio
+from unittest.mock import patch
 
 import pytest
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.operations.router.crash_screening import CrashScreening
 from tests.lib.link_proxy import LinkState
 from tests.lib.relay_scripts import echo, request_id_line, run_relay
 from tests.lib.relay_world import Caller, RelayHarness
@@ -26,7 +28,7 @@
 _EVENTS = b"".join(map(event, range(1, 6)))
 
 
-@pytest.mark.parametrize("first", [b"", FIRST_HALF])
+@pytest.mark.parametrize("first", [b"", FIRST_HALF, _WHOLE[:-1]])
 @pytest.mark.parametrize("servers", [1, 2])
 @pytest.mark.parametrize("framing", list(Framing))
 def test_a_response_whose_server_is_silent_for_a_second_is_whole(
@@ -82,6 +84,50 @@
     assert sum(len(engine.requests) for engine in engines) == 1
 
 
+def test_a_stream_goes_on_at_its_silent_engine_if_no_other_has_its_adapter() -> None:
+    """LOST: a stream was given up, and the adapter could not be loaded in time."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        harness.set_ready_copies("e-1", count=0)
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    engines = run_relay(scenario, engines=[silent_stream(), silent_stream()])
+    assert [len(engine.requests) for engine in engines] == [1, 0]
+
+
+def test_a_stream_goes_on_at_its_silent_engine_if_its_origin_is_uncertain() -> None:
+    """LOST: a stream was given up that may go on at no other engine."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        harness.view.starts_known_until = 0.0
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    engines = run_relay(scenario, engines=[silent_stream(), silent_stream()])
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
+def test_a_stream_goes_on_at_its_silent_engine_if_it_may_crash_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """LOST: a stream was given up, and then had to wait to run alone."""
+    suspects: list[CrashScreening] = []
+
+    def is_suspect(screening: CrashScreening) -> bool:
+        # It becomes one only after it was sent.
+        suspects.append(screening)
+        return len(suspects) > 1
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        monkeypatch.setattr(CrashScreening, "is_suspect", is_suspect)
+        caller.send("/resumable/a")
+        assert (await caller.read_response())[2] == _EVENTS
+
+    engines = run_relay(scenario, engines=[silent_stream(), silent_stream()])
+    assert sum(len(engine.requests) for engine in engines) == 1
+
+
 def test_a_stream_of_a_silent_engine_is_taken_over_by_another() -> None:
     async def scenario(harness: RelayHarness, caller: Caller) -> None:
         caller.send("/resumable/a")
@@ -127,6 +173,10 @@
             await server.stop()
             assert await harness.reachability.is_gone(record, heard_at)
             assert not await harness.reachability.is_gone(record, heard_at - 0.001)
+            # An attempt that failed in the silence is not made again.
+            probe = patch.object(record.pool, "probe", side_effect=AssertionError)
+            with probe:
+                assert await harness.reachability.is_gone(record, heard_at)
 
     asyncio.run(run())
 
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -83,6 +83,7 @@
         )
         self.view.hosts[HostId("h1")] = membership()
         self.view.starts_known_until = math.inf
+        self._statuses = 0
         self.servers = ServerTable(clock)
         self.servers.configure(self.view.configuration)
         for number, server in enumerate(plain):
@@ -93,7 +94,7 @@
             )
         for number, server in enumerate(engines):
             self.servers.put(server_entry(f"e-{number}", address=server.address))
-            self._set_ready_copies(f"e-{number}")
+            self.set_ready_copies(f"e-{number}")
         signal = ChangeSignal()
         self.metrics = RouterMetrics()
         self.limits = ServerLimits(
@@ -202,16 +203,18 @@
         for record in self.servers.records:
             record.pool.close()
 
-    def _set_ready_copies(self, server: str) -> None:
+    def set_ready_copies(self, server: str, count: int = 3) -> None:
+        """Tell the host that an engine has copies of the first adapters."""
+        self._statuses += 1
         copies = tuple(
-            CopyStatus(copy_key(f"a{n}"), CopyState.READY) for n in range(1, 4)
+            CopyStatus(copy_key(f"a{n}"), CopyState.READY) for n in range(1, count + 1)
         )
         self.servers.apply_status(
             EngineStatus(
                 HostId("h1"),
                 ServerId(server),
                 FencingNumber(1),
-                1,
+                self._statuses,
                 may_load=False,
                 spare_slots=0,
                 requests=0,
--- a/tests/unit/test_response_wait.py
+++ b/tests/unit/test_response_wait.py
@@ -21,8 +21,9 @@
 class _SilentAttempt:
     """Stand in for an attempt whose response ends after a long silence."""
 
-    def __init__(self, *, has_begun: bool) -> None:
+    def __init__(self, *, has_begun: bool, answer_seconds: float) -> None:
         self._has_begun = has_begun
+        self._answer_seconds = answer_seconds
         self.reason = ""
         self.silent_since = asyncio.get_running_loop().time()
 
@@ -37,10 +38,10 @@
 
     @property
     def is_ended(self) -> bool:
-        return self.silent_seconds >= _ANSWER_SECONDS - SILENCE_RESOLUTION_SECONDS
+        return self.silent_seconds >= self._answer_seconds - SILENCE_RESOLUTION_SECONDS
 
     async def outcome_unless_silent(self, seconds: float) -> AttemptOutcome | None:
-        until = min(seconds, _ANSWER_SECONDS)
+        until = min(seconds, self._answer_seconds)
         await asyncio.sleep(max(0.0, until - self.silent_seconds))
         return AttemptOutcome.SERVED if self.is_ended else None
 
@@ -50,12 +51,16 @@
 
 
 def _wait(
-    *, has_begun: bool, has_other: bool = False, is_gone: bool = False
+    *,
+    has_begun: bool,
+    has_other: bool = False,
+    is_gone: bool = False,
+    answer_seconds: float = _ANSWER_SECONDS,
 ) -> tuple[AttemptOutcome, float, list[float]]:
     """Return the outcome, after how many seconds, and when the server was checked."""
 
     async def scenario() -> tuple[AttemptOutcome, float, list[float]]:
-        attempt = _SilentAttempt(has_begun=has_begun)
+        attempt = _SilentAttempt(has_begun=has_begun, answer_seconds=answer_seconds)
         checks: list[float] = []
 
         async def check(since: float) -> bool:
@@ -96,3 +101,10 @@
 def test_a_server_is_not_checked_before_the_reply_has_begun() -> None:
     """Silence before the reply is watched for all requests of a server at once."""
     assert _wait(has_begun=False, is_gone=True)[2] == []
+
+
+def test_a_response_that_ends_while_its_server_is_checked_is_whole() -> None:
+    """LOST: the last bytes may come while the attempt to connect still lasts."""
+    outcome, _, checks = _wait(has_begun=True, is_gone=True, answer_seconds=1.7)
+    assert outcome is AttemptOutcome.SERVED
+    assert checks[-1] == 1.5
