--- a/tests/functional/test_old_entries.py
+++ b/tests/functional/test_old_entries.py
@@ -24,7 +24,7 @@
 
 
 async def _request_more(world: EntryWorld) -> None:
-    for number in range(10, 14):
+    for number in range(101, 105):
         world.request([copy_key(f"a{number}")])
         await asyncio.sleep(1.0)
 
@@ -41,7 +41,7 @@
         world.read_entry(age)
         await _request_more(world)
         assert world.engine.crashes == 0
-        assert copy_key("a13") in world.engine.copies
+        assert copy_key("a104") in world.engine.copies
         world.stop()
 
     run_virtual(scenario())
@@ -59,7 +59,7 @@
         world.read_entry(0)
         await _request_more(world)
         assert world.engine.crashes == 0
-        assert copy_key("a13") in world.engine.copies
+        assert copy_key("a104") in world.engine.copies
         world.stop()
 
     run_virtual(scenario())
@@ -129,7 +129,7 @@
         world.read_entry(0)
         assert not world.owner._slots.copies
         await _request_more(world)
-        assert copy_key("a13") in world.engine.copies
+        assert copy_key("a104") in world.engine.copies
         assert world.engine.crashes == 0
         world.stop()
 
@@ -146,7 +146,7 @@
         world.engine.slots = 2
         await _request_more(world)
         assert world.engine.crashes == 0
-        assert copy_key("a13") in world.engine.copies
+        assert copy_key("a104") in world.engine.copies
         assert len(world.engine.copies) == 2
         world.stop()
 
