--- a/tests/functional/test_silent_responses.py
+++ b/tests/functional/test_silent_responses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from gooseberrydeal._internal.operations.router.crash_screening import CrashScreening
 from tests.lib.link_proxy import LinkState
@@ -84,11 +85,14 @@
     assert sum(len(engine.requests) for engine in engines) == 1
 
 
-def test_a_stream_goes_on_at_its_silent_engine_if_no_other_has_its_adapter() -> None:
+@pytest.mark.parametrize("state", [None, CopyState.LOADING, CopyState.UNLOADING])
+def test_a_stream_goes_on_at_its_silent_engine_if_no_other_has_its_adapter(
+    state: CopyState | None,
+) -> None:
     """LOST: a stream was given up, and the adapter could not be loaded in time."""
 
     async def scenario(harness: RelayHarness, caller: Caller) -> None:
-        harness.set_ready_copies("e-1", count=0)
+        harness.set_copies("e-1", state)
         caller.send("/resumable/a")
         assert (await caller.read_response())[2] == _EVENTS
 
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -62,6 +62,9 @@
 )
 from tests.lib.scripted_server import ScriptedServer
 
+# Time until a copy that is being loaded is ready.
+_LOAD_SECONDS = 60.0
+
 
 class RelayHarness:
     """Relay requests to scripted servers.
@@ -94,7 +97,7 @@
             )
         for number, server in enumerate(engines):
             self.servers.put(server_entry(f"e-{number}", address=server.address))
-            self.set_ready_copies(f"e-{number}")
+            self.set_copies(f"e-{number}", CopyState.READY)
         signal = ChangeSignal()
         self.metrics = RouterMetrics()
         self.limits = ServerLimits(
@@ -203,11 +206,13 @@
         for record in self.servers.records:
             record.pool.close()
 
-    def set_ready_copies(self, server: str, count: int = 3) -> None:
-        """Tell the host that an engine has copies of the first adapters."""
+    def set_copies(self, server: str, state: CopyState | None) -> None:
+        """Tell the host which state the three adapters have at an engine, if any."""
         self._statuses += 1
         copies = tuple(
-            CopyStatus(copy_key(f"a{n}"), CopyState.READY) for n in range(1, count + 1)
+            CopyStatus(copy_key(f"a{n}"), state, _LOAD_SECONDS)
+            for n in range(1, 4)
+            if state is not None
         )
         self.servers.apply_status(
             EngineStatus(
