Test that a retry is taken once, that cut-off requests are passed on, and what makes a server gone

Without the condition on a known count of orders in EntryCheck no test fails: the report is read then anyway.

--- a/tests/functional/test_old_entries.py
+++ b/tests/functional/test_old_entries.py
@@ -98,7 +98,7 @@
         reports = world.orders.report_count
         for age in range(len(world.entries)):
             world.read_entry(age)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.4)
         assert world.orders.report_count == reports
         world.stop()
 
--- a/tests/functional/test_silent_responses.py
+++ b/tests/functional/test_silent_responses.py
@@ -27,6 +27,7 @@
 
 _WHOLE = FIRST_HALF + SECOND_HALF
 _EVENTS = b"".join(map(event, range(1, 6)))
+_SLACK_FOR_ONE_RETRY = 1.5
 
 
 @pytest.mark.parametrize("first", [b"", FIRST_HALF, _WHOLE[:-1]])
@@ -132,8 +133,15 @@
     assert sum(len(engine.requests) for engine in engines) == 1
 
 
-def test_a_stream_of_a_silent_engine_is_taken_over_by_another() -> None:
+@pytest.mark.parametrize("retry_slack", [50.0, _SLACK_FOR_ONE_RETRY])
+def test_a_stream_of_a_silent_engine_is_taken_over_by_another(
+    retry_slack: float,
+) -> None:
+    """The retry is taken from the budget once, before the stream is given up."""
+
     async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        bounds = RoutingBounds(retry_ratio=0.0, retry_slack=retry_slack)
+        harness.handler.set_bounds(bounds)
         caller.send("/resumable/a")
         assert (await caller.read_response())[2] == _EVENTS
 
@@ -185,6 +193,27 @@
     asyncio.run(run())
 
 
+def test_a_server_that_accepts_connections_again_is_not_gone() -> None:
+    """LOST: a failed attempt to connect must not count after one that succeeded."""
+
+    async def run() -> None:
+        server = await ScriptedServer(echo).start()
+        address = server.address
+        async with RelayHarness([server], []) as harness:
+            record = harness.servers.get(ServerId("p-0"))
+            assert record is not None
+            silent_since = asyncio.get_running_loop().time()
+            await server.stop()
+            assert await harness.reachability.is_gone(record, silent_since)
+            assert record.health.is_unreachable
+            again = await ScriptedServer(echo).start(address)
+            await record.pool.probe()
+            assert not await harness.reachability.is_gone(record, silent_since)
+            await again.stop()
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_reads_slowly_does_not_make_its_server_silent() -> None:
     """LOST: a pause of this host, for a slow caller, was taken for the server's."""
     block = b"id: 1\ndata: %b\n\n" % bytes(1_000_000).replace(b"\0", b"x")
@@ -228,3 +257,19 @@
                 assert reply.endswith(body)
 
     asyncio.run(asyncio.wait_for(run(), 30.0))
+
+
+def test_a_request_at_a_server_that_is_cut_off_is_passed_on_to_a_second_host() -> None:
+    """A host without another server must not wait for one that it can't reach."""
+
+    async def run() -> int:
+        async with SilentCluster(hosts=2, servers=1) as cluster:
+            (server,) = cluster.servers
+            server.service_seconds = 0.5
+            call = asyncio.create_task(cluster.call("host-0", b"request", "/safe/a"))
+            while not server.arrivals or server.arrivals[-1][0] != b"request":
+                await asyncio.sleep(0.01)
+            await cluster.cut(["host-0"], LinkState.SILENT)
+            return (await call)[0]
+
+    assert asyncio.run(asyncio.wait_for(run(), 30.0)) == 200
--- a/tests/functional/test_slow_callers.py
+++ b/tests/functional/test_slow_callers.py
@@ -47,9 +47,10 @@
 
     received_bytes = 0
 
-    async def start(self) -> "SlowReadingServer":
+    async def start(self, address: str = "127.0.0.1:0") -> "SlowReadingServer":
+        host, port = address.rsplit(":", 1)
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=_READ_LIMIT_BYTES
+            self._serve, host, int(port), limit=_READ_LIMIT_BYTES
         )
         return self
 
--- a/tests/lib/scripted_server.py
+++ b/tests/lib/scripted_server.py
@@ -44,8 +44,9 @@
         host, port = self._server.sockets[0].getsockname()
         return f"{host}:{port}"
 
-    async def start(self) -> "ScriptedServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, address: str = "127.0.0.1:0") -> "ScriptedServer":
+        host, port = address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
         return self
 
     async def stop(self) -> None:
