--- a/tests/functional/test_old_entries.py
+++ b/tests/functional/test_old_entries.py
@@ -1,6 +1,7 @@
 """Check that no entry of an engine, however old, lets its owner exceed the slots."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -105,6 +106,20 @@
     run_virtual(scenario())
 
 
+def test_an_entry_without_a_list_of_adapters_costs_no_read_of_the_report() -> None:
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        await asyncio.sleep(_QUIET_SECONDS)
+        reports = world.orders.report_count
+        world.owner.reconcile_entry(replace(world.entries[-1], held=None))
+        await asyncio.sleep(1.0)
+        assert world.orders.report_count == reports
+        world.stop()
+
+    run_virtual(scenario())
+
+
 def test_copies_that_an_engine_has_lost_are_found_by_its_entry() -> None:
     async def scenario() -> None:
         world = EntryWorld()
@@ -120,6 +135,21 @@
     run_virtual(scenario())
 
 
+def test_an_order_that_the_owner_does_not_know_of_is_found_by_an_entry() -> None:
+    async def scenario() -> None:
+        world = EntryWorld()
+        await _fill(world)
+        await asyncio.sleep(_QUIET_SECONDS)
+        world.engine.order_count += 1
+        world.write_entry()
+        world.read_entry(0)
+        await asyncio.sleep(1.0)
+        assert world.owner._sequence.count == world.engine.order_count
+        world.stop()
+
+    run_virtual(scenario())
+
+
 def test_a_restart_that_an_entry_shows_is_found_at_once() -> None:
     async def scenario() -> None:
         world = EntryWorld()
@@ -128,6 +158,8 @@
         world.write_entry()
         world.read_entry(0)
         assert not world.owner._slots.copies
+        # The entry may be old, so no order goes by its count.
+        assert not world.owner._sequence.is_count_known
         await _request_more(world)
         assert copy_key("a104") in world.engine.copies
         assert world.engine.crashes == 0
