Test that connections whose peer is gone are still closed, and which the kernel closes

A caller or a server that acknowledges nothing is closed now in a test over real sockets, with the state that the kernel tells replaced, and the kernel's timeout is off unless it tells none.

The server that reads slowly read on after the end of its connection.

--- a/tests/functional/test_slow_callers.py
+++ b/tests/functional/test_slow_callers.py
@@ -3,17 +3,21 @@
 import asyncio
 import socket
 from dataclasses import replace
+from unittest.mock import patch
 
 import pytest
 
+from gooseberrydeal._internal.network.http1.acknowledgement_state import (
+    AcknowledgementState,
+)
 from tests.lib.crash_cluster import CALLER_HOST
 from tests.lib.crashing_server import CrashingServer
 from tests.lib.link_proxy import LinkState
 from tests.lib.partition_cluster import PartitionCluster
-from tests.lib.relay_scripts import request_id_line
-from tests.lib.relay_world import RelayHarness
+from tests.lib.relay_scripts import echo, request_id_line, run_relay
+from tests.lib.relay_world import Caller, RelayHarness
 from tests.lib.scripted_server import ReceivedRequest, ScriptedServer
-from tests.lib.silent_scripts import chunk
+from tests.lib.silent_scripts import Framing, chunk, silent_within
 from tests.lib.slow_caller import ReadingPace, read_slowly
 
 _BODY = bytes(range(256)) * 2_000
@@ -23,6 +27,8 @@
 _SEND_BUFFER_BYTES = 32_768
 _READ_LIMIT_BYTES = 4_096
 _UNREAD_SECONDS = 3.0
+_LONG_BODY_BYTES = 7_000_000
+_UNANSWERED = AcknowledgementState(1, 0, since_data_sent=0.2, since_acknowledged=9.0)
 
 
 class LargeAnswerServer(CrashingServer):
@@ -62,13 +68,12 @@
             request = ReceivedRequest(head[:-4], b"")
             length = int(request.header("content-length") or 0)
             await asyncio.sleep(_UNREAD_SECONDS)
-            while self.received_bytes < length:
-                self.received_bytes += len(await reader.read(65_536))
+            self.received_bytes += len(await reader.readexactly(length))
             line = request_id_line(request)
             writer.write(f"HTTP/1.1 200 OK\r\n{line}\r\n".encode())
             writer.write(b"Content-Length: 4\r\n\r\ndone")
             await writer.drain()
-        except asyncio.IncompleteReadError:
+        except (asyncio.IncompleteReadError, ConnectionError):
             # Probes close their connections without a request.
             return
         finally:
@@ -149,31 +154,85 @@
     _check_whole(asyncio.run(asyncio.wait_for(run(), 30.0)), _BODY * 16)
 
 
+async def _call_with_long_body(server: ScriptedServer, path: bytes) -> bytes:
+    """Send a request that is longer than what the sockets' buffers hold."""
+    async with RelayHarness([server], []) as harness:
+        configuration = harness.view.configuration
+        assert configuration is not None
+        limits = replace(configuration.limits, body_bytes=8_000_000)
+        harness.view.configuration = replace(configuration, limits=limits)
+        body = bytes(_LONG_BODY_BYTES)
+        request = _request(path).removesuffix(b"x")
+        request = request.replace(b"Length: 1", b"Length: %d" % len(body))
+        response = await read_slowly(harness.address, request + body, ReadingPace())
+    await server.stop()
+    return response
+
+
 def test_a_server_that_reads_a_long_request_slowly_answers_it() -> None:
     """LOST: the kernel reset servers that left a long request unread for 1.8 s."""
 
     async def run() -> tuple[int, bytes]:
         server = SlowReadingServer(_unused)
         await server.start()
-        async with RelayHarness([server], []) as harness:
-            configuration = harness.view.configuration
-            assert configuration is not None
-            limits = replace(configuration.limits, body_bytes=8_000_000)
-            harness.view.configuration = replace(configuration, limits=limits)
-            body = bytes(7_000_000)
-            request = _request(b"/patient/a").removesuffix(b"x")
-            request = request.replace(b"Length: 1", b"Length: %d" % len(body))
-            response = await read_slowly(harness.address, request + body, ReadingPace())
-        await server.stop()
+        response = await _call_with_long_body(server, b"/patient/a")
         return server.received_bytes, _body_of(response)
 
-    assert asyncio.run(run()) == (7_000_000, b"done")
+    assert asyncio.run(run()) == (_LONG_BODY_BYTES, b"done")
 
 
 async def _unused(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     raise NotImplementedError
 
 
+def test_a_caller_that_acknowledges_nothing_is_closed_during_its_response() -> None:
+    """Its connection must not stay open until the server ends the response."""
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        with patch.object(AcknowledgementState, "from_socket", lambda _: _UNANSWERED):
+            caller.send("/patient/a")
+            await asyncio.wait_for(caller.read_to_end(), 10.0)
+
+    run_relay(scenario, [silent_within(Framing.LENGTH, silence_seconds=20.0)])
+
+
+def test_a_server_that_acknowledges_no_part_of_a_long_request_is_given_up() -> None:
+    """Its connection must not stay open until the timeout of the route."""
+
+    async def run() -> bytes:
+        server = await SlowReadingServer(_unused).start()
+        with patch.object(AcknowledgementState, "from_socket", lambda _: _UNANSWERED):
+            return await _call_with_long_body(server, b"/patient/a")
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 502")
+
+
+@pytest.mark.parametrize("is_state_known", [True, False])
+def test_the_kernel_ends_connections_to_callers_only_if_it_tells_no_state(
+    is_state_known: bool,
+) -> None:
+    """LOST: its timeout resets callers that read slowly, so it is a last resort."""
+    state = AcknowledgementState(0, 0, 0.0, 0.0)
+    result = [state] * 1_000 if is_state_known else OSError("not supported")
+    options: list[int] = []
+
+    async def scenario(harness: RelayHarness, caller: Caller) -> None:
+        with patch.object(AcknowledgementState, "from_socket", side_effect=result):
+            other = await Caller.connect(harness)
+            other.send("/patient/a")
+            await other.read_response()
+            for connection in harness.listener._connections:
+                assert connection._transport is not None
+                sock = connection._transport.get_extra_info("socket")
+                if sock.getpeername() == other.writer.get_extra_info("sockname"):
+                    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                    level, option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                    options.append(sock.getsockopt(level, option))
+
+    run_relay(scenario, [echo])
+    assert options == [0 if is_state_known else 1_800]
+
+
 def test_a_stopping_host_sends_all_that_it_has_of_a_response() -> None:
     """LOST: what a stopping host had not sent yet was discarded, with grace left."""
 
