--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -209,8 +209,9 @@
     def set_copies(self, server: str, state: CopyState | None) -> None:
         """Tell the host which state the three adapters have at an engine, if any."""
         self._statuses += 1
+        ready_in = _LOAD_SECONDS if state is CopyState.LOADING else 0.0
         copies = tuple(
-            CopyStatus(copy_key(f"a{n}"), state, _LOAD_SECONDS)
+            CopyStatus(copy_key(f"a{n}"), state, ready_in)
             for n in range(1, 4)
             if state is not None
         )
