--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -10,15 +10,10 @@
 
 from gooseberrydeal._internal.models.ids import (
     DomainName,
-    FencingNumber,
     HostId,
-    ServerId,
 )
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
-from gooseberrydeal._internal.models.routing.engine_status import (
-    CopyStatus,
-    EngineStatus,
-)
+from gooseberrydeal._internal.models.routing.engine_status import CopyStatus
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
@@ -56,6 +51,7 @@
     MODEL,
     PLAIN,
     copy_key,
+    engine_status,
     membership,
     server_entry,
     service,
@@ -215,22 +211,8 @@
             for n in range(1, 4)
             if state is not None
         )
-        self.servers.apply_status(
-            EngineStatus(
-                HostId("h1"),
-                ServerId(server),
-                FencingNumber(1),
-                self._statuses,
-                may_load=False,
-                spare_slots=0,
-                requests=0,
-                tokens=0,
-                pending_prefill_tokens=0,
-                slowdown=1.0,
-                base_models=(MODEL,),
-                copies=copies,
-            )
-        )
+        status = engine_status(server, sequence=self._statuses, copies=copies)
+        self.servers.apply_status(status)
 
 
 class Caller:
--- a/tests/lib/routing_builders.py
+++ b/tests/lib/routing_builders.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeal._internal.models.ids import (
     DomainName,
+    FencingNumber,
     HostId,
     RequestId,
     ServerId,
@@ -15,6 +16,7 @@
     AdapterCopyKey,
     AdapterKey,
 )
+from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.route import (
@@ -95,6 +97,24 @@
     return ServerEntry(**{**values, **changes})
 
 
+def engine_status(server: str = "i-1", **changes: Any) -> EngineStatus:
+    values: dict[str, Any] = {
+        "owner": HostId("h1"),
+        "server": ServerId(server),
+        "fencing_number": FencingNumber(1),
+        "sequence": 1,
+        "may_load": False,
+        "spare_slots": 0,
+        "requests": 0,
+        "tokens": 0,
+        "pending_prefill_tokens": 0,
+        "slowdown": 1.0,
+        "base_models": (MODEL,),
+        "copies": (),
+    }
+    return EngineStatus(**(values | changes))
+
+
 def membership(host: str = "h1", domain: str = "d1", number: int = 1) -> HostMembership:
     return HostMembership(HostId(host), DomainName(domain), "127.0.0.1:9", number)
 
