State the work on accounts, contention and server speeds, and its interfaces

Cause: two new deployments need client accounts, quotas, admission by urgency and learned server speeds; none of these exists yet. Nothing uses them yet except the decoder of a route's open flag and of the settings.

--- a/src/gooseberrydeal/_internal/models/http_status.py
+++ b/src/gooseberrydeal/_internal/models/http_status.py
@@ -40,4 +40,7 @@
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.ALREADY_CLAIMED: 409,
     RefusalReason.CANCELLED: 499,
+    RefusalReason.ACCOUNT_UNCONFIRMED: 503,
+    RefusalReason.QUOTA_UNAVAILABLE: 503,
+    RefusalReason.HOST_OVERLOADED: 503,
 }
--- a/src/gooseberrydeal/_internal/models/ids.py
+++ b/src/gooseberrydeal/_internal/models/ids.py
@@ -2,6 +2,7 @@
 
 from typing import NewType
 
+AccountName = NewType("AccountName", str)
 AdapterName = NewType("AdapterName", str)
 VersionName = NewType("VersionName", str)
 CallerName = NewType("CallerName", str)
--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -41,3 +41,6 @@
     KEY_REUSED = "key_reused"
     ALREADY_CLAIMED = "already_claimed"
     CANCELLED = "cancelled"
+    ACCOUNT_UNCONFIRMED = "account_unconfirmed"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
+    HOST_OVERLOADED = "host_overloaded"
--- a/src/gooseberrydeal/_internal/models/routing/host_settings.py
+++ b/src/gooseberrydeal/_internal/models/routing/host_settings.py
@@ -15,6 +15,11 @@
     in use, and ``store_change`` that until a change of the configuration or a leaving
     server is heeded. Within any ``retry_window``, all hosts together may send a service
     ``retry_ratio`` retries per request, plus ``retry_slack``.
+
+    With ``has_strict_revocation``, no request that is sent later than ``revocation``
+    after its key was taken away may run. Within any ``quota_window``, requests of an
+    account may exceed its quota by the fraction ``quota_overshoot``, plus
+    ``quota_slack`` in the quota's unit.
     """
 
     grace: float = 8.0
@@ -24,6 +29,11 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 50.0
+    has_strict_revocation: bool = False
+    revocation: float = 5.0
+    quota_window: float = 8.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +50,9 @@
 
     The host listens for callers at ``callers``, for readiness probes at ``readiness``,
     for reports of other hosts at ``peers`` and for metrics scrapes at ``metrics``.
-    ``is_first_start`` is set for the first start of a new deployment.
+    ``is_first_start`` is set for the first start of a new deployment. The host has
+    ``memory_bytes`` of memory, ``max_descriptors`` file descriptors and a link of
+    ``link_bytes_per_second``, each ``None`` if that is not stated.
     """
 
     host: HostId
@@ -52,3 +64,6 @@
     store: StoreSettings
     is_first_start: bool = False
     bounds: RoutingBounds = field(default_factory=RoutingBounds)
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
+    link_bytes_per_second: float | None = None
--- a/src/gooseberrydeal/_internal/models/routing/route.py
+++ b/src/gooseberrydeal/_internal/models/routing/route.py
@@ -34,7 +34,7 @@
     ``rank`` is the priority, 0 being the most urgent. A response is late if it starts
     after ``target_latency``, a stream also if two of its events are further apart than
     ``longest_pause``. Callers are assumed to time out if they receive nothing for
-    ``caller_idle_timeout``.
+    ``caller_idle_timeout``. ``is_open`` routes serve requests without a key.
     """
 
     name: str
@@ -49,6 +49,7 @@
     is_resumable: bool = False
     longest_pause: float = 1.0
     caller_idle_timeout: float = math.inf
+    is_open: bool = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
+++ b/src/gooseberrydeal/_internal/models/routing/routing_configuration.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 
 from gooseberrydeal._internal.models.ids import ServiceName
+from gooseberrydeal._internal.models.routing.account_directory import (
+    AccountDirectory,
+)
 from gooseberrydeal._internal.models.routing.route import Route
 
 
@@ -51,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """Hold one complete version of the routing configuration."""
+    """Hold one complete version of the routing configuration.
+
+    ``accounts`` is ``None`` where the deployment has no client accounts.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[ServiceName, ServiceConfiguration] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    accounts: AccountDirectory | None = None
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
+from gooseberrydeal._internal.models.routing.client_account import ClientAccount
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
 from gooseberrydeal._internal.models.routing.route import Route
@@ -28,6 +29,7 @@
     ``uses_unreachable``, servers are tried that could not be reached. With
     ``needs_newest``, only the newest version of its adapter may serve it. With
     ``has_retry``, the retry budget was charged for the next attempt already.
+    ``account`` is the client account that it is served for, ``None`` if there is none.
     """
 
     attributes: RequestAttributes
@@ -45,6 +47,7 @@
     uses_unreachable: bool = False
     needs_newest: bool = False
     has_retry: bool = False
+    account: ClientAccount | None = None
 
     def may_use(self, record: ServerRecord) -> bool:
         """Return whether the request may be sent to a server, going by its entry.
@@ -67,6 +70,13 @@
         most = self.route.max_servers if self.peer is None else self.peer.max_servers
         return max(0, most - len(self.started_on))
 
+    @property
+    def rank(self) -> int:
+        """Return the priority, 0 being the most urgent."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
+
     @property
     def tokens(self) -> int:
         """Return the most tokens that the request may occupy in an engine's memory."""
--- a/src/gooseberrydeal/_internal/platform/boot_file.py
+++ b/src/gooseberrydeal/_internal/platform/boot_file.py
@@ -3,6 +3,7 @@
 Each line has the form ``a.b=value``. Lines without ``=`` and unknown names are ignored.
 """
 
+import math
 from pathlib import Path
 from typing import Final
 
@@ -18,6 +19,8 @@
 # ``portRange`` holds the ports reserved for this host: the first one receives the
 # reports of other hosts, the next one serves metrics.
 _METRICS_PORT_OFFSET: Final = 1
+_BYTES_PER_MEGABYTE: Final = 1024 * 1024
+_BYTES_PER_MEGABIT: Final = 1_000_000 // 8
 
 
 def read_boot_file(path: Path) -> HostSettings:
@@ -59,9 +62,18 @@
         ),
         is_first_start=values.get("bootstrap") == "true",
         bounds=_parse_bounds(values),
+        memory_bytes=_parse_limit(values, "memoryMb", _BYTES_PER_MEGABYTE),
+        max_descriptors=_parse_limit(values, "maxFds", 1),
+        link_bytes_per_second=_parse_limit(values, "linkMbps", _BYTES_PER_MEGABIT),
     )
 
 
+def _parse_limit(values: dict[str, str], name: str, factor: int) -> int | None:
+    """Return a limit of the host, ``None`` if it is not stated or not positive."""
+    value = float(values.get(f"limits.{name}") or 0.0)
+    return int(value * factor) if 0.0 < value < math.inf else None
+
+
 def _parse_bounds(values: dict[str, str]) -> RoutingBounds:
     defaults = RoutingBounds()
 
@@ -85,4 +97,9 @@
         retry_ratio=number("retryBudgetRatio", defaults.retry_ratio),
         retry_window=number("budgetWindowS", defaults.retry_window),
         retry_slack=number("retryBudgetSlack", defaults.retry_slack),
+        has_strict_revocation=values.get("bounds.strictRevoke") == "true",
+        revocation=from_milliseconds("revokeMs", defaults.revocation),
+        quota_window=number("quotaWindowS", defaults.quota_window),
+        quota_overshoot=number("quotaOvershoot", defaults.quota_overshoot),
+        quota_slack=number("quotaSlack", defaults.quota_slack),
     )
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -113,6 +113,7 @@
         is_resumable=bool(data.get("resumable")),
         longest_pause=longest_pause,
         caller_idle_timeout=_stall_timeout(kind, target_latency, longest_pause),
+        is_open=data.get("anonymous") is True,
     )
 
 
