Learn the speeds of engines from the timing of their streams

Change: each stream yields an observation (wait with the prompt tokens before it, gaps between events), with the stated slowdown divided out. Hosts report them to the engine's owner (engine usage, index 8), the owner reports its figures (engine status, index 12); both fields are left out while there is nothing to say. A server starts at the median of its service, a service at a neutral default. The prefill time follows from a line through the waits of all engines of a service, scaled by each engine's steps.

--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -5,6 +5,7 @@
 from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_speed import EngineSpeed
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
     hosts have in flight on the engine. ``pending_prefill_tokens`` are the prompt tokens
     that await prefill, those of requests whose response has not started. ``slowdown``
     is the ratio of the engine's latency to normal: 1.0 is normal, more is slower.
+    ``speed`` is what all hosts observed of it, ``None`` if that is too little.
     """
 
     owner: HostId
@@ -39,3 +41,4 @@
     slowdown: float
     base_models: tuple[str, ...]
     copies: tuple[CopyStatus, ...]
+    speed: EngineSpeed | None = None
--- a/src/gooseberrydeal/_internal/models/routing/usage_report.py
+++ b/src/gooseberrydeal/_internal/models/routing/usage_report.py
@@ -4,6 +4,7 @@
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.speed_observation import SpeedObservation
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,8 @@
     ``requests`` and ``tokens`` are those in flight. ``pending_prefill_tokens`` are the
     prompt tokens that await prefill, those of requests whose response has not started.
     ``slowdown`` is the ratio of latency to normal (1.0 is normal, more is slower) that
-    the server last reported, ``slowdown_age`` seconds ago.
+    the server last reported, ``slowdown_age`` seconds ago. ``observations`` are
+    the timings of streams since the host's last report on the engine.
     """
 
     server: ServerId
@@ -48,6 +50,7 @@
     slowdown_age: float = 60.0
     copy_uses: tuple[CopyUse, ...] = ()
     load_requests: tuple[CopyLoadRequest, ...] = ()
+    observations: tuple[SpeedObservation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -45,6 +45,12 @@
     limit_report_fields,
     parse_limit_report,
 )
+from gooseberrydeal._internal.network.speed_codec import (
+    observation_fields,
+    parse_observations,
+    parse_speed,
+    speed_fields,
+)
 from gooseberrydeal._internal.network.stream_codec import (
     parse_stream_notice,
     parse_stream_query,
@@ -98,6 +104,7 @@
                 ]
                 for load_request in engine.load_requests
             ],
+            *_observations(engine),
         ]
         for engine in report.engines
     ]
@@ -105,6 +112,11 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.USAGE), *fields])
 
 
+def _observations(engine: EngineUsage) -> list[Any]:
+    """Return the field of the observations, which is left out if there are none."""
+    return [observation_fields(engine.observations)] if engine.observations else []
+
+
 def encode_status(status: EngineStatus) -> bytes:
     """Encode the status of an engine."""
     copies = [
@@ -125,6 +137,8 @@
         list(status.base_models),
         copies,
     ]
+    if status.speed is not None:
+        fields.append(speed_fields(status.speed))
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
@@ -214,6 +228,7 @@
             )
             for item in load_requests
         ),
+        parse_observations(fields[8:]),
     )
 
 
@@ -235,6 +250,7 @@
         int(slowdown) / 100,
         tuple(map(str, base_models)),
         tuple(_copy_status(*item[:5]) for item in copies),
+        parse_speed(fields[12:]),
     )
 
 
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -100,6 +100,7 @@
                 may_order() and self._sequence.is_count_known and record.is_reachable
             ),
             lambda: self._base_models.held,
+            record.speed,
             lambda: view.periods,
             publish,
             clock,
--- a/src/gooseberrydeal/_internal/operations/router/event_splitter.py
+++ b/src/gooseberrydeal/_internal/operations/router/event_splitter.py
@@ -1,6 +1,7 @@
 """Split a server-sent event stream at event boundaries."""
 
 import re
+from collections.abc import Callable
 from typing import Final
 
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
@@ -17,6 +18,7 @@
         self._last_id: str | None = None
         self._resumed_after: str | None = None
         self._repeats_events = False
+        self._on_events: Callable[[int], None] | None = None
 
     @property
     def last_event_id(self) -> str | None:
@@ -38,6 +40,10 @@
         """Return whether the incomplete event is longer than events may be."""
         return len(self._incomplete) > _MAX_EVENT_BYTES
 
+    def set_listener(self, on_events: Callable[[int], None] | None) -> None:
+        """Call a function with the number of events that each read completes."""
+        self._on_events = on_events
+
     def resume_after(self, event_id: str) -> None:
         """Expect the next event to be later than the one with this id."""
         self._resumed_after = event_id
@@ -59,6 +65,8 @@
             return b""
         if ids:
             self._last_id = _decode(ids[-1])
+        if whole and self._on_events is not None:
+            self._on_events(sum(map(whole.count, _EVENT_TERMINATORS)))
         return whole
 
     def rest(self) -> bytes:
--- a/src/gooseberrydeal/_internal/operations/router/head_notes.py
+++ b/src/gooseberrydeal/_internal/operations/router/head_notes.py
@@ -1,4 +1,4 @@
-"""Record what the heads of responses say of requests and servers."""
+"""Record what responses say of requests and servers."""
 
 from collections.abc import Callable
 
@@ -7,18 +7,24 @@
 from gooseberrydeal._internal.network.http1.peer_fields import notice_fields
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.assignment import Assignment
 from gooseberrydeal._internal.operations.router.eligible_servers import (
     EligibleServers,
 )
+from gooseberrydeal._internal.operations.router.event_splitter import EventSplitter
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.speeds.response_timer import (
+    ResponseTimer,
+)
 from gooseberrydeal._internal.operations.router.stream_continuation import (
     StreamContinuation,
 )
 
 
 class HeadNotes:
-    """Pass the head of each response on to all that depend on it."""
+    """Pass the head and the timing of each response on to all that depend on them."""
 
     def __init__(
         self,
@@ -27,6 +33,7 @@
         eligible: EligibleServers,
         metrics: RouterMetrics,
         times: ServeTimes,
+        events: EventSplitter,
         clock: Callable[[], float],
     ) -> None:
         self._exchange = exchange
@@ -34,7 +41,22 @@
         self._eligible = eligible
         self._metrics = metrics
         self._times = times
+        self._events = events
         self._clock = clock
+        self._timer: ResponseTimer | None = None
+
+    def sent(self, assignment: Assignment, request: RoutedRequest) -> None:
+        """Record that the request is sent to a server now."""
+        self._times.note_sent(self._clock(), assignment.load_wait)
+        self._timer = ResponseTimer(assignment, request, self._clock)
+        self._events.set_listener(self._timer.events_received)
+
+    def ended(self, longest_pause: float) -> None:
+        """Record that the response has ended; the pause is in seconds."""
+        self._times.note_pause(longest_pause)
+        if self._timer is not None:
+            self._timer.finish()
+        self._timer = None
 
     def note(
         self,
@@ -46,6 +68,8 @@
         """Record what the head of a response says of the request and its server."""
         times = self._times
         times.head_at = self._clock()
+        if self._timer is not None and attributes.load is not None:
+            self._timer.set_slowdown(attributes.load.slowdown)
         for field in notice_fields(record.id, record.entry.started_at, attributes):
             self._exchange.add_peer_field(field)
         self._continuation.note_response(status, record, connection)
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -224,6 +224,9 @@
         owner = self._ownership.owners.get(usage.server)
         if owner is not None:
             owner.apply_usage(host, usage)
+            record = self._servers.get(usage.server)
+            if record is not None and host != self._membership.host:
+                record.speed.observe_reported(usage.observations, self._clock())
 
     def _apply_status(self, status: EngineStatus) -> None:
         if self._servers.apply_status(status):
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -92,8 +92,7 @@
         self._clock = clock
         self._events = EventSplitter()
         self._last: Attempt | None = None
-        self._has_response_begun = False
-        self._asked_to_wait = False
+        self._has_response_begun = self._asked_to_wait = False
         self._task: asyncio.Task[None] | None = None
         self._crash_cause: RequestFeature | None = None
         self._server: ServerId | None = None
@@ -126,6 +125,7 @@
             dispatcher.eligible,
             metrics,
             self._times,
+            self._events,
             clock,
         )
         self._second_host = SecondHost(
@@ -246,7 +246,7 @@
         if connection is None:
             return None
         request.send_count += 1
-        self._times.note_sent(self._clock(), assignment.load_wait)
+        self._heads.sent(assignment, request)
         if request.send_count == 1:
             self._metrics.observe_wait(self._times.sent_at - request.arrived_at)
 
@@ -293,7 +293,7 @@
         if attempt.sent_excess_bytes:
             record.health.note_failure(self._clock())
         self._has_response_begun = False
-        self._times.note_pause(attempt.longest_pause)
+        self._heads.ended(attempt.longest_pause)
 
     def _can_run_again(self, *, pending: int = 0) -> bool:
         is_cut = self._exchange.is_started and self._events.last_event_id is None
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -27,18 +27,25 @@
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
 from gooseberrydeal._internal.policy.response_waits import ResponseWaits
 from gooseberrydeal._internal.policy.server_health import ServerHealth
+from gooseberrydeal._internal.policy.speeds.server_speed import ServerSpeed
+from gooseberrydeal._internal.policy.speeds.service_speed import ServiceSpeed
 
 
 class ServerRecord:
     """Combine a server's entry, its owner's status and this host's own usage."""
 
     def __init__(
-        self, entry: ServerEntry, service: ServiceConfiguration, max_connections: int
+        self,
+        entry: ServerEntry,
+        service: ServiceConfiguration,
+        max_connections: int,
+        service_speed: ServiceSpeed | None = None,
     ) -> None:
         self._entry = entry
         self._service = service
         self._load = LoadEstimate()
         self._waits = ResponseWaits()
+        self._speed = ServerSpeed(entry.id, service_speed or ServiceSpeed())
         self._health = ServerHealth()
         self._pool = self._new_pool(entry.address, max_connections)
         self._owner = OwnerView()
@@ -78,6 +85,11 @@
         """Return how long this host's requests wait for the server's responses."""
         return self._waits
 
+    @property
+    def speed(self) -> ServerSpeed:
+        """Return the estimate of the server's speed."""
+        return self._speed
+
     @property
     def health(self) -> ServerHealth:
         """Return the server's recent failures and reachability."""
@@ -123,6 +135,7 @@
         if is_restart:
             self._copies.clear()
             self._owner.clear()
+            self._speed.clear()
         if not self._owner.is_fresh(now):
             self._use_entry_copies(now)
 
@@ -133,6 +146,8 @@
         if not self._owner.apply(status, now, periods):
             return False
         self._copies.use_status(status.copies, now)
+        if status.speed is not None:
+            self._speed.apply_owner(status.speed, now)
         self._load.report_others(
             max(0, status.requests - self._load.own_requests),
             max(0, status.tokens - self._load.own_tokens),
@@ -258,6 +273,7 @@
             load.slowdown_age(now),
             uses,
             load_requests,
+            self._speed.take_unreported(),
         )
 
     def _new_pool(self, address: str, max_connections: int) -> ConnectionPool:
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -1,6 +1,7 @@
 """Hold the records of the backend servers of all services."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from gooseberrydeal._internal.models.ids import ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
@@ -11,6 +12,7 @@
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
+from gooseberrydeal._internal.policy.speeds.service_speed import ServiceSpeed
 
 
 class ServerTable:
@@ -26,6 +28,7 @@
         self._periods = ExchangePeriods()
         self._loads_in_progress: dict[ServerId, tuple[int, float]] = {}
         self._generation = 0
+        self._speeds: defaultdict[ServiceName, ServiceSpeed] = defaultdict(ServiceSpeed)
         self._accepting: dict[ServiceName, tuple[ServerRecord, ...]] = {}
 
     @property
@@ -33,6 +36,11 @@
         """Return all records."""
         return self._records.values()
 
+    @property
+    def speeds(self) -> Mapping[ServiceName, ServiceSpeed]:
+        """Return the usual speeds of the services that have or had servers."""
+        return self._speeds
+
     @property
     def loads_in_progress(self) -> int:
         """Return the number of adapter loads in progress, as far as it is known."""
@@ -119,7 +127,9 @@
         record = self._records.get(entry.id)
         limit = self._connection_limit(entry)
         if record is None:
-            self._records[entry.id] = ServerRecord(entry, service, limit)
+            self._records[entry.id] = ServerRecord(
+                entry, service, limit, self._speeds[entry.service]
+            )
             self._generation += 1
             self._accepting.clear()
             return
@@ -133,6 +143,7 @@
         record = self._records.pop(server, None)
         if record is not None:
             record.pool.retire()
+            record.speed.clear()
             self._generation += 1
             self._accepting.clear()
 
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Observe responses for the speeds of their servers."""
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -14,6 +14,7 @@
 from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
+from gooseberrydeal._internal.policy.speeds.server_speed import ServerSpeed
 
 # If the tokens of prompts that wait for prefill have changed by more than this, about
 # 40 ms of prefill, a status is published after a delay that collects further changes.
@@ -32,6 +33,7 @@
         slots: AdapterSlots,
         may_load: Callable[[], bool],
         base_models: Callable[[], Collection[str]],
+        speed: ServerSpeed,
         periods: Callable[[], ExchangePeriods],
         publish: StatusSender,
         clock: Callable[[], float],
@@ -43,6 +45,7 @@
         self._slots = slots
         self._may_load = may_load
         self._base_models = base_models
+        self._speed = speed
         self._periods = periods
         self._publish = publish
         self._clock = clock
@@ -98,6 +101,7 @@
             self._slowdown,
             tuple(sorted(self._base_models())),
             copies,
+            self._speed.observed(now),
         )
 
     def cancel(self) -> None:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Learn the speeds of backend servers from their responses."""
