Decide on engines by learned speeds, and hold prompts back only where pauses bind

Cause: engine_choice.py had the prefill rate, step and step size of one deployment. On deployment B they allowed 558 prompt tokens to wait at an engine, although a step that reads all it can takes 32 ms there and 7 of them 224 ms, under the permitted 300 ms.

PrefillLimit replaces pending_prefill_limit: if the longest steps stay within the pause, the queue is limited by 0.4 of the target latency; otherwise by what a step may read, as before. The cost per running request is the longest step divided by the places of the batch: 0.9 ms at 128 places of the earlier deployments (1 ms before), 1.3 ms on B.

The call in test_engine_choice.py changes to the new class; its assertions are as before.

--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -41,6 +41,7 @@
     PlainCandidate,
     choose_plain_server,
 )
+from gooseberrydeal._internal.policy.speeds.prefill_limit import PrefillLimit
 
 logger = logging.getLogger(__name__)
 
@@ -266,8 +267,12 @@
         pause_limit = request.route.longest_pause
         if waited > request.route.target_latency * _PAUSE_LIMIT_FRACTION:
             pause_limit = math.inf
+        attributes = request.attributes
+        limit = PrefillLimit(
+            pause_limit, request.route.target_latency, attributes.prompt_tokens
+        )
         candidates = [
-            engine_candidate(record, copy, self._domain, pause_limit, now)
+            engine_candidate(record, copy, self._domain, limit, now)
             for record in records
             if not is_batch_full(record.load.requests(now), record.entry.slots)
         ]
@@ -281,7 +286,7 @@
                 else item
                 for item in candidates
             ]
-        size = RequestSize(request.attributes.prompt_tokens, request.tokens)
+        size = RequestSize(attributes.prompt_tokens, request.tokens)
         expected_uses = self._demand.expected_uses(copy.key, now) * len(
             self._view.hosts
         )
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -9,16 +9,13 @@
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_speed import EngineSpeed
+from gooseberrydeal._internal.policy.speeds.default_speed import DEFAULT_ENGINE_SPEED
 from gooseberrydeal._internal.utils.rendezvous import first, ranked
 
-# Prefill rate of an engine in prompt tokens per second, as given in the deployments'
-# specifications.
-PREFILL_TOKENS_PER_SECOND: Final = 19_200.0
-# Each request that is generating lengthens every step by about this.
-STEP_SECONDS_PER_REQUEST: Final = 0.001
-# Cost per running request of a prompt that fills more than one step, because it causes
-# a long pause in each of their streams.
-_LONG_PROMPT_SECONDS_PER_REQUEST: Final = 0.03
+# Cost of a prompt that fills more than one step for each running request, because it
+# causes a long pause in each of their streams, as a fraction of the longest step.
+_LONG_PROMPT_STEPS_PER_REQUEST: Final = 0.25
 # Fractions of an engine's batch and KV cache that requests may occupy. The remainder
 # keeps pauses between tokens short and avoids preemption.
 _MAX_BATCH_FRACTION: Final = 0.9
@@ -37,14 +34,6 @@
 _RANK_SECONDS: Final = 0.02
 # A new copy goes to the least loaded of this many top-ranked engines.
 _MAX_RANKED_ENGINES: Final = 4
-# Duration of a decode step without prefill, and the most prompt tokens that one step
-# processes.
-STEP_SECONDS: Final = 0.0095
-_STEP_TOKENS: Final = 2048
-# More prompt tokens awaiting prefill than this would fill several consecutive steps.
-_MAX_PENDING_PREFILL_TOKENS: Final = 2.0 * _STEP_TOKENS
-# Fraction of the permitted pause that the expected pause may take.
-_PAUSE_MARGIN: Final = 0.9
 # Penalty for an engine in another failure domain, which causes cross-domain traffic.
 _OTHER_DOMAIN_PENALTY_SECONDS: Final = 0.01
 # Penalty at a failure rate of 1; lower rates are charged proportionally.
@@ -85,7 +74,8 @@
     ``accepts_load_orders`` means that the engine's owner reports and can issue load
     orders, ``can_load`` that it also has a slot available, and ``has_silent_owner``
     that the owner has stopped reporting. ``is_avoided`` makes the engine a last
-    resort, for example because no connection could be made.
+    resort, for example because no connection could be made. ``speed`` is how fast the
+    engine is expected to be without a slowdown.
     """
 
     server: ServerId
@@ -106,6 +96,7 @@
     failure_rate: float = 0.0
     is_avoided: bool = False
     has_silent_owner: bool = False
+    speed: EngineSpeed = DEFAULT_ENGINE_SPEED
 
     def has_capacity(self, tokens: int) -> bool:
         """Return whether a request that occupies ``tokens`` may be sent now.
@@ -121,13 +112,18 @@
         )
 
     def cost_seconds(self, prompt_tokens: int) -> float:
-        """Return the expected seconds until a prompt is prefilled, plus penalties."""
-        cost_seconds = (
+        """Return the expected seconds until a prompt is prefilled, plus penalties.
+
+        A full batch counts as much as one step that reads all it can, which spreads
+        requests over engines by their places and their speed.
+        """
+        longest_step = self.speed.longest_step_seconds
+        per_request = longest_step / max(1, self.batch_size)
+        if prompt_tokens > self.speed.step_tokens:
+            per_request = longest_step * _LONG_PROMPT_STEPS_PER_REQUEST
+        cost_seconds = self.speed.prefill_seconds(
             self.pending_prefill_tokens + prompt_tokens
-        ) / PREFILL_TOKENS_PER_SECOND
-        per_request = STEP_SECONDS_PER_REQUEST
-        if prompt_tokens > _STEP_TOKENS:
-            per_request = _LONG_PROMPT_SECONDS_PER_REQUEST
+        )
         cost_seconds = (cost_seconds + self.requests * per_request) * self.slowdown
         cost_seconds += 0.0 if self.is_local else _OTHER_DOMAIN_PENALTY_SECONDS
         cost_seconds += self.failure_rate * _FAILURE_PENALTY_SECONDS
@@ -177,21 +173,6 @@
     return requests >= batch_size * _MAX_BATCH_FRACTION
 
 
-def pending_prefill_limit(
-    longest_pause: float, event_tokens: int, slowdown: float
-) -> float:
-    """Return how many prompt tokens may await prefill on an engine.
-
-    Each step prefills queued prompts and generates one token for each stream, and an
-    event of a stream carries ``event_tokens`` tokens, so long queues delay events. The
-    limit keeps the time between two events below ``longest_pause`` seconds, also on
-    engines that slow down temporarily while a burst of prompts arrives.
-    """
-    step_seconds = longest_pause * _PAUSE_MARGIN / event_tokens / slowdown
-    tokens = (step_seconds - STEP_SECONDS) * PREFILL_TOKENS_PER_SECOND
-    return _MAX_PENDING_PREFILL_TOKENS if tokens >= _STEP_TOKENS else max(1.0, tokens)
-
-
 def choose_engine(
     copy: AdapterCopyKey,
     size: RequestSize,
--- a/src/gooseberrydeal/_internal/policy/speeds/server_speed.py
+++ b/src/gooseberrydeal/_internal/policy/speeds/server_speed.py
@@ -54,6 +54,7 @@
         self._owner: EngineSpeed | None = None
         self._owner_at = -math.inf
         self._slow_at = -math.inf
+        self._slow_ratio = 1.0
         self._unreported: list[SpeedObservation] = []
         self._last: SpeedObservation | None = None
         self._current: EngineSpeed | None = None
@@ -119,6 +120,10 @@
             prior = self._owner
         return self._blend(prior, now)
 
+    def recent_slowdown(self, now: float) -> float:
+        """Return how much slower than its speed the engine was within a moment ago."""
+        return self._slow_ratio if now - self._slow_at < _SLOW_SECONDS else 1.0
+
     def clear(self) -> None:
         """Forget what was observed before the engine started again."""
         self._steps.clear()
@@ -144,6 +149,10 @@
             self._steps.add(_own_step_seconds(item, usual), now)
         scale = self._steps.blend(usual.step_seconds, now) / usual.step_seconds
         if EngineSamples.is_slow(item, usual, scale):
+            # One stream alone may have had just gaps in which prompts were read.
+            step = usual.generation_step_seconds(item.requests) * scale
+            is_confirmed = now - self._slow_at < _SLOW_SECONDS
+            self._slow_ratio = item.step_seconds / step if is_confirmed else 1.0
             self._slow_at = now
         samples = EngineSamples.from_observation(
             item,
--- a/tests/unit/test_engine_choice.py
+++ b/tests/unit/test_engine_choice.py
@@ -13,8 +13,9 @@
     RequestSize,
     choose_engine,
     is_batch_full,
-    pending_prefill_limit,
 )
+from gooseberrydeal._internal.policy.speeds.default_speed import DEFAULT_ENGINE_SPEED
+from gooseberrydeal._internal.policy.speeds.prefill_limit import PrefillLimit
 from tests.lib.routing_builders import candidate, copy_key
 
 SIZE = RequestSize(650, 720)
@@ -73,8 +74,9 @@
 
 
 def test_slow_engine_at_its_unread_limit_gets_no_further_prompts() -> None:
-    slow = pending_prefill_limit(0.4, 2, 2.5)
-    assert slow < pending_prefill_limit(0.4, 2, 1.0)
+    limit = PrefillLimit(longest_pause=0.4, target_latency=0.8)
+    slow = limit.pending_tokens(DEFAULT_ENGINE_SPEED, 2, 2.5)
+    assert slow < limit.pending_tokens(DEFAULT_ENGINE_SPEED, 2, 1.0)
     engines = [
         candidate(
             "i-1",
--- a/tests/unit/test_speeds.py
+++ b/tests/unit/test_speeds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gooseberrydeal._internal.models.routing.engine_speed import EngineSpeed
+from gooseberrydeal._internal.models.routing.speed_observation import SpeedObservation
 from gooseberrydeal._internal.policy.speeds.default_speed import DEFAULT_ENGINE_SPEED
 from tests.lib.speed_load import SpeedLoad, scaled
 
@@ -99,6 +100,19 @@
     assert usual.step_seconds == pytest.approx(FAST.step_seconds, rel=0.1)
 
 
+def test_two_slow_streams_are_a_reason_to_wait_elsewhere_for_a_moment() -> None:
+    load = SpeedLoad([FAST] * 20, 7, 160.0, 10)
+    load.run_responses(30)
+    server = load.learned[0]
+    now = load.now + 2.0
+    slow = SpeedObservation(0, 0.0, 4, 3 * FAST.step_seconds, 0.0, 0.0)
+    server.observe(slow, now)
+    assert server.recent_slowdown(now) == 1.0
+    server.observe(slow, now + 0.1)
+    assert server.recent_slowdown(now + 0.1) == pytest.approx(3.0, rel=0.1)
+    assert server.recent_slowdown(now + 1.0) == 1.0
+
+
 def test_observations_are_reported_once_and_are_bounded() -> None:
     load = SpeedLoad([FAST] * 2, 7, 16.0, 9)
     load.run_responses(20)
