Authenticate client accounts and prove that their keys are current

Cause: deployments with client accounts need requests to be admitted by key, servers to be told the account and not the key, and keys that were taken away to be refused within a bound, also by hosts that cannot read the metadata store. Change: accounts are decoded with the configuration and looked up by digest; a request is admitted by policy/accounts, going by the age of the last call that read all changes, on the clock that counts suspended time. Servers and other hosts get the account's name instead of the key. The record of what a restored store lost holds digests instead of keys. Without accounts nothing changes. The retry budgets move out of request_handler.py; the test that replaced their method replaces it in its new place.

--- a/src/gooseberrydeal/_internal/models/routing/account_directory.py
+++ b/src/gooseberrydeal/_internal/models/routing/account_directory.py
@@ -16,15 +16,18 @@
 
     A lookup takes the same time for any number of keys, and its time depends on the
     digest only, so it tells nothing of keys that are similar to the one tried.
+    ``skipped`` accounts of the configuration were malformed.
     """
 
     def __init__(
         self,
         accounts: Iterable[ClientAccount],
         by_digest: Mapping[bytes, ClientAccount],
+        skipped: int = 0,
     ) -> None:
         self._accounts = {str(account.name): account for account in accounts}
         self._by_digest = dict(by_digest)
+        self._skipped = skipped
 
     @property
     def accounts(self) -> tuple[ClientAccount, ...]:
@@ -36,6 +39,11 @@
         """Return the number of keys of all accounts."""
         return len(self._by_digest)
 
+    @property
+    def skipped_count(self) -> int:
+        """Return the number of accounts that were left out as malformed."""
+        return self._skipped
+
     def find(self, key: bytes) -> ClientAccount | None:
         """Return the account that holds a key, ``None`` if none does."""
         return self._by_digest.get(key_digest(key))
--- a/src/gooseberrydeal/_internal/models/routing/forward_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/forward_facts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.ids import AccountName, ServerId
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +13,8 @@
     ``rank`` is the priority, 0 being the most urgent. An ``adapter_version`` of 0 is
     not sent. ``resume_after_event_id`` is the id of the last event received from a
     stream that is to be resumed; otherwise ``forwards_last_event_id`` states whether
-    the caller's own ``Last-Event-Id`` is forwarded.
+    the caller's own ``Last-Event-Id`` is forwarded. With ``hides_key``, the caller's
+    key is not forwarded, and ``account`` is stated instead of what the caller stated.
     """
 
     server: ServerId
@@ -22,3 +23,5 @@
     adapter_version: int = 0
     resume_after_event_id: str | None = None
     forwards_last_event_id: bool = False
+    account: AccountName | None = None
+    hides_key: bool = False
--- a/src/gooseberrydeal/_internal/models/routing/http_heads.py
+++ b/src/gooseberrydeal/_internal/models/routing/http_heads.py
@@ -1,6 +1,6 @@
 """Define the heads of HTTP requests and responses."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 Header = tuple[bytes, bytes]
 
@@ -14,7 +14,7 @@
 
     method: bytes
     target: bytes
-    headers: tuple[Header, ...]
+    headers: tuple[Header, ...] = field(repr=False)
     accepts_chunks: bool = True
 
     def first(self, lower_name: bytes) -> bytes | None:
--- a/src/gooseberrydeal/_internal/models/routing/known_state.py
+++ b/src/gooseberrydeal/_internal/models/routing/known_state.py
@@ -12,7 +12,7 @@
     """Hold the key and value from which a configuration was decoded."""
 
     key: str
-    value: bytes
+    value: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/models/routing/peer_request.py
+++ b/src/gooseberrydeal/_internal/models/routing/peer_request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import HostId
+from gooseberrydeal._internal.models.ids import AccountName, HostId
 
 
 @dataclass(frozen=True, slots=True)
@@ -10,9 +10,12 @@
     """Name the host that passes a request on, and how many servers may still run it.
 
     ``incarnation`` is that of the host's record in the metadata store, which callers
-    cannot read.
+    cannot read. ``has_account_field`` says that the host has checked the request's key,
+    and ``account`` which account it found, ``None`` for a request without one.
     """
 
     host: HostId
     incarnation: int
     max_servers: int
+    account: AccountName | None = None
+    has_account_field: bool = False
--- a/src/gooseberrydeal/_internal/models/routing/request_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/request_facts.py
@@ -1,6 +1,6 @@
 """Define the metadata read from a caller's request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
@@ -11,7 +11,8 @@
     """Hold the properties that determine how a request is served.
 
     ``caller`` is the credential that identifies the caller's account, empty if there
-    is none. ``time_limit`` is how many seconds the caller waits, ``None`` if not
+    is none, and ``key`` the key in it, ``None`` without a credential and empty if that
+    is malformed. ``time_limit`` is how many seconds the caller waits, ``None`` if not
     stated.
     ``prompt_tokens`` and ``output_tokens`` are the counts that the caller states, 0 if
     it does not. ``shared_prompt_parts`` names the parts of the prompt, in order, that
@@ -27,11 +28,12 @@
     adapter: AdapterKey | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
-    caller: str = ""
+    caller: str = field(default="", repr=False)
     shared_prompt_parts: tuple[PromptPartId, ...] = ()
     query: str = ""
     resumes: RequestId | None = None
     last_event_id: str = ""
+    key: bytes | None = field(default=None, repr=False)
 
     @property
     def is_resumption(self) -> bool:
--- a/src/gooseberrydeal/_internal/models/routing/store_item.py
+++ b/src/gooseberrydeal/_internal/models/routing/store_item.py
@@ -1,6 +1,6 @@
 """Define the items of the metadata store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +12,7 @@
     """
 
     key: str
-    value: bytes | None
+    value: bytes | None = field(repr=False)
     revision: int
     create_revision: int = 0
 
--- a/src/gooseberrydeal/_internal/network/http1/peer_fields.py
+++ b/src/gooseberrydeal/_internal/network/http1/peer_fields.py
@@ -5,8 +5,9 @@
 
 from collections.abc import Iterable
 from typing import Final
+from urllib.parse import quote_from_bytes, unquote_to_bytes
 
-from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.ids import AccountName, HostId, ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.http_heads import Header
 from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
@@ -19,8 +20,10 @@
 _IN_PROGRESS: Final = b"gooseberrydeal-in-progress"
 _LEAVING: Final = b"gooseberrydeal-leaving"
 _BRITTLE: Final = b"gooseberrydeal-brittle"
+# The name of the client's account in percent-encoding, empty for a request without one.
+_ACCOUNT: Final = b"gooseberrydeal-account"
 PEER_FIELDS: Final = frozenset(
-    {_HOST, _MAX_SERVERS, _REFUSAL, _IN_PROGRESS, _LEAVING, _BRITTLE}
+    {_HOST, _MAX_SERVERS, _REFUSAL, _IN_PROGRESS, _LEAVING, _BRITTLE, _ACCOUNT}
 )
 _MAX_DIGITS: Final = 18
 
@@ -28,7 +31,11 @@
 def encode_peer_request(request: PeerRequest) -> list[Header]:
     """Return the fields of a request that is passed on."""
     host = f"{request.host} {request.incarnation}".encode()
-    return [(_HOST, host), (_MAX_SERVERS, b"%d" % request.max_servers)]
+    fields = [(_HOST, host), (_MAX_SERVERS, b"%d" % request.max_servers)]
+    if request.has_account_field:
+        name = (request.account or "").encode()
+        fields.append((_ACCOUNT, quote_from_bytes(name).encode()))
+    return fields
 
 
 def decode_peer_request(headers: Iterable[Header]) -> PeerRequest | None:
@@ -38,7 +45,14 @@
     numbers = _number(incarnation), _number(fields.get(_MAX_SERVERS, b""))
     if not host or numbers[0] is None or not numbers[1]:
         return None
-    return PeerRequest(HostId(host.decode("latin-1")), numbers[0], numbers[1])
+    account = unquote_to_bytes(fields.get(_ACCOUNT, b"")).decode("latin-1")
+    return PeerRequest(
+        HostId(host.decode("latin-1")),
+        numbers[0],
+        numbers[1],
+        AccountName(account) if account else None,
+        has_account_field=_ACCOUNT in fields,
+    )
 
 
 def refusal_field(reason: RefusalReason) -> Header:
--- a/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/metadata_decoder.py
@@ -23,6 +23,10 @@
         """Return the configuration that an item holds, ``None`` for other items."""
         ...
 
+    def without_keys(self, value: bytes) -> bytes:
+        """Return a valid configuration with digests in place of accounts' keys."""
+        ...
+
     def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
         """Return an adapter and its declared version, ``None`` for other items."""
         ...
--- a/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
+++ b/src/gooseberrydeal/_internal/network/interfaces/relay_codec.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from gooseberrydeal._internal.models.ids import AccountName
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.models.routing.http_heads import (
     Header,
@@ -29,7 +30,14 @@
         """Return the headers to send to a server, except message framing headers."""
         ...
 
-    def peer_headers(self, head: RequestHead, seconds_left: float) -> list[Header]:
+    def peer_headers(
+        self,
+        head: RequestHead,
+        seconds_left: float,
+        account: AccountName | None = None,
+        *,
+        hides_key: bool = False,
+    ) -> list[Header]:
         """Return the caller's headers for a host that the request is passed on to."""
         ...
 
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -25,6 +25,11 @@
             "Requests ended by the router itself, by reason.",
             registry=self._registry,
         )
+        self._account_refusals = Counter(
+            "gooseberry_router_account_refusals_total",
+            "Requests refused for their key, by reason and state of the key.",
+            registry=self._registry,
+        )
         self._late = Counter(
             "gooseberry_router_late_total",
             "Requests served later than their route's target, by the main cause.",
@@ -71,6 +76,10 @@
         """Count a request that the router refused or ended itself."""
         self._refusals.inc({"reason": reason.value})
 
+    def count_account_refusal(self, reason: RefusalReason, key_state: str) -> None:
+        """Count a request refused for its key, by what is known of the key."""
+        self._account_refusals.inc({"reason": reason.value, "key": key_state})
+
     def count_late(self, cause: str) -> None:
         """Count a request served later than its target latency, by the main cause."""
         self._late.inc({"cause": cause})
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticate requests of client accounts, and keep the proof of their keys."""
--- a/src/gooseberrydeal/_internal/operations/router/declared_state.py
+++ b/src/gooseberrydeal/_internal/operations/router/declared_state.py
@@ -65,7 +65,9 @@
         """Apply the configuration that the store holds."""
         self._lost_writes.configuration_stored(configuration.version)
         assert item.value is not None
-        self._note_newest(ConfigurationSource(item.key, item.value), configuration)
+        if self._is_newer(configuration):
+            value = self._decoder.without_keys(item.value)
+            self._note_newest(ConfigurationSource(item.key, value), configuration)
 
     def version_read(
         self, key: AdapterKey, version: int, declared_after: float
@@ -119,6 +121,7 @@
             is_settled=self._view.is_settled,
         )
         self.use_newest()
+        self._view.is_confirmed = self._trust.is_confirmed
 
     def use_newest(self) -> None:
         """Use the newest configuration if the store is trusted by now."""
@@ -143,11 +146,13 @@
     def _note_newest(
         self, source: ConfigurationSource, configuration: RoutingConfiguration
     ) -> None:
-        if self._newest is not None and configuration.version <= self._newest.version:
-            return
         self._newest = configuration
         self._lost_writes.configuration_known(source, configuration.version)
 
+    def _is_newer(self, configuration: RoutingConfiguration) -> bool:
+        newest = self._newest
+        return newest is None or configuration.version > newest.version
+
     def _apply_known_configuration(self, source: ConfigurationSource) -> None:
         try:
             item = StoreItem(source.key, source.value, 0)
@@ -155,8 +160,9 @@
         except (DeclarationError, ValueError) as error:
             logger.warning("ignoring the configuration of other hosts: %s", error)
             return
-        if configuration is not None:
-            self._note_newest(source, configuration)
+        if configuration is not None and self._is_newer(configuration):
+            value = self._decoder.without_keys(source.value)
+            self._note_newest(ConfigurationSource(source.key, value), configuration)
 
     def _apply_version(
         self, key: AdapterKey, version: int, declared_after: float
--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -6,6 +6,9 @@
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.accounts.account_gate import (
+    AccountGate,
+)
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
@@ -26,6 +29,7 @@
         callers: CallerListener,
         metrics: RouterMetrics,
         is_stopping: Callable[[], bool],
+        accounts: AccountGate,
     ) -> None:
         self._view = view
         self._servers = servers
@@ -33,6 +37,7 @@
         self._callers = callers
         self._metrics = metrics
         self._is_stopping = is_stopping
+        self._accounts = accounts
         self._readiness = StatusEndpoint(settings.readiness, self._readiness_response)
         self._metrics_endpoint = StatusEndpoint(
             settings.metrics, self._metrics_response
@@ -52,6 +57,7 @@
         return (
             not self._is_stopping()
             and self._view.configuration is not None
+            and not self._accounts.has_lapsed
             and any(True for _ in self._servers.records)
         )
 
@@ -70,4 +76,5 @@
         self._metrics.set_state("hosts", len(self._view.hosts))
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
+        self._accounts.publish()
         return HTTPStatus.OK, self._metrics.render()
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -121,7 +121,7 @@
         self._declared.use_newest()
 
     async def _read_all(self) -> None:
-        started_at = self._clock()
+        started_at, began_at = self._clock(), self._view.proof.now()
         page = await self._store.list("")
         self._availability.note_response()
         present = {item.key for item in page.items}
@@ -157,10 +157,11 @@
         self._view.listed_at = self._clock()
         self._view.changes_read_until = started_at
         self._view.is_complete = True
+        self._note_proof(began_at, page.revision)
         self._on_change()
 
     async def _read_changes(self) -> None:
-        started_at = self._clock()
+        started_at, began_at = self._clock(), self._view.proof.now()
         page = await self._store.changes(
             "", self._view.revision, _WATCH_WAIT_SECONDS, _WATCH_GRACE_SECONDS
         )
@@ -174,12 +175,17 @@
         self._declared.store_read()
         self._departed.update()
         self._view.changes_read_until = started_at
+        self._note_proof(began_at, page.revision)
         self._removals.remove_overdue()
         self._host_removals.remove_overdue()
         self._on_change()
         pause = self._view.periods.store_poll - (self._clock() - started_at)
         if pause > 0:
-            await asyncio.sleep(pause)
+            await self._view.proof.pause(pause)
+
+    def _note_proof(self, began_at: float, revision: int) -> None:
+        confirmed = self._view.is_confirmed
+        self._view.proof.read_ended(began_at, revision, is_confirmed=confirmed)
 
     def _remove_unlisted(self, present: set[str]) -> None:
         """Remove owners that are no longer listed, and servers and hosts after a delay.
--- a/src/gooseberrydeal/_internal/operations/router/metadata_view.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_view.py
@@ -8,12 +8,17 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
 from gooseberrydeal._internal.models.routing.adapter_versions import AdapterVersions
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
+from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from gooseberrydeal._internal.models.routing.known_state import KnownState
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
+from gooseberrydeal._internal.operations.router.accounts.store_proof import (
+    StoreProof,
+)
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
+from gooseberrydeal._internal.utils.clock import SystemClock
 
 HOST_PREFIX: Final = "gooseberrydeal/hosts/"
 OWNER_PREFIX: Final = "gooseberrydeal/owners/"
@@ -38,7 +43,8 @@
     read; some may have been missed before. All changes that were written before
     ``changes_read_until`` were read, on the same clock. ``revision`` is that of the
     last read, 0 while all items have to be read. ``change_bound`` is the time, in
-    seconds, by which hosts must act on a change in the store.
+    seconds, by which hosts must act on a change in the store. ``is_confirmed`` says
+    whether the store holds all that any host knew of, ``proof`` when it was last read.
     """
 
     configuration: RoutingConfiguration | None = None
@@ -57,6 +63,16 @@
     changes_read_until: float = -math.inf
     revision: int = 0
     change_bound: float = 2.0
+    is_confirmed: bool = False
+    proof: StoreProof = field(
+        default_factory=lambda: StoreProof(SystemClock().seconds_since_boot)
+    )
+
+    @classmethod
+    def create(cls, bounds: RoutingBounds, clock: SystemClock) -> "MetadataView":
+        """Return the view of a host that has read nothing yet."""
+        proof = StoreProof(clock.seconds_since_boot)
+        return cls(change_bound=bounds.store_change, proof=proof)
 
     @property
     def is_settled(self) -> bool:
--- a/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -25,6 +25,7 @@
         RefusalReason.NO_CONFIGURATION,
         RefusalReason.UNKNOWN_OPERATION,
         RefusalReason.UNAUTHENTICATED,
+        RefusalReason.ACCOUNT_UNCONFIRMED,
     }
 )
 
--- a/src/gooseberrydeal/_internal/operations/router/peer_relay.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_relay.py
@@ -183,10 +183,19 @@
     ) -> None:
         head = exchange.head
         peer_request = PeerRequest(
-            self._membership.host, self._membership.incarnation, request.servers_left
+            self._membership.host,
+            self._membership.incarnation,
+            request.servers_left,
+            request.account_name,
+            has_account_field=request.hides_key,
         )
         headers = [
-            *self._codec.peer_headers(head, request.deadline - self._clock()),
+            *self._codec.peer_headers(
+                head,
+                request.deadline - self._clock(),
+                request.account_name,
+                hides_key=request.hides_key,
+            ),
             *encode_peer_request(peer_request),
         ]
         data = encode_request(head.method, head.target, headers, exchange.body)
--- a/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
@@ -84,10 +84,12 @@
         attributes = ForwardAttributes(
             server=assignment.record.id,
             seconds_left=min(request.deadline, term.stop_at) - self._clock(),
-            rank=_FIRST_RANK if term.is_limited else request.route.rank,
+            rank=_FIRST_RANK if term.is_limited else request.rank,
             adapter_version=copy.version if copy is not None and copy.adapter else 0,
             resume_after_event_id=self._events.last_event_id if is_resuming else None,
             forwards_last_event_id=request.route.is_resumable,
+            account=request.account_name,
+            hides_key=request.hides_key,
         )
         headers = self._codec.forward_headers(head, attributes)
         return encode_request(head.method, head.target, headers, self._exchange.body)
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -22,6 +22,10 @@
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.accounts.account_gate import (
+    AccountGate,
+)
+from gooseberrydeal._internal.operations.router.accounts.admission import Admission
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
 )
@@ -33,12 +37,12 @@
     refuse,
 )
 from gooseberrydeal._internal.operations.router.request_run import RequestRun
+from gooseberrydeal._internal.operations.router.retry_windows import RetryWindows
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_callbacks import ServerCallbacks
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
 from gooseberrydeal._internal.policy.request_durations import RequestDurations
 from gooseberrydeal._internal.policy.request_identity import RequestIdentity
-from gooseberrydeal._internal.policy.retry_window import RetryWindow
 from gooseberrydeal._internal.policy.route_table import RouteTable
 
 logger = logging.getLogger(__name__)
@@ -73,14 +77,14 @@
         self._crash_protection = crash_protection
         self._stream_versions = stream_versions
         self._metrics = metrics
-        self._bounds = bounds
         self._callbacks = callbacks
         self._peers = peers
         self._clock = clock
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
         self._routes = RouteTable(())
-        self._retry_windows: dict[ServiceName, RetryWindow] = {}
+        self._retries = RetryWindows(view, metrics, bounds, clock)
+        self._accounts = AccountGate(view, metrics, bounds)
         self._is_draining = False
         self._is_refusing = False
         self._in_progress = 0
@@ -104,11 +108,15 @@
         """Return the number of requests being served."""
         return self._in_progress
 
+    @property
+    def accounts(self) -> AccountGate:
+        """Return what authenticates the requests of client accounts."""
+        return self._accounts
+
     def set_bounds(self, bounds: RoutingBounds) -> None:
         """Apply changed bounds, which resets the retry budgets of all services."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._retry_windows.clear()
+        self._retries.set_bounds(bounds)
+        self._accounts.set_bounds(bounds)
 
     def drain(self, deadline: float = math.inf) -> None:
         """Close each connection after its current reply.
@@ -149,12 +157,15 @@
             return
         route = self._routes.find(attributes.host, attributes.path)
         if route is None:
-            refuse(exchange, RefusalReason.UNKNOWN_OPERATION, None)
+            self._accounts.refuse_unknown_route(exchange)
+            return
+        admission = self._admit(exchange, attributes, route, peer)
+        if admission is None:
             return
         identity = RequestIdentity(
             attributes.request_id,
             attributes.path,
-            attributes.caller,
+            admission.caller(attributes),
             exchange.body,
             attributes.shared_prompt_parts,
             attributes.query,
@@ -173,6 +184,8 @@
             arrived_at,
             arrived_at + time_limit,
             peer=peer,
+            account=admission.account,
+            hides_key=admission.hides_key,
         )
         if self._may_be_cut_off(request):
             refuse(exchange, RefusalReason.SHUTTING_DOWN, _SHUTDOWN_RETRY_AFTER_SECONDS)
@@ -188,7 +201,7 @@
                 return
             request = replace(request, service=origin.service, origin=origin)
         if peer is None:
-            self._retry_window(request.service).note_first_attempt(arrived_at)
+            self._retries.note_first_attempt(request.service, arrived_at)
         self._in_progress += 1
         try:
             await RequestRun(
@@ -200,7 +213,7 @@
                 self._crash_protection,
                 self._stream_versions,
                 self._metrics,
-                self._consume_retry,
+                self._retries.consume,
                 self._callbacks,
                 self._peers,
                 self._clock,
@@ -210,6 +223,16 @@
         finally:
             self._in_progress -= 1
 
+    def _admit(
+        self,
+        exchange: CallerExchange,
+        attributes: RequestAttributes,
+        route: Route,
+        peer: PeerRequest | None,
+    ) -> Admission | None:
+        """Return whom a request is served for; ``None`` if it was refused."""
+        return self._accounts.admit(exchange, attributes, route, peer)
+
     def _may_be_cut_off(self, request: RoutedRequest) -> bool:
         """Return whether a request may still run when the process ends."""
         if self._stops_at == math.inf or request.deadline <= self._stops_at:
@@ -267,25 +290,3 @@
             return route.services[0].service
         weights = [item.weight for item in route.services]
         return self._rng.choices(route.services, weights)[0].service
-
-    def _consume_retry(self, request: RoutedRequest) -> bool:
-        window = self._retry_window(request.service)
-        is_within_budget = window.take(self._clock(), len(self._view.hosts))
-        self._metrics.count_retry(is_allowed=is_within_budget)
-        if not is_within_budget:
-            logger.info(
-                "not retried: retry budget of service %s exhausted",
-                request.service,
-                extra={"request_id": request.attributes.request_id},
-            )
-        return is_within_budget
-
-    def _retry_window(self, service: ServiceName) -> RetryWindow:
-        window = self._retry_windows.get(service)
-        if window is None:
-            bounds = self._bounds
-            window = RetryWindow(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-            self._retry_windows[service] = window
-        return window
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from gooseberrydeal._internal.models.ids import ServerId, ServiceName
+from gooseberrydeal._internal.models.ids import AccountName, ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.client_account import ClientAccount
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
@@ -29,7 +29,8 @@
     ``uses_unreachable``, servers are tried that could not be reached. With
     ``needs_newest``, only the newest version of its adapter may serve it. With
     ``has_retry``, the retry budget was charged for the next attempt already.
-    ``account`` is the client account that it is served for, ``None`` if there is none.
+    ``account`` is the client account that it is served for, ``None`` if there is none;
+    with ``hides_key``, the deployment has accounts, and the key is not passed on.
     """
 
     attributes: RequestAttributes
@@ -48,6 +49,7 @@
     needs_newest: bool = False
     has_retry: bool = False
     account: ClientAccount | None = None
+    hides_key: bool = False
 
     def may_use(self, record: ServerRecord) -> bool:
         """Return whether the request may be sent to a server, going by its entry.
@@ -70,6 +72,11 @@
         most = self.route.max_servers if self.peer is None else self.peer.max_servers
         return max(0, most - len(self.started_on))
 
+    @property
+    def account_name(self) -> AccountName | None:
+        """Return the name of the client account, ``None`` if there is none."""
+        return None if self.account is None else self.account.name
+
     @property
     def rank(self) -> int:
         """Return the priority, 0 being the most urgent."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -87,13 +87,10 @@
         self._settings = settings
         self._is_stopping = False
         membership = HostMembership(
-            settings.host,
-            settings.domain,
-            settings.peers,
-            rng.getrandbits(48),
+            settings.host, settings.domain, settings.peers, rng.getrandbits(48)
         )
         self._metrics = RouterMetrics()
-        self._view = MetadataView(change_bound=settings.bounds.store_change)
+        self._view = MetadataView.create(settings.bounds, clock)
         self._servers = ServerTable(now)
         signal = ChangeSignal()
         self._report_exchange = ReportExchange(
@@ -236,6 +233,7 @@
             self._caller_listener,
             self._metrics,
             lambda: self._is_stopping,
+            self._handler.accounts,
         )
         self._stall_monitor = StallMonitor(clock.seconds_since_boot)
         self._tasks = TaskOwner()
@@ -298,3 +296,4 @@
     def _on_metadata_change(self) -> None:
         self._ownership.metadata_changed()
         self._known_state_writer.metadata_changed()
+        self._handler.accounts.metadata_changed()
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -21,6 +21,7 @@
     RoutingConfiguration,
     ServiceConfiguration,
 )
+from gooseberrydeal._internal.platform.account_codec import decode_accounts
 from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
 
 logger = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
 def decode_configuration(value: bytes) -> RoutingConfiguration:
     """Return the routing configuration encoded in a JSON document.
 
-    A route or service that is invalid is logged and left out. Raises
+    A route, service or account that is invalid is logged and left out. Raises
     :class:`DeclarationError` if the document itself is invalid.
     """
     try:
@@ -53,10 +54,14 @@
         routes = _decode_each(data.get("routes", ()), _decode_route, "route")
         services = _decode_each(data.get("services", ()), _decode_service, "service")
         limits = _decode_limits(data.get("limits") or {})
+        accounts = decode_accounts(data)
+    except UnicodeDecodeError as error:
+        # Its representation holds the whole document, and so the keys of accounts.
+        raise DeclarationError([f"invalid routing configuration: {error}"]) from None
     except DECODE_ERRORS as error:
         raise DeclarationError([f"invalid routing configuration: {error!r}"]) from error
     return RoutingConfiguration(
-        version, tuple(routes), {item.name: item for item in services}, limits
+        version, tuple(routes), {item.name: item for item in services}, limits, accounts
     )
 
 
--- a/src/gooseberrydeal/_internal/platform/header_names.py
+++ b/src/gooseberrydeal/_internal/platform/header_names.py
@@ -4,6 +4,8 @@
 
 REQUEST_ID: Final = b"x-request-id"
 CREDENTIAL: Final = b"authorization"
+# The name of the account that a request is served for; only the router may set it.
+ACCOUNT: Final = b"x-tenant"
 DEADLINE: Final = b"x-deadline-ms"
 MODEL: Final = b"x-model"
 # The number of prompt tokens and the maximum number of output tokens, comma-separated.
--- a/src/gooseberrydeal/_internal/platform/metadata_names.py
+++ b/src/gooseberrydeal/_internal/platform/metadata_names.py
@@ -9,6 +9,7 @@
 )
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
+from gooseberrydeal._internal.platform.account_codec import without_keys
 from gooseberrydeal._internal.platform.configuration_codec import (
     decode_adapter_version,
     decode_configuration,
@@ -24,6 +25,9 @@
 class PlatformMetadataCodec:
     """Recognise the platform's keys and decode their values."""
 
+    # A declaration is read twice, by a watch of its own and with all changes.
+    _last: tuple[bytes, RoutingConfiguration] | None = None
+
     @property
     def declaration_prefix(self) -> str:
         """Return how the keys begin under which operators declare."""
@@ -36,7 +40,13 @@
         """
         if item.key != _CONFIGURATION_KEY or item.value is None:
             return None
-        return decode_configuration(item.value)
+        if self._last is None or self._last[0] != item.value:
+            self._last = item.value, decode_configuration(item.value)
+        return self._last[1]
+
+    def without_keys(self, value: bytes) -> bytes:
+        """Return a valid configuration with digests in place of accounts' keys."""
+        return without_keys(value)
 
     def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
         """Return an adapter and its declared version, or ``None`` for other items.
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from gooseberrydeal._internal.models.ids import PromptPartId, RequestId
+from gooseberrydeal._internal.models.ids import AccountName, PromptPartId, RequestId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterKey
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.models.routing.http_heads import (
@@ -26,6 +26,8 @@
 _MAX_WAIT_SECONDS: Final = 86_400.0
 _EVENT_STREAM: Final = b"text/event-stream"
 _TRUE_VALUE: Final = b"1"
+_KEY_SCHEME: Final = b"bearer"
+_KEY_FIELDS: Final = frozenset({header_names.CREDENTIAL, header_names.ACCOUNT})
 # Whole numbers with more digits are not exact as floating-point numbers.
 _MAX_DIGITS: Final = 15
 # A load field holds the numbers of running and waiting requests and of slots, and
@@ -71,6 +73,7 @@
             query=_decode_text(query),
             resumes=None if resumes is None else RequestId(_decode_text(resumes)),
             last_event_id=_decode_text(fields.get(header_names.LAST_EVENT_ID, b"")),
+            key=_parse_key(head),
         )
 
     def forward_headers(
@@ -81,6 +84,8 @@
         Reserved fields that the caller sent are removed.
         """
         removed = header_names.RESERVED_FIELDS
+        if attributes.hides_key:
+            removed = removed | _KEY_FIELDS
         if (
             not attributes.forwards_last_event_id
             or attributes.resume_after_event_id is not None
@@ -92,6 +97,7 @@
             if name.lower() not in removed
         ]
         fields.append(_deadline_field(attributes.seconds_left))
+        fields += _account_fields(attributes.account)
         fields.append((b"X-Expect-Instance", attributes.server.encode()))
         if attributes.rank is not None:
             priority = min(_MAX_PRIORITY_NUMBER, max(0, attributes.rank))
@@ -102,14 +108,28 @@
             fields.append((b"Last-Event-Id", attributes.resume_after_event_id.encode()))
         return fields
 
-    def peer_headers(self, head: RequestHead, seconds_left: float) -> list[Header]:
-        """Return the caller's end-to-end fields, with the time that is left."""
+    def peer_headers(
+        self,
+        head: RequestHead,
+        seconds_left: float,
+        account: AccountName | None = None,
+        *,
+        hides_key: bool = False,
+    ) -> list[Header]:
+        """Return the caller's end-to-end fields, with the time that is left.
+
+        With ``hides_key``, the account is stated instead of the caller's key. Hosts of
+        earlier versions forward it to the server.
+        """
+        removed = frozenset({header_names.DEADLINE})
+        if hides_key:
+            removed = removed | _KEY_FIELDS
         fields = [
             (name, value)
             for name, value in end_to_end_headers(head.headers)
-            if name.lower() != header_names.DEADLINE
+            if name.lower() not in removed
         ]
-        return [*fields, _deadline_field(seconds_left)]
+        return [*fields, *_account_fields(account), _deadline_field(seconds_left)]
 
     def read_response(self, head: ResponseHead) -> ResponseAttributes:
         """Return the routing data of a response; an invalid load counts as absent."""
@@ -140,6 +160,20 @@
     return (b"X-Deadline-Ms", b"%d" % max(1, int(seconds_left * 1000)))
 
 
+def _account_fields(account: AccountName | None) -> list[Header]:
+    return [] if account is None else [(b"X-Tenant", account.encode("latin-1"))]
+
+
+def _parse_key(head: RequestHead) -> bytes | None:
+    """Return a request's key, ``None`` if it has none, empty if it is malformed."""
+    values = [v for k, v in head.headers if k.lower() == header_names.CREDENTIAL]
+    if not values:
+        return None
+    scheme, _, key = values[0].strip().partition(b" ")
+    is_valid = len(values) == 1 and scheme.lower() == _KEY_SCHEME
+    return key.strip() if is_valid else b""
+
+
 def _is_event_stream(content_type: bytes) -> bool:
     return content_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
 
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which client account a request belongs to."""
--- a/src/gooseberrydeal/_internal/policy/store_trust.py
+++ b/src/gooseberrydeal/_internal/policy/store_trust.py
@@ -20,6 +20,7 @@
         self._is_trusted = False
         self._is_unconfirmed = False
         self._epoch: int | None = None
+        self._confirmed_epoch: int | None = None
         self._epoch_read_at = 0.0
 
     @property
@@ -32,6 +33,15 @@
         """Return whether no host has confirmed what the trusted store holds."""
         return self._is_unconfirmed
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the store holds all that any host knew of, in this epoch.
+
+        That is so once the epoch is settled, and at a deployment's first start.
+        """
+        is_current = self._confirmed_epoch == self._epoch
+        return self._is_trusted and self._epoch is not None and is_current
+
     def store_read(
         self, epoch: int, now: float, *, has_record: bool, is_settled: bool
     ) -> None:
@@ -43,8 +53,11 @@
         if epoch != self._epoch:
             self._epoch = epoch
             self._epoch_read_at = now
-        if is_settled or (self._is_first_start and not has_record):
+        is_new = self._is_first_start and not has_record
+        if is_settled or is_new:
             self._is_trusted = True
+        if is_settled or (is_new and self._confirmed_epoch is None):
+            self._confirmed_epoch = epoch
         self.check(now)
 
     def check(self, now: float) -> None:
--- a/tests/functional/test_waiting_retries.py
+++ b/tests/functional/test_waiting_retries.py
@@ -30,7 +30,7 @@
             harness.servers.put(replace(record.entry, state=ServerState.DRAINING))
             return next(is_allowed)
 
-        monkeypatch.setattr(harness.handler, "_consume_retry", consume_retry)
+        monkeypatch.setattr(harness.handler._retries, "consume", consume_retry)
         caller.send("/safe/a")
         status, _, _ = await caller.read_response()
         assert status == 502
--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -14,6 +14,7 @@
 from gooseberrydeal._internal.models.ids import DomainName, HostId
 from gooseberrydeal._internal.models.routing.host_settings import (
     HostSettings,
+    RoutingBounds,
     StoreSettings,
 )
 from gooseberrydeal._internal.network.http_server import HttpServer
@@ -57,6 +58,7 @@
     server_class: type[CrashingServer] = CrashingServer
     server_slots = 6
     max_connections = 100
+    bounds = RoutingBounds()
 
     def __init__(
         self,
@@ -96,7 +98,7 @@
         host, port = self._store_address.rsplit(":", 1)
         self._store_server = HttpServer(self.store.app(), host, int(port))
         await self._store_server.start()
-        self.store.put("op/config", _configuration(self.max_connections))
+        self.store.put("op/config", self._configuration())
         for server in self.servers:
             await server.start()
         for name in self.host_names:
@@ -131,14 +133,15 @@
             peers=self._peers.setdefault(name, free_address()),
             metrics=free_address(),
             store=StoreSettings(self._store_address),
+            bounds=self.bounds,
         )
         node = RouterNode(
             settings,
-            PlatformStore(self._store_address),
+            PlatformStore(await self._store_address_of(name)),
             PlatformEngineClient(),
             PlatformRelayCodec(),
             await self._decoder(name),
-            SystemClock(),
+            self._clock(name),
             random.Random(),
         )
         await node.start()
@@ -148,6 +151,18 @@
         """Return what a host decodes the platform's entries with."""
         return PlatformMetadataCodec()
 
+    async def _store_address_of(self, host: str) -> str:
+        """Return where a host reaches the metadata store."""
+        return self._store_address
+
+    def _clock(self, host: str) -> SystemClock:
+        """Return the clock of a host."""
+        return SystemClock()
+
+    def _configuration(self) -> bytes:
+        """Return the routing configuration that the operators declare first."""
+        return encode_configuration(self.max_connections)
+
     async def kill_host(self, name: str) -> None:
         """End a host without draining its connections."""
         await self.nodes.pop(name).abort()
@@ -241,7 +256,10 @@
         asyncio.get_running_loop().call_later(_ENTRY_EXPIRY_SECONDS, expire)
 
 
-def _configuration(max_connections: int) -> bytes:
+def encode_configuration(
+    max_connections: int, version: int = 1, **others: object
+) -> bytes:
+    """Return a routing configuration, with ``others`` as further fields."""
     routes = [
         {
             "name": prefix,
@@ -257,5 +275,11 @@
         for kind, prefix, options in _ROUTES
     ]
     service = {"name": _SERVICE, "maxConnections": max_connections}
-    data = {"version": 1, "routes": routes, "services": [service], "limits": {}}
+    data = {
+        "version": version,
+        "routes": routes,
+        "services": [service],
+        "limits": {},
+        **others,
+    }
     return json.dumps(data).encode()
--- a/tests/lib/follower_world.py
+++ b/tests/lib/follower_world.py
@@ -35,6 +35,9 @@
             return None
         return configuration(int(item.value))
 
+    def without_keys(self, value: bytes) -> bytes:
+        return value
+
     def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
         if not item.key.startswith("declared/versions/") or item.value is None:
             return None
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -53,6 +53,9 @@
             return None
         return configuration(slots=self._engine.slots)
 
+    def without_keys(self, value: bytes) -> bytes:
+        return value
+
     def adapter_version(self, item: StoreItem) -> None:
         return None
 
--- a/tests/lib/restored_world.py
+++ b/tests/lib/restored_world.py
@@ -42,6 +42,9 @@
             raise DeclarationError(["the configuration is invalid"])
         return configuration(int(item.value))
 
+    def without_keys(self, value: bytes) -> bytes:
+        return value
+
     def adapter_version(self, item: StoreItem) -> tuple[AdapterKey, int] | None:
         if not item.key.startswith(VERSION_PREFIX) or item.value is None:
             return None
--- a/tests/lib/stream_world.py
+++ b/tests/lib/stream_world.py
@@ -64,6 +64,9 @@
     def configuration(self, item: StoreItem) -> None:
         return None
 
+    def without_keys(self, value: bytes) -> bytes:
+        return value
+
     def adapter_version(self, item: StoreItem) -> None:
         return None
 
