--- a/src/gooseberrydeal/_internal/platform/account_codec.py
+++ b/src/gooseberrydeal/_internal/platform/account_codec.py
@@ -17,7 +17,11 @@
     ClientAccount,
     QuotaUnit,
 )
-from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
+from gooseberrydeal._internal.utils.json_value import (
+    DECODE_ERRORS,
+    JsonObject,
+    parse_integer,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -66,7 +70,7 @@
     One without accounts is returned unchanged. Raises one of ``DECODE_ERRORS`` if the
     document is not a JSON object.
     """
-    data = json.loads(value)
+    data = json.loads(value, parse_int=parse_integer)
     items = data.get(_ACCOUNTS)
     if items is None or items == []:
         return value
--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -22,7 +22,11 @@
     ServiceConfiguration,
 )
 from gooseberrydeal._internal.platform.account_codec import decode_accounts
-from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
+from gooseberrydeal._internal.utils.json_value import (
+    DECODE_ERRORS,
+    JsonObject,
+    parse_integer,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -49,7 +53,7 @@
     :class:`DeclarationError` if the document itself is invalid.
     """
     try:
-        data = json.loads(value)
+        data = json.loads(value, parse_int=parse_integer)
         version = int(data["version"])
         routes = _decode_each(data.get("routes", ()), _decode_route, "route")
         services = _decode_each(data.get("services", ()), _decode_service, "service")
--- a/src/gooseberrydeal/_internal/utils/json_value.py
+++ b/src/gooseberrydeal/_internal/utils/json_value.py
@@ -16,6 +16,17 @@
     RecursionError,
 )
 
+# Python refuses to convert integers with more digits than about four thousand.
+_MAX_INTEGER_LENGTH: Final = 1_000
+
+
+def parse_integer(text: str) -> float:
+    """Return an integer of a JSON document; an infinite number for a very long one.
+
+    Without this, one long number makes a whole document unreadable.
+    """
+    return int(text) if len(text) <= _MAX_INTEGER_LENGTH else float(text)
+
 
 def decode_list(data: bytes) -> list[Any]:
     """Return a decoded JSON array; raise one of ``DECODE_ERRORS`` otherwise."""
