Keep accounts within their quotas over all hosts

Accounts may have a quota since the configuration has accounts, but nothing enforced it. One host per account, the first in rendezvous order, now grants tokens that expire, and all hosts ask it by datagram ahead of demand.

--- a/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
@@ -52,6 +52,7 @@
         self._channel = channel
         self._has_body = head.method != b"HEAD"
         self._is_started = False
+        self._status: int | None = None
         self._is_finished = False
         self._is_chunked = False
         self._ends_with_connection = False
@@ -75,6 +76,11 @@
         """Return whether the head of the response has been sent."""
         return self._is_started
 
+    @property
+    def status(self) -> int | None:
+        """Return the status of the response, ``None`` before it was started."""
+        return self._status
+
     @property
     def is_finished(self) -> bool:
         """Return whether the response has ended, completely or by an abort."""
@@ -127,6 +133,7 @@
         chunks.
         """
         self._is_started = True
+        self._status = status
         has_no_length = length is None and not is_bodiless(status)
         self._is_chunked = has_no_length and self._head.accepts_chunks
         self._ends_with_connection = has_no_length and not self._is_chunked
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,6 +22,10 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.quota_messages import (
+    QuotaGrant,
+    QuotaRequest,
+)
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
@@ -45,6 +49,12 @@
     limit_report_fields,
     parse_limit_report,
 )
+from gooseberrydeal._internal.network.quota_codec import (
+    parse_quota_grant,
+    parse_quota_request,
+    quota_grant_fields,
+    quota_request_fields,
+)
 from gooseberrydeal._internal.network.stream_codec import (
     parse_stream_notice,
     parse_stream_query,
@@ -60,6 +70,8 @@
     | IsolationNotice
     | StreamNotice
     | StreamQuery
+    | QuotaRequest
+    | QuotaGrant
 )
 
 PROTOCOL_VERSION: Final = 1
@@ -76,6 +88,8 @@
     ISOLATION = 5
     STREAM = 6
     STREAM_QUERY = 7
+    QUOTA_REQUEST = 8
+    QUOTA_GRANT = 9
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -158,6 +172,18 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STREAM_QUERY), *fields])
 
 
+def encode_quota_request(request: QuotaRequest) -> bytes:
+    """Encode a request for tokens of accounts' quotas."""
+    fields = quota_request_fields(request)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.QUOTA_REQUEST), *fields])
+
+
+def encode_quota_grant(grant: QuotaGrant) -> bytes:
+    """Encode a grant of tokens of accounts' quotas."""
+    fields = quota_grant_fields(grant)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.QUOTA_GRANT), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -264,4 +290,6 @@
     _ReportKind.ISOLATION: parse_isolation_notice,
     _ReportKind.STREAM: parse_stream_notice,
     _ReportKind.STREAM_QUERY: parse_stream_query,
+    _ReportKind.QUOTA_REQUEST: parse_quota_request,
+    _ReportKind.QUOTA_GRANT: parse_quota_grant,
 }
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -57,12 +57,30 @@
             registry=self._registry,
             buckets=_BUCKET_BOUNDS_SECONDS,
         )
+        self._quota_decisions = Counter(
+            "gooseberry_router_quota_decisions_total",
+            "Requests of accounts with a quota, by what was decided.",
+            registry=self._registry,
+        )
+        self._quota_used = Gauge(
+            "gooseberry_router_quota_used",
+            "Used part of an account's bucket of tokens, at its allocator.",
+            registry=self._registry,
+        )
         self._state = Gauge(
             "gooseberry_router_state",
             "What the router believes: version, servers, hosts, engines owned.",
             registry=self._registry,
         )
 
+    def count_quota_decision(self, decision: str) -> None:
+        """Count a request of an account with a quota, by what was decided."""
+        self._quota_decisions.inc({"decision": decision})
+
+    def set_quota_used(self, account: str, share: float) -> None:
+        """Set which part of an account's bucket of tokens is used up, 0 to 1."""
+        self._quota_used.set({"account": account}, share)
+
     def count_attempt(self, outcome: str) -> None:
         """Count an attempt to send a request to a backend server, by its outcome."""
         self._attempts.inc({"outcome": outcome})
--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -26,6 +26,7 @@
         callers: CallerListener,
         metrics: RouterMetrics,
         is_stopping: Callable[[], bool],
+        show_quotas: Callable[[], None],
     ) -> None:
         self._view = view
         self._servers = servers
@@ -33,6 +34,7 @@
         self._callers = callers
         self._metrics = metrics
         self._is_stopping = is_stopping
+        self._show_quotas = show_quotas
         self._readiness = StatusEndpoint(settings.readiness, self._readiness_response)
         self._metrics_endpoint = StatusEndpoint(
             settings.metrics, self._metrics_response
@@ -70,4 +72,5 @@
         self._metrics.set_state("hosts", len(self._view.hosts))
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
+        self._show_quotas()
         return HTTPStatus.OK, self._metrics.render()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the accounts' requests within their quotas over all hosts."""
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -28,6 +28,7 @@
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
+from gooseberrydeal._internal.operations.router.quotas.quota_gate import QuotaGate
 from gooseberrydeal._internal.operations.router.refusals import (
     final_refusal_status,
     refuse,
@@ -64,6 +65,7 @@
         bounds: RoutingBounds,
         callbacks: ServerCallbacks,
         peers: PeerRelay,
+        quota_gate: QuotaGate,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -76,6 +78,7 @@
         self._bounds = bounds
         self._callbacks = callbacks
         self._peers = peers
+        self._quota_gate = quota_gate
         self._clock = clock
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
@@ -187,6 +190,8 @@
                 )
                 return
             request = replace(request, service=origin.service, origin=origin)
+        if (charge := await self._quota_gate.enter(request, exchange)) is None:
+            return
         if peer is None:
             self._retry_window(request.service).note_first_attempt(arrived_at)
         self._in_progress += 1
@@ -209,6 +214,7 @@
             self._durations.note(route.name, now - arrived_at, now)
         finally:
             self._in_progress -= 1
+            self._quota_gate.leave(charge, exchange)
 
     def _may_be_cut_off(self, request: RoutedRequest) -> bool:
         """Return whether a request may still run when the process ends."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -53,6 +53,7 @@
 from gooseberrydeal._internal.operations.router.peer_requests import (
     PeerRequestHandler,
 )
+from gooseberrydeal._internal.operations.router.quotas.host_quotas import HostQuotas
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.request_handler import RequestHandler
@@ -139,8 +140,21 @@
         )
         self._report_exchange.set_handler(LimitReport, limits.merge)
         self._lease_keeper = LeaseKeeper(
-            store, membership, clock.seconds_since_boot, self._on_metadata_change
+            store, membership, clock.seconds_since_boot, self._on_new_lease
         )
+        self._quotas = HostQuotas(
+            membership,
+            self._view,
+            settings.bounds,
+            lambda: self._lease_keeper.is_valid,
+            self._report_exchange.send,
+            self._metrics,
+            clock.seconds_since_boot,
+            now,
+            rng,
+            is_first_start=settings.is_first_start,
+        )
+        self._quotas.listen(self._report_exchange)
         self._ownership = EngineOwnership(
             membership,
             store,
@@ -221,6 +235,7 @@
                 self._reachability.is_gone,
             ),
             self._peers,
+            self._quotas.gate,
             now,
             rng,
         )
@@ -236,6 +251,7 @@
             self._caller_listener,
             self._metrics,
             lambda: self._is_stopping,
+            self._quotas.admission.show_used_shares,
         )
         self._stall_monitor = StallMonitor(clock.seconds_since_boot)
         self._tasks = TaskOwner()
@@ -256,12 +272,14 @@
         self._tasks.start(self._known_state_writer.run(), "known state")
         self._crash_protection.start()
         self._stream_versions.start()
+        self._quotas.start()
         logger.info("started", extra={"host": self._settings.host})
 
     def apply(self, settings: HostSettings) -> None:
         """Apply changed settings; only changes of ``bounds`` take effect."""
         self._settings = settings
         self._handler.set_bounds(settings.bounds)
+        self._quotas.set_bounds(settings.bounds)
         self._view.change_bound = settings.bounds.store_change
         self._dispatcher.rollout.set_bound(settings.bounds.adapter_version)
         self._ownership.set_handover_gap(settings.bounds.handover_gap)
@@ -290,6 +308,7 @@
         await self._ownership.stop()
         await self._crash_protection.stop()
         await self._stream_versions.stop()
+        await self._quotas.stop()
         await self._tasks.stop()
         self._report_exchange.close()
         for record in self._servers.records:
@@ -298,3 +317,8 @@
     def _on_metadata_change(self) -> None:
         self._ownership.metadata_changed()
         self._known_state_writer.metadata_changed()
+        self._quotas.metadata_changed()
+
+    def _on_new_lease(self) -> None:
+        self._quotas.registered()
+        self._on_metadata_change()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests of an account are within its quota."""
--- a/tests/lib/relay_world.py
+++ b/tests/lib/relay_world.py
@@ -45,6 +45,7 @@
 from gooseberrydeal._internal.platform.metadata_names import PlatformMetadataCodec
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
 from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
+from tests.lib.quota_builders import single_host_quotas
 from tests.lib.relay_routes import RELAY_LIMITS, relay_routes
 from tests.lib.routing_builders import (
     LANGUAGE,
@@ -178,6 +179,7 @@
                 clock,
                 random.Random(5),
             ),
+            single_host_quotas(self.view, clock).gate,
             clock,
             random.Random(2),
         )
