--- a/src/gooseberrydeal/_internal/policy/quotas/account_allocation.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/account_allocation.py
@@ -12,8 +12,8 @@
 
 # With less than this part of its tokens left, a bucket grants less than is asked for
 # ahead of demand, since tokens expire at hosts that the account has left.
-_AMPLE_LEVEL: Final = 0.5
-_SCARCE_LEVEL: Final = 0.1
+_AMPLE_LEVEL: Final = 0.9
+_SCARCE_LEVEL: Final = 0.5
 # The least part of what is asked for ahead of demand that is granted.
 _MIN_AHEAD_FRACTION: Final = 0.1
 # One host gets at most this part of a bucket ahead of demand.
@@ -93,7 +93,8 @@
         range_ = _AMPLE_LEVEL - _SCARCE_LEVEL
         fraction = (left / self._terms.size - _SCARCE_LEVEL) / range_
         tokens = min(
-            want.ahead * min(1.0, max(_MIN_AHEAD_FRACTION, fraction)),
+            min(want.ahead, self._terms.rate * self._terms.lifetime)
+            * min(1.0, max(_MIN_AHEAD_FRACTION, fraction)),
             left * _MAX_AHEAD_OF_LEVEL,
         )
         return math.floor(tokens / want.size + TOLERANCE_TOKENS) * want.size
--- a/src/gooseberrydeal/_internal/policy/quotas/account_share.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/account_share.py
@@ -51,7 +51,8 @@
         self._denied_until = -math.inf
         self._refused = 0.0
         self._refused_at = -math.inf
-        self._next_ask_at = -math.inf
+        self._asked_at = -math.inf
+        self._has_arrivals = False
 
     @property
     def account(self) -> AccountName:
@@ -79,6 +80,7 @@
     def note_arrival(self, size: float, now: float) -> None:
         """Count a request's size toward the expected use."""
         self._use.note(size, now)
+        self._has_arrivals = True
 
     def spend(self, size: float, now: float) -> Spending | None:
         """Take granted tokens for a request; return ``None`` if there are too few."""
@@ -119,10 +121,11 @@
             expected = self._use.rate(now) * terms.lifetime
             target = expected * _AHEAD_FACTOR + self._use.size
         left = self._balance.available(now + terms.lifetime * _RENEWED_FRACTION)
-        is_due = left < target * _ASK_BELOW and now >= self._next_ask_at
+        is_due = left < target * _ASK_BELOW and now >= self._asked_at + self._ask_interval(now)
         if not waiting and (not is_due or self.is_denied(now)):
             return None
-        self._next_ask_at = now + terms.lifetime / _MAX_ASKS_PER_LIFETIME
+        self._asked_at = now
+        self._has_arrivals = False
         return QuotaWant(
             self._account,
             sum(waiting),
@@ -130,6 +133,18 @@
             min(waiting, default=self._use.size),
         )
 
+    def _ask_interval(self, now: float) -> float:
+        """Return the time until the next request ahead of demand, in seconds.
+
+        It is that of one expected request, within the limits, and longer without
+        requests since, which the account may send elsewhere now.
+        """
+        if not self._has_arrivals:
+            return self._terms.lifetime
+        shortest = self._terms.lifetime / _MAX_ASKS_PER_LIFETIME
+        expected = self._use.size / max(self._use.rate(now), 1e-9)
+        return min(self._terms.lifetime, max(shortest, expected))
+
     def receive(
         self, offer: QuotaOffer, version: int, asked_at: float, now: float
     ) -> None:
