--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -30,6 +30,7 @@
         metrics: RouterMetrics,
         is_stopping: Callable[[], bool],
         accounts: AccountGate,
+        show_quotas: Callable[[], None],
     ) -> None:
         self._view = view
         self._servers = servers
@@ -38,6 +39,7 @@
         self._metrics = metrics
         self._is_stopping = is_stopping
         self._accounts = accounts
+        self._show_quotas = show_quotas
         self._readiness = StatusEndpoint(settings.readiness, self._readiness_response)
         self._metrics_endpoint = StatusEndpoint(
             settings.metrics, self._metrics_response
@@ -77,4 +79,5 @@
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
         self._accounts.publish()
+        self._show_quotas()
         return HTTPStatus.OK, self._metrics.render()
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -32,6 +32,7 @@
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
+from gooseberrydeal._internal.operations.router.quotas.quota_gate import QuotaGate
 from gooseberrydeal._internal.operations.router.refusals import (
     final_refusal_status,
     refuse,
@@ -68,6 +69,7 @@
         bounds: RoutingBounds,
         callbacks: ServerCallbacks,
         peers: PeerRelay,
+        quota_gate: QuotaGate,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -79,6 +81,7 @@
         self._metrics = metrics
         self._callbacks = callbacks
         self._peers = peers
+        self._quota_gate = quota_gate
         self._clock = clock
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
@@ -200,6 +203,8 @@
                 )
                 return
             request = replace(request, service=origin.service, origin=origin)
+        if (charge := await self._quota_gate.enter(request, exchange)) is None:
+            return
         if peer is None:
             self._retries.note_first_attempt(request.service, arrived_at)
         self._in_progress += 1
@@ -222,6 +227,7 @@
             self._durations.note(route.name, now - arrived_at, now)
         finally:
             self._in_progress -= 1
+            self._quota_gate.leave(charge, exchange)
 
     def _admit(
         self,
