Share the places of plain servers among the hosts by place keepers

Change: a keeper per server grants places by datagrams of kinds 10 to 12, the most urgent request first, while the server is contended; a silent keeper is not waited for.

--- /dev/null
+++ b/src/gooseberrydeal/_internal/network/place_codec.py
@@ -0,0 +1,117 @@
+"""Encode and decode the messages about places at plain servers."""
+
+from typing import Any, Final
+
+from gooseberrydeal._internal.models.ids import AccountName, HostId, ServerId
+from gooseberrydeal._internal.models.routing.place_messages import (
+    PlaceGrant,
+    PlaceMessage,
+    PlaceOutcome,
+    PlaceRelease,
+    PlaceRequest,
+)
+
+# A longer time is of no use to a decision; it also bounds what other hosts can state.
+_MAX_SECONDS: Final = 3_600.0
+
+
+def place_message_fields(message: PlaceMessage) -> list[Any]:
+    """Return the fields of a message, by position."""
+    if isinstance(message, PlaceRequest):
+        return _request_fields(message)
+    if isinstance(message, PlaceGrant):
+        return _grant_fields(message)
+    return _release_fields(message)
+
+
+def _request_fields(request: PlaceRequest) -> list[Any]:
+    return [
+        request.host,
+        request.incarnation,
+        request.number,
+        request.server,
+        request.rank,
+        _to_milliseconds(request.late_in),
+        _to_milliseconds(request.useless_in),
+        request.account,
+    ]
+
+
+def parse_place_request(fields: list[Any]) -> PlaceRequest:
+    """Return a request from its fields.
+
+    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
+    """
+    host, incarnation, number, server, rank, late_in, useless_in, account = fields[:8]
+    return PlaceRequest(
+        HostId(str(host)),
+        int(incarnation),
+        int(number),
+        ServerId(str(server)),
+        int(rank),
+        _to_seconds(late_in),
+        _to_seconds(useless_in),
+        AccountName(str(account)),
+    )
+
+
+def _grant_fields(grant: PlaceGrant) -> list[Any]:
+    return [
+        grant.keeper,
+        grant.incarnation,
+        grant.number,
+        grant.server,
+        grant.outcome.value,
+        _to_milliseconds(grant.seconds),
+        grant.is_contended,
+    ]
+
+
+def parse_place_grant(fields: list[Any]) -> PlaceGrant:
+    """Return an answer from its fields.
+
+    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
+    """
+    keeper, incarnation, number, server, outcome, seconds, is_contended = fields[:7]
+    return PlaceGrant(
+        HostId(str(keeper)),
+        int(incarnation),
+        int(number),
+        ServerId(str(server)),
+        PlaceOutcome(int(outcome)),
+        _to_seconds(seconds),
+        bool(is_contended),
+    )
+
+
+def _release_fields(release: PlaceRelease) -> list[Any]:
+    return [
+        release.host,
+        release.incarnation,
+        release.number,
+        release.server,
+        release.was_rejected,
+    ]
+
+
+def parse_place_release(fields: list[Any]) -> PlaceRelease:
+    """Return a release from its fields.
+
+    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
+    """
+    host, incarnation, number, server, was_rejected = fields[:5]
+    return PlaceRelease(
+        HostId(str(host)),
+        int(incarnation),
+        int(number),
+        ServerId(str(server)),
+        bool(was_rejected),
+    )
+
+
+def _to_milliseconds(seconds: float) -> int:
+    return int(max(-_MAX_SECONDS, min(_MAX_SECONDS, seconds)) * 1000)
+
+
+def _to_seconds(milliseconds: int) -> float:
+    return int(milliseconds) / 1000
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,6 +22,12 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.place_messages import (
+    PlaceGrant,
+    PlaceMessage,
+    PlaceRelease,
+    PlaceRequest,
+)
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
@@ -45,6 +51,12 @@
     limit_report_fields,
     parse_limit_report,
 )
+from gooseberrydeal._internal.network.place_codec import (
+    parse_place_grant,
+    parse_place_release,
+    parse_place_request,
+    place_message_fields,
+)
 from gooseberrydeal._internal.network.stream_codec import (
     parse_stream_notice,
     parse_stream_query,
@@ -60,6 +72,7 @@
     | IsolationNotice
     | StreamNotice
     | StreamQuery
+    | PlaceMessage
 )
 
 PROTOCOL_VERSION: Final = 1
@@ -76,6 +89,16 @@
     ISOLATION = 5
     STREAM = 6
     STREAM_QUERY = 7
+    PLACE_REQUEST = 10
+    PLACE_GRANT = 11
+    PLACE_RELEASE = 12
+
+
+_PLACE_KINDS: Final = {
+    PlaceRequest: _ReportKind.PLACE_REQUEST,
+    PlaceGrant: _ReportKind.PLACE_GRANT,
+    PlaceRelease: _ReportKind.PLACE_RELEASE,
+}
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -158,6 +181,12 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STREAM_QUERY), *fields])
 
 
+def encode_place_message(message: PlaceMessage) -> bytes:
+    """Encode a message about a place at a plain server."""
+    kind = _PLACE_KINDS[type(message)]
+    return cbor2.dumps([PROTOCOL_VERSION, int(kind), *place_message_fields(message)])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -264,4 +293,7 @@
     _ReportKind.ISOLATION: parse_isolation_notice,
     _ReportKind.STREAM: parse_stream_notice,
     _ReportKind.STREAM_QUERY: parse_stream_query,
+    _ReportKind.PLACE_REQUEST: parse_place_request,
+    _ReportKind.PLACE_GRANT: parse_place_grant,
+    _ReportKind.PLACE_RELEASE: parse_place_release,
 }
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -45,6 +45,11 @@
             "Crashes of backend servers that had requests of this host.",
             registry=self._registry,
         )
+        self._places = Counter(
+            "gooseberry_router_places_total",
+            "Requests for places at contended plain servers, by outcome.",
+            registry=self._registry,
+        )
         self._wait_time = Histogram(
             "gooseberry_router_wait_seconds",
             "Time from a request's arrival to its first send.",
@@ -87,6 +92,10 @@
         """Count a crash of a backend server that had requests of this host."""
         self._crashes.inc({})
 
+    def count_place(self, outcome: str) -> None:
+        """Count a request for a place at a plain server, by its outcome."""
+        self._places.inc({"outcome": outcome})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -29,6 +29,12 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.version_rollout import VersionRollout
+from gooseberrydeal._internal.operations.router.waiting.place_client import (
+    PlaceClient,
+)
+from gooseberrydeal._internal.operations.router.waiting.plain_assignment import (
+    PlainAssignment,
+)
 from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
 from gooseberrydeal._internal.policy.engine_choice import (
     EngineAction,
@@ -37,10 +43,6 @@
     choose_engine,
     is_batch_full,
 )
-from gooseberrydeal._internal.policy.plain_server_choice import (
-    PlainCandidate,
-    choose_plain_server,
-)
 
 logger = logging.getLogger(__name__)
 
@@ -69,6 +71,7 @@
         on_load_requested: Callable[[ServerRecord], None],
         clock: Callable[[], float],
         rng: random.Random,
+        places: PlaceClient | None = None,
     ) -> None:
         self._servers = servers
         self._view = view
@@ -79,7 +82,7 @@
         self._signal = signal
         self._on_load_requested = on_load_requested
         self._clock = clock
-        self._rng = rng
+        self._plain = PlainAssignment(eligible, places, domain, clock, rng)
         self._eligible = eligible
         self._scope = scope
         self._limits = eligible.limits
@@ -102,38 +105,9 @@
             return cut_off
         self._limits.note_request(request.service)
         if request.attributes.adapter is None:
-            return await self._assign_plain(request)
+            return await self._plain.assign(request)
         return await self._assign_engine(request)
 
-    async def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
-        wait_until = self._clock() + request.route.target_latency
-        brittle = self._eligible.brittle
-        while True:
-            eligible = self._eligible.find(request)
-            records = {r.id: r for r in eligible if self._eligible.may_send(r)}
-            if records or not self._eligible.lack_places(eligible):
-                break
-            if not await brittle.wait_for_place(request.service, wait_until):
-                break
-        now = self._clock()
-        candidates = [
-            PlainCandidate(
-                server=record.id,
-                requests=record.load.requests(now),
-                slots=record.entry.slots,
-                slowdown=record.load.slowdown,
-                is_local=record.entry.domain == self._domain,
-                failure_rate=record.health.failure_rate(now),
-                is_avoided=not record.is_reachable,
-            )
-            for record in records.values()
-        ]
-        best = choose_plain_server(candidates, self._rng)
-        if best is None:
-            return self._eligible.refusal(request, eligible)
-        self._limits.take(records[best.server])
-        return Assignment(records[best.server])
-
     async def _assign_engine(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Wait for an engine with capacity, requesting adapter loads where needed."""
         started_at = self._clock()
--- a/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/eligible_servers.py
@@ -17,6 +17,8 @@
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.isolation_turns import IsolationTurns
 
+ResponseListener = Callable[[ServerRecord, ResponseAttributes], None]
+
 # Bursts that fill all slots last for several seconds. A caller that retries at once
 # meets the same queue, and most callers retry only once.
 OVERLOAD_RETRY_AFTER_SECONDS: Final = 2.0
@@ -43,6 +45,7 @@
         self._brittle = brittle
         self._turns = turns
         self._clock = clock
+        self._listeners: list[ResponseListener] = []
 
     @property
     def limits(self) -> ServerLimits:
@@ -59,6 +62,10 @@
         """Return the places of servers that must not be sent too much."""
         return self._brittle
 
+    def add_response_listener(self, listener: ResponseListener) -> None:
+        """Call a function with the server and the attributes of each response."""
+        self._listeners.append(listener)
+
     def find(self, request: RoutedRequest) -> list[ServerRecord]:
         """Return the servers to choose from, whether or not they take a request now.
 
@@ -124,6 +131,8 @@
             # That status may come from another server at the address.
             self._brittle.response_received(record, attributes, sent_at)
             self._notices.response_received(record, connection, attributes)
+            for listener in self._listeners:
+                listener(record, attributes)
 
     def final_refusal(
         self, request: RoutedRequest, *, has_engine: bool, can_wait: bool
--- a/src/gooseberrydeal/_internal/operations/router/request_connector.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_connector.py
@@ -84,4 +84,5 @@
             and record.entry.service == self._request.service
             and self._notices.may_send(record)
             and self._brittle.may_keep_place(record)
+            and self._request.has_valid_place()
         )
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -180,11 +180,11 @@
             if cause is not None and self._task and not self._task.uncancel():
                 self._failure.refuse_as_crashing(cause)
                 return
-            waited = self._clock() - self._request.arrived_at
-            self._log.cancelled(waited, self._server)
+            self._log.cancelled(self._clock() - self._request.arrived_at, self._server)
             raise
         finally:
             self._screening.end_isolation()
+            self._request.release_place()
             self._guard.leave(self)
 
     async def _serve(self) -> None:
@@ -283,7 +283,7 @@
         if outcome.leaves_request_there:
             self._eligible.brittle.abandoned(record)
         if outcome is AttemptOutcome.NOT_RUN:
-            request.refused_on.append(connection)
+            request.note_refused(connection)
         self._note_ended(attempt, record)
         self._metrics.count_attempt(outcome.value)
         return outcome
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -11,6 +11,7 @@
 from gooseberrydeal._internal.models.routing.stream_origin import StreamOrigin
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.waiting.held_place import HeldPlace
 
 
 @dataclass(slots=True)
@@ -30,6 +31,7 @@
     ``needs_newest``, only the newest version of its adapter may serve it. With
     ``has_retry``, the retry budget was charged for the next attempt already.
     ``account`` is the client account that it is served for, ``None`` if there is none.
+    ``place`` is what the place keeper of a server granted for the next attempt.
     """
 
     attributes: RequestAttributes
@@ -48,6 +50,7 @@
     needs_newest: bool = False
     has_retry: bool = False
     account: ClientAccount | None = None
+    place: HeldPlace | None = None
 
     def may_use(self, record: ServerRecord) -> bool:
         """Return whether the request may be sent to a server, going by its entry.
@@ -60,6 +63,21 @@
         """Return whether a server could serve the request if it were not excluded."""
         return self.origin is None or record.entry.can_continue(self.origin)
 
+    def has_valid_place(self) -> bool:
+        """Return whether the place for the next attempt may be used, if one is held."""
+        return self.place is None or self.place.is_valid
+
+    def release_place(self, *, was_rejected: bool = False) -> None:
+        """Give the place back that is held, if there is one."""
+        place, self.place = self.place, None
+        if place is not None:
+            place.release(was_rejected=was_rejected)
+
+    def note_refused(self, connection: ServerConnection) -> None:
+        """Record that a server stated on a connection that it did not run this."""
+        self.refused_on.append(connection)
+        self.release_place(was_rejected=True)
+
     def can_run_again(self, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
         return self.route.is_repeatable and pending < self.servers_left
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -63,6 +63,9 @@
 from gooseberrydeal._internal.operations.router.silence_watch import SilenceWatch
 from gooseberrydeal._internal.operations.router.stall_monitor import StallMonitor
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
+from gooseberrydeal._internal.operations.router.waiting.place_sharing import (
+    PlaceSharing,
+)
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -171,6 +174,15 @@
         self._declaration_watch = DeclarationWatch(
             store, self._view, decoder.declaration_prefix, self._follower, now
         )
+        self._places = PlaceSharing(
+            membership,
+            self._view,
+            self._servers,
+            self._report_exchange,
+            self._metrics,
+            now,
+            clock.seconds_since_boot,
+        )
         self._dispatcher = Dispatcher(
             self._servers,
             self._view,
@@ -193,6 +205,7 @@
             self._report_exchange.report_soon,
             now,
             rng,
+            self._places.client,
         )
         self._reachability = ReachabilityProber(
             self._servers,
@@ -285,6 +298,7 @@
         self._caller_listener.abort()
         self._peer_listener.abort()
         self._peers.close()
+        self._places.stop()
         self._endpoints.stop()
         await self._reachability.stop()
         await self._ownership.stop()
--- a/src/gooseberrydeal/_internal/operations/router/server_use.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_use.py
@@ -27,6 +27,7 @@
     ) -> None:
         self._record = assignment.record
         self._copy = assignment.copy
+        self._request = request
         self._tokens = request.tokens
         self._unread_tokens = request.attributes.prompt_tokens
         self._brittle = brittle
@@ -52,6 +53,7 @@
         if self._record.end(self._copy, self._tokens):
             self._callbacks.copy_released(self._record)
         self._brittle.place_released(self._record)
+        self._request.release_place()
 
     def response_started(self, *, has_begun: bool) -> None:
         """Stop counting the prompt; ``has_begun`` tells whether the request runs."""
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
@@ -0,0 +1,242 @@
+"""Allocate the places of one server to the requests of all hosts."""
+
+from dataclasses import dataclass
+from typing import Final, NamedTuple
+
+from gooseberrydeal._internal.models.ids import HostId
+from gooseberrydeal._internal.models.routing.place_messages import PlaceOutcome
+from gooseberrydeal._internal.policy.waiting.place_utilisation import PlaceUtilisation
+from gooseberrydeal._internal.policy.waiting.service_times import ServiceTimes
+from gooseberrydeal._internal.policy.waiting.urgency import Urgency
+from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
+
+# Servers queue a few requests beyond their slots. One of these places hides the round
+# trip between the end of a request and the next one's start.
+QUEUE_PLACES: Final = 1
+# Added to the longest service time seen: a busy host can take this long to report the
+# end of a request.
+_LEASE_MARGIN_SECONDS: Final = 0.5
+# A place that is held for longer than this multiple of the mean service time is granted
+# again: the first grant or the release may have been lost. Service times of one server
+# vary less than that.
+_REPEAT_AFTER_MEANS: Final = 1.6
+# After a rejection the server gets one request less for this long: others send to it
+# that did not ask here.
+_REJECTION_SECONDS: Final = 0.5
+# A message about a place that ended up to this long ago is a late or doubled one.
+_ENDED_SECONDS: Final = 3.0
+# Bounds the work of the keeper. A queue this long takes several seconds to drain.
+_MAX_WAITING: Final = 512
+
+
+class PlaceId(NamedTuple):
+    """Identify a request for a place among those of all hosts."""
+
+    host: HostId
+    incarnation: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceAnswer:
+    """Hold the answer to a request; ``seconds`` is as in ``PlaceGrant``."""
+
+    place: PlaceId
+    outcome: PlaceOutcome
+    seconds: float
+
+
+class PlaceQueue:
+    """Count the places that were granted, and queue the requests that wait for one.
+
+    ``assumed`` requests are at the server that this queue did not grant. Their places
+    are free one after the other within the usual service time.
+    """
+
+    def __init__(self, slots: int, assumed: int, now: float) -> None:
+        self._slots = max(1, slots)
+        self._times = ServiceTimes()
+        self._urgency = Urgency()
+        self._utilisation = PlaceUtilisation(now)
+        self._waiting: dict[PlaceId, WaitingRequest] = {}
+        self._granted_at: dict[PlaceId, float] = {}
+        self._repeated_at: dict[PlaceId, float] = {}
+        self._ended_at: dict[PlaceId, float] = {}
+        self._rejected_at: list[float] = []
+        count = min(assumed, self._slots)
+        step = self._times.mean / max(1, count)
+        self._assumed_until = [now + step * (index + 1) for index in range(count)]
+        self._expired = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def granted(self) -> int:
+        """Return the number of places that are in use."""
+        return len(self._granted_at)
+
+    @property
+    def expired(self) -> int:
+        """Return how many places became free without a release so far."""
+        return self._expired
+
+    def is_contended(self, now: float) -> bool:
+        """Return whether hosts have to ask for places."""
+        return self._utilisation.is_contended(now)
+
+    def ask(
+        self, place: PlaceId, request: WaitingRequest, now: float
+    ) -> list[PlaceAnswer]:
+        """Take in a request; return all answers that are due.
+
+        A repeated request gets the same answer as before.
+        """
+        if place in self._ended_at:
+            return []
+        if place in self._granted_at:
+            return [self._grant(place)]
+        if place not in self._waiting:
+            self._waiting[place] = request
+        answers = self.advance(now)
+        if place in self._waiting:
+            wait = self._expected_wait(place, now)
+            if self._is_hopeless(request, wait, now):
+                answers.append(self._refuse(place, now))
+            else:
+                answers.append(PlaceAnswer(place, PlaceOutcome.WAITS, wait))
+        self._note_utilisation(now)
+        return answers
+
+    def release(
+        self, place: PlaceId, now: float, *, was_rejected: bool
+    ) -> list[PlaceAnswer]:
+        """Free a place, or withdraw a request; return all answers that are due."""
+        granted_at = self._granted_at.pop(place, None)
+        self._repeated_at.pop(place, None)
+        self._waiting.pop(place, None)
+        self._ended_at[place] = now
+        if was_rejected:
+            self._rejected_at.append(now)
+        elif granted_at is not None:
+            self._times.observe(now - granted_at, now)
+        return self.advance(now)
+
+    def drop_earlier(self, host: HostId, incarnation: int) -> None:
+        """Forget what earlier incarnations of a host asked for and held."""
+        for places in (self._waiting, self._granted_at):
+            for place in [p for p in places if p.host == host]:
+                if place.incarnation != incarnation:
+                    del places[place]
+                    self._repeated_at.pop(place, None)
+
+    def advance(self, now: float) -> list[PlaceAnswer]:
+        """Return the answers that are due: places granted, and requests refused."""
+        self._expire(now)
+        answers = []
+        seconds = self._times.mean
+        while self._waiting and self._in_use < self._allowed:
+            place = self._urgency.next(self._waiting, now, seconds)
+            request = self._waiting[place]
+            if now + seconds > request.useless_at:
+                answers.append(self._refuse(place, now))
+                continue
+            del self._waiting[place]
+            self._urgency.note_served(request, self._waiting)
+            self._granted_at[place] = self._repeated_at[place] = now
+            answers.append(self._grant(place))
+        self._note_utilisation(now)
+        return answers
+
+    def refuse_hopeless(self, now: float) -> list[PlaceAnswer]:
+        """Refuse requests that can't get a place in time, as others go before them."""
+        kept = 0
+        answers = []
+        for place in self._urgency.order(self._waiting, now, self._times.mean):
+            wait = (kept + 1) * self._turn_seconds
+            if self._is_hopeless(self._waiting[place], wait, now):
+                answers.append(self._refuse(place, now))
+            else:
+                kept += 1
+        return answers
+
+    def repeat_grants(self, now: float) -> list[PlaceAnswer]:
+        """Return the grants of places that should have been released by now.
+
+        Their hosts use the place, or give it back if they do not hold it any more. The
+        time to the next repetition doubles.
+        """
+        answers = []
+        for place, granted_at in self._granted_at.items():
+            repeated_at = self._repeated_at[place]
+            least = self._times.mean * _REPEAT_AFTER_MEANS
+            if now - repeated_at > max(least, repeated_at - granted_at):
+                self._repeated_at[place] = now
+                answers.append(self._grant(place))
+        return answers
+
+    def refuse_all(self, now: float) -> list[PlaceAnswer]:
+        """Refuse all waiting requests, since the server takes none any more."""
+        return [self._refuse(place, now) for place in list(self._waiting)]
+
+    @property
+    def _in_use(self) -> int:
+        return len(self._granted_at) + len(self._assumed_until)
+
+    @property
+    def _allowed(self) -> int:
+        """Return how many requests may be at the server at the same time."""
+        return max(1, self._slots + QUEUE_PLACES - len(self._rejected_at))
+
+    @property
+    def _turn_seconds(self) -> float:
+        """Return after how many seconds the next place is free, on average."""
+        return self._times.mean / min(self._slots, self._allowed)
+
+    @property
+    def _lease(self) -> float:
+        return self._times.longest + _LEASE_MARGIN_SECONDS
+
+    def _grant(self, place: PlaceId) -> PlaceAnswer:
+        return PlaceAnswer(place, PlaceOutcome.GRANTED, self._lease)
+
+    def _refuse(self, place: PlaceId, now: float) -> PlaceAnswer:
+        """Refuse a request; the queue has drained when it may ask again."""
+        seconds = len(self._waiting) * self._turn_seconds
+        del self._waiting[place]
+        self._ended_at[place] = now
+        return PlaceAnswer(place, PlaceOutcome.NONE_IN_TIME, seconds)
+
+    def _expected_wait(self, place: PlaceId, now: float) -> float:
+        own = self._waiting[place]
+        seconds = self._times.mean
+        ahead = sum(
+            self._urgency.precedes(other, own, now, seconds)
+            for other in self._waiting.values()
+        )
+        return (ahead + 1) * self._turn_seconds
+
+    def _is_hopeless(self, request: WaitingRequest, wait: float, now: float) -> bool:
+        served_at = now + wait + self._times.mean
+        return served_at > request.useless_at or len(self._waiting) > _MAX_WAITING
+
+    def _expire(self, now: float) -> None:
+        """Free places whose lease has ended, and forget what is long over."""
+        oldest = now - self._lease
+        for place in [p for p, at in self._granted_at.items() if at <= oldest]:
+            del self._granted_at[place], self._repeated_at[place]
+            self._ended_at[place] = now
+            self._expired += 1
+        self._assumed_until = [at for at in self._assumed_until if at > now]
+        since = now - _REJECTION_SECONDS
+        self._rejected_at = [at for at in self._rejected_at if at > since]
+        for place, at in list(self._ended_at.items()):
+            if now - at < _ENDED_SECONDS:
+                break
+            del self._ended_at[place]
+
+    def _note_utilisation(self, now: float) -> None:
+        in_use = self._in_use + len(self._waiting)
+        self._utilisation.update(in_use / self._slots, now)
