--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_link.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_link.py
@@ -16,7 +16,7 @@
 _MessageT = TypeVar("_MessageT", bound=PlaceMessage)
 
 # Keepers are chosen anew after this time, since hosts come and go.
-_CHOICE_SECONDS: Final = 0.2
+_CHOICE_SECONDS: Final = 0.5
 
 
 class PlaceLink:
--- a/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
@@ -210,11 +210,8 @@
         return PlaceAnswer(place, PlaceOutcome.NONE_IN_TIME, seconds)
 
     def _expected_wait(self, place: PlaceId, now: float) -> float:
-        own = self._waiting[place]
-        seconds = self._times.mean
-        ahead = sum(
-            self._urgency.precedes(other, own, now, seconds)
-            for other in self._waiting.values()
+        ahead = self._urgency.count_ahead(
+            self._waiting[place], self._waiting.values(), now, self._times.mean
         )
         return (ahead + 1) * self._turn_seconds
 
@@ -232,7 +229,8 @@
         self._assumed_until = [at for at in self._assumed_until if at > now]
         since = now - _REJECTION_SECONDS
         self._rejected_at = [at for at in self._rejected_at if at > since]
-        for place, at in list(self._ended_at.items()):
+        while self._ended_at:
+            place, at = next(iter(self._ended_at.items()))
             if now - at < _ENDED_SECONDS:
                 break
             del self._ended_at[place]
--- a/src/gooseberrydeal/_internal/policy/waiting/urgency.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/urgency.py
@@ -1,12 +1,13 @@
 """Order waiting requests by their urgency."""
 
-from collections.abc import Hashable, Mapping
+from collections.abc import Hashable, Iterable, Iterator, Mapping
 from typing import Final, TypeVar
 
 from gooseberrydeal._internal.policy.waiting.account_turns import AccountTurns
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
 
 _KeyT = TypeVar("_KeyT", bound=Hashable)
+_SortKey = tuple[int, bool, float, float]
 
 # While its requests wait, a rank gets at least one in this many of the places, so that
 # no rank starves under a lasting overload by more urgent ones.
@@ -28,9 +29,9 @@
         self, waiting: Mapping[_KeyT, WaitingRequest], now: float, seconds: float
     ) -> list[_KeyT]:
         """Return the requests by urgency; to serve one takes ``seconds``."""
-        return sorted(
-            waiting, key=lambda item: self._sort_key(waiting[item], now + seconds)
-        )
+        keys = self._sort_keys(waiting.values(), now + seconds)
+        by_request = dict(zip(waiting, keys, strict=True))
+        return sorted(waiting, key=by_request.__getitem__)
 
     def next(
         self, waiting: Mapping[_KeyT, WaitingRequest], now: float, seconds: float
@@ -41,11 +42,11 @@
             for rank, count in self._passed_over.items()
             if count >= MIN_RANK_SHARE_PLACES - 1
         }
-        chosen = [item for item, request in waiting.items() if request.rank in starved]
-        return min(
-            chosen or waiting,
-            key=lambda item: self._sort_key(waiting[item], now + seconds),
-        )
+        if starved:
+            chosen = {k: item for k, item in waiting.items() if item.rank in starved}
+            waiting = chosen or waiting
+        keys = self._sort_keys(waiting.values(), now + seconds)
+        return min(zip(keys, waiting, strict=True), key=lambda pair: pair[0])[1]
 
     def note_served(
         self, request: WaitingRequest, waiting: Mapping[_KeyT, WaitingRequest]
@@ -55,16 +56,29 @@
         left = {item.rank for item in waiting.values()} - {request.rank}
         self._passed_over = {rank: self._passed_over.get(rank, 0) + 1 for rank in left}
 
-    def precedes(
-        self, first: WaitingRequest, second: WaitingRequest, now: float, seconds: float
-    ) -> bool:
-        """Return whether the first request is served before the second."""
+    def count_ahead(
+        self,
+        request: WaitingRequest,
+        waiting: Iterable[WaitingRequest],
+        now: float,
+        seconds: float,
+    ) -> int:
+        """Return how many of the waiting requests are served before a request."""
         served_at = now + seconds
-        return self._sort_key(first, served_at) < self._sort_key(second, served_at)
+        own = next(iter(self._sort_keys((request,), served_at)))
+        return sum(key < own for key in self._sort_keys(waiting, served_at))
 
-    def _sort_key(
-        self, request: WaitingRequest, served_at: float
-    ) -> tuple[int, bool, float, float]:
-        turns = self._turns.get(request.rank)
-        turn = 0.0 if turns is None else turns.turn(request.account)
-        return request.rank, served_at > request.late_at, turn, request.late_at
+    def _sort_keys(
+        self, requests: Iterable[WaitingRequest], served_at: float
+    ) -> Iterator[_SortKey]:
+        """Yield the key by which each request is ordered."""
+        # Hundreds may wait, of a few accounts.
+        known: dict[tuple[int, str], float] = {}
+        for request in requests:
+            owner = (request.rank, request.account)
+            turn = known.get(owner)
+            if turn is None:
+                turns = self._turns.get(request.rank)
+                turn = 0.0 if turns is None else turns.turn(request.account)
+                known[owner] = turn
+            yield request.rank, served_at > request.late_at, turn, request.late_at
