--- a/src/gooseberrydeal/_internal/models/routing/place_messages.py
+++ b/src/gooseberrydeal/_internal/models/routing/place_messages.py
@@ -60,6 +60,7 @@
     """Give a place back, or withdraw the request for one.
 
     ``was_rejected`` is set if the server rejected the request that had the place.
+    ``load`` is how many requests the server just said to have, ``None`` if it did not.
     """
 
     host: HostId
@@ -67,6 +68,7 @@
     number: int
     server: ServerId
     was_rejected: bool
+    load: int | None = None
 
 
 PlaceMessage = PlaceRequest | PlaceGrant | PlaceRelease
--- a/src/gooseberrydeal/_internal/network/place_codec.py
+++ b/src/gooseberrydeal/_internal/network/place_codec.py
@@ -91,6 +91,7 @@
         release.number,
         release.server,
         release.was_rejected,
+        release.load,
     ]
 
 
@@ -99,13 +100,14 @@
 
     Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
     """
-    host, incarnation, number, server, was_rejected = fields[:5]
+    host, incarnation, number, server, was_rejected, load = fields[:6]
     return PlaceRelease(
         HostId(str(host)),
         int(incarnation),
         int(number),
         ServerId(str(server)),
         bool(was_rejected),
+        None if load is None else int(load),
     )
 
 
--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_client.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_client.py
@@ -1,10 +1,11 @@
 """Ask place keepers for places at plain servers that are contended."""
 
 import logging
+import math
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from gooseberrydeal._internal.models.ids import AccountName, ServiceName
+from gooseberrydeal._internal.models.ids import AccountName, ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.place_messages import (
     PlaceGrant,
     PlaceOutcome,
@@ -42,6 +43,8 @@
 # A request that expects to wait longer than this part of the time until it is late also
 # asks the second keeper.
 _PATIENCE_FRACTION: Final = 0.5
+# Requests of plain services take some tens of ms; a load stated before is too old.
+_LOAD_SECONDS: Final = 0.1
 # For a response to reach its caller before that gives up.
 _CALLER_MARGIN_SECONDS: Final = 0.05
 
@@ -71,6 +74,7 @@
         self._silence = KeeperSilence()
         self._asks: dict[int, tuple[PlaceWaiter, PlaceAsk]] = {}
         self._held: set[int] = set()
+        self._loads: dict[ServerId, tuple[int, float]] = {}
         self._last_number = 0
         link.set_handler(PlaceGrant, self.grant_received)
 
@@ -93,6 +97,7 @@
             contention.note_rejected(self._clock())
         load = attributes.load
         if load is not None:
+            self._loads[record.id] = (load.running + load.waiting, self._clock())
             utilisation = (load.running + load.waiting) / max(1, record.entry.slots)
             contention.note_utilisation(utilisation, self._clock())
 
@@ -240,9 +245,15 @@
             message.number,
             message.server,
             was_rejected,
+            self._load(message.server),
         )
         self._link.send(ask.keeper, release)
 
+    def _load(self, server: ServerId) -> int | None:
+        """Return the load that a server stated a moment ago."""
+        load, at = self._loads.get(server, (0, -math.inf))
+        return load if self._clock() - at < _LOAD_SECONDS else None
+
     def _contention_of(self, record: ServerRecord) -> Contention:
         return self._contention.setdefault(record.entry.service, Contention())
 
--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_keeper.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_keeper.py
@@ -113,7 +113,10 @@
             self._metrics.count_place("rejected")
         place = PlaceId(release.host, release.incarnation, release.number)
         answers = kept.queue.release(
-            place, self._clock(), was_rejected=release.was_rejected
+            place,
+            self._clock(),
+            was_rejected=release.was_rejected,
+            load=release.load,
         )
         self._answer(release.server, kept, answers)
 
--- a/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
@@ -5,14 +5,12 @@
 
 from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.place_messages import PlaceOutcome
+from gooseberrydeal._internal.policy.waiting.place_limit import PlaceLimit
 from gooseberrydeal._internal.policy.waiting.place_utilisation import PlaceUtilisation
 from gooseberrydeal._internal.policy.waiting.service_times import ServiceTimes
 from gooseberrydeal._internal.policy.waiting.urgency import Urgency
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
 
-# Servers queue a few requests beyond their slots. One of these places hides the round
-# trip between the end of a request and the next one's start.
-QUEUE_PLACES: Final = 1
 # Added to the longest service time seen: a busy host can take this long to report the
 # end of a request.
 _LEASE_MARGIN_SECONDS: Final = 0.5
@@ -20,9 +18,6 @@
 # again: the first grant or the release may have been lost. Service times of one server
 # vary less than that.
 _REPEAT_AFTER_MEANS: Final = 1.6
-# After a rejection the server gets one request less for this long: others send to it
-# that did not ask here.
-_REJECTION_SECONDS: Final = 0.5
 # A message about a place that ended up to this long ago is a late or doubled one.
 _ENDED_SECONDS: Final = 3.0
 # Bounds the work of the keeper. A queue this long takes several seconds to drain.
@@ -62,7 +57,7 @@
         self._granted_at: dict[PlaceId, float] = {}
         self._repeated_at: dict[PlaceId, float] = {}
         self._ended_at: dict[PlaceId, float] = {}
-        self._rejected_at: list[float] = []
+        self._limit = PlaceLimit(self._slots)
         count = min(assumed, self._slots)
         step = self._times.mean / max(1, count)
         self._assumed_until = [now + step * (index + 1) for index in range(count)]
@@ -111,17 +106,27 @@
         return answers
 
     def release(
-        self, place: PlaceId, now: float, *, was_rejected: bool
+        self,
+        place: PlaceId,
+        now: float,
+        *,
+        was_rejected: bool = False,
+        load: int | None = None,
     ) -> list[PlaceAnswer]:
-        """Free a place, or withdraw a request; return all answers that are due."""
+        """Free a place, or withdraw a request; return all answers that are due.
+
+        ``load`` is how many requests the server said to have.
+        """
         granted_at = self._granted_at.pop(place, None)
         self._repeated_at.pop(place, None)
         self._waiting.pop(place, None)
         self._ended_at[place] = now
         if was_rejected:
-            self._rejected_at.append(now)
+            self._limit.note_rejected(now)
         elif granted_at is not None:
             self._times.observe(now - granted_at, now)
+            if load is not None:
+                self._limit.note_load(load, has_waiting=bool(self._waiting))
         return self.advance(now)
 
     def drop_earlier(self, host: HostId, incarnation: int) -> None:
@@ -137,7 +142,7 @@
         self._expire(now)
         answers = []
         seconds = self._times.mean
-        while self._waiting and self._in_use < self._allowed:
+        while self._waiting and self._in_use < self._limit.places(now):
             place = self._urgency.next(self._waiting, now, seconds)
             request = self._waiting[place]
             if now + seconds > request.useless_at:
@@ -185,15 +190,10 @@
     def _in_use(self) -> int:
         return len(self._granted_at) + len(self._assumed_until)
 
-    @property
-    def _allowed(self) -> int:
-        """Return how many requests may be at the server at the same time."""
-        return max(1, self._slots + QUEUE_PLACES - len(self._rejected_at))
-
     @property
     def _turn_seconds(self) -> float:
         """Return after how many seconds the next place is free, on average."""
-        return self._times.mean / min(self._slots, self._allowed)
+        return self._times.mean / self._limit.usual_places
 
     @property
     def _lease(self) -> float:
@@ -227,8 +227,6 @@
             self._ended_at[place] = now
             self._expired += 1
         self._assumed_until = [at for at in self._assumed_until if at > now]
-        since = now - _REJECTION_SECONDS
-        self._rejected_at = [at for at in self._rejected_at if at > since]
         while self._ended_at:
             place, at = next(iter(self._ended_at.items()))
             if now - at < _ENDED_SECONDS:
--- a/tests/unit/test_place_queue.py
+++ b/tests/unit/test_place_queue.py
@@ -15,8 +15,8 @@
     decode_report,
     encode_place_message,
 )
+from gooseberrydeal._internal.policy.waiting.place_limit import QUEUE_PLACES
 from gooseberrydeal._internal.policy.waiting.place_queue import (
-    QUEUE_PLACES,
     PlaceAnswer,
     PlaceId,
     PlaceQueue,
@@ -154,6 +154,7 @@
         _numbers,
         _names.map(ServerId),
         st.booleans(),
+        st.none() | _numbers,
     ),
 )
 
