Let requests wait for engines in one queue per service and host

Cause: each waiting request polled every 60 ms, so that the order of arrival at a free place was chance, urgent requests lost to deferred ones, and late ones took places from those that could still be on time; deferred requests gave up after half of their time. Change: where several ranks use a service, or it has fewer places than hosts, requests wait in one order (rank, on time, account, deadline), are checked by it when a request ends, and are refused early going by the rate at which the queue drains. Elsewhere they poll as before.

--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -50,6 +50,11 @@
             "Requests for places at contended plain servers, by outcome.",
             registry=self._registry,
         )
+        self._waits = Counter(
+            "gooseberry_router_waits_total",
+            "Requests that waited in a service's queue, by outcome.",
+            registry=self._registry,
+        )
         self._wait_time = Histogram(
             "gooseberry_router_wait_seconds",
             "Time from a request's arrival to its first send.",
@@ -96,6 +101,10 @@
         """Count a request for a place at a plain server, by its outcome."""
         self._places.inc({"outcome": outcome})
 
+    def count_wait(self, outcome: str) -> None:
+        """Count a request that waited in the queue of a service, by its outcome."""
+        self._waits.inc({"outcome": outcome})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
+++ b/src/gooseberrydeal/_internal/operations/router/brittle_servers.py
@@ -69,6 +69,7 @@
         self._brittle_until: dict[ServiceName, float] = {}
         self._places: dict[ServiceName, _ServicePlaces] = {}
         self._waiting: dict[ServiceName, list[asyncio.Future[None]]] = {}
+        self._release_listeners: list[Callable[[ServerRecord], None]] = []
 
     @property
     def is_empty(self) -> bool:
@@ -141,8 +142,14 @@
         if service in self._brittle_until:
             self._brittle_until[service] = self._clock() + _RETENTION_SECONDS
 
+    def add_release_listener(self, listener: Callable[[ServerRecord], None]) -> None:
+        """Call a function with the server of each request that has ended there."""
+        self._release_listeners.append(listener)
+
     def place_released(self, record: ServerRecord) -> None:
         """Wake the first request that waits for a place at a server of this service."""
+        for listener in self._release_listeners:
+            listener(record)
         waiting = self._waiting.get(record.entry.service, ())
         for future in waiting:
             if not future.done():
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -10,13 +10,13 @@
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
     Assignment,
     NoAssignment,
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.eligible_servers import (
-    OVERLOAD_RETRY_AFTER_SECONDS,
     EligibleServers,
 )
 from gooseberrydeal._internal.operations.router.engine_candidate import (
@@ -29,6 +29,9 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.version_rollout import VersionRollout
+from gooseberrydeal._internal.operations.router.waiting.admission_queues import (
+    AdmissionQueues,
+)
 from gooseberrydeal._internal.operations.router.waiting.place_client import (
     PlaceClient,
 )
@@ -48,9 +51,6 @@
 
 # A waiting request checks again after this time even if no engine status wakes it.
 _RECHECK_INTERVAL_SECONDS: Final = 0.06
-# Requests wait for capacity or a load for at most this fraction of the caller's
-# timeout. They are then refused as not run, while the caller still has time to retry.
-_MAX_WAIT_FRACTION: Final = 0.5
 # For this fraction of the target latency a request waits rather than exceed the pause
 # limit of streams that are already running; after that the limit is ignored.
 _PAUSE_LIMIT_FRACTION: Final = 0.4
@@ -72,6 +72,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         places: PlaceClient | None = None,
+        metrics: RouterMetrics | None = None,
     ) -> None:
         self._servers = servers
         self._view = view
@@ -79,7 +80,10 @@
         self._rollout = VersionRollout(
             servers, view, version_bound, on_load_requested, clock
         )
-        self._signal = signal
+        self._queues = AdmissionQueues(
+            view, servers, signal, metrics or RouterMetrics(), clock, rng
+        )
+        eligible.brittle.add_release_listener(self._queues.request_ended)
         self._on_load_requested = on_load_requested
         self._clock = clock
         self._plain = PlainAssignment(eligible, places, domain, clock, rng)
@@ -114,12 +118,10 @@
         adapter = request.attributes.adapter
         assert adapter is not None
         self._demand.note_request(adapter, started_at)
-        caller_timeout = min(
-            request.deadline - request.arrived_at, request.route.caller_idle_timeout
-        )
-        wait_until = started_at + caller_timeout * _MAX_WAIT_FRACTION
+        turn = self._queues.turn(request)
         pending_load: PendingLoad | None = None
         try:
+            await turn.begin(self._rollout.newest(adapter))
             checks_without_load = 0
             while True:
                 copy = self._rollout.newest(adapter)
@@ -133,19 +135,21 @@
                         now if pending_load is None else pending_load.requested_at
                     )
                     self._limits.take(found[0])
+                    turn.note_sent()
                     return Assignment(*found, now - requested_at)
                 refusal = self._eligible.final_refusal(
                     request,
                     has_engine=decision.action is not EngineAction.NO_ENGINE,
-                    can_wait=now < wait_until,
+                    can_wait=now < turn.ends_at,
                 )
                 if refusal is not None:
                     return refusal
-                if now >= wait_until:
+                retry_after = turn.retry_after(now, is_loading=pending_load is not None)
+                if retry_after is not None:
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
                         reason = RefusalReason.LOAD_FAILED
-                    return NoAssignment(reason, OVERLOAD_RETRY_AFTER_SECONDS)
+                    return NoAssignment(reason, retry_after)
                 if proposed is not None:
                     pending_load = self._request_load(
                         pending_load, proposed, _target_deadline(request), now
@@ -154,10 +158,12 @@
                 if pending_load is not None:
                     ready_in = pending_load.record.ready_in(copy, now)
                     seconds = ready_in if ready_in > 0 else seconds
+                is_loading = pending_load is not None
                 if pending_load is None or pending_load.is_overdue(now):
                     checks_without_load += 1
-                await self._signal.wait(copy, min(seconds, wait_until - now))
+                await turn.wait(copy, seconds, is_loading=is_loading)
         finally:
+            turn.end()
             if pending_load is not None:
                 pending_load.record.remove_load_request(pending_load.copy)
 
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -206,6 +206,7 @@
             now,
             rng,
             self._places.client,
+            self._metrics,
         )
         self._reachability = ReachabilityProber(
             self._servers,
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/admission_queues.py
@@ -0,0 +1,85 @@
+"""Hold the queues of the services whose requests wait in order of urgency."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from gooseberrydeal._internal.models.ids import ServiceName
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    RoutingConfiguration,
+)
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.waiting.admission_queue import (
+    AdmissionQueue,
+)
+from gooseberrydeal._internal.operations.router.waiting.polled_turn import PolledTurn
+from gooseberrydeal._internal.operations.router.waiting.queued_turn import QueuedTurn
+from gooseberrydeal._internal.operations.router.waiting.request_turn import RequestTurn
+from gooseberrydeal._internal.policy.waiting.service_ranks import service_ranks
+
+# Hosts and servers come and go; whether a service has a queue is decided this often.
+_DECISION_SECONDS: Final = 1.0
+
+
+class AdmissionQueues:
+    """Decide whether a request waits in a queue, and return its turn there.
+
+    A service has a queue if several ranks use it, or if its servers together have fewer
+    places than there are hosts.
+    """
+
+    def __init__(
+        self,
+        view: MetadataView,
+        servers: ServerTable,
+        signal: ChangeSignal,
+        metrics: RouterMetrics,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._servers = servers
+        self._signal = signal
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._queues: dict[ServiceName, AdmissionQueue] = {}
+        self._configuration: RoutingConfiguration | None = None
+        self._decided: dict[ServiceName, tuple[bool, float]] = {}
+
+    def turn(self, request: RoutedRequest) -> RequestTurn:
+        """Return how a request that begins to look for an engine waits."""
+        now = self._clock()
+        if not self._has_queue(request.service, now):
+            return PolledTurn(request, self._signal, now)
+        queue = self._queues.get(request.service)
+        if queue is None:
+            queue = AdmissionQueue(
+                request.service, self._signal, self._metrics, self._clock, self._rng
+            )
+            self._queues[request.service] = queue
+        return QueuedTurn(request, queue, self._signal, self._clock)
+
+    def request_ended(self, record: ServerRecord) -> None:
+        """Let requests check that wait for the engines of a service."""
+        queue = self._queues.get(record.entry.service)
+        if queue is not None:
+            queue.capacity_freed()
+
+    def _has_queue(self, service: ServiceName, now: float) -> bool:
+        configuration = self._view.configuration
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._decided.clear()
+        decided = self._decided.get(service)
+        if decided is None or now - decided[1] >= _DECISION_SECONDS:
+            has_ranks = len(service_ranks(configuration, service)) > 1
+            places = sum(r.entry.slots for r in self._servers.of_service(service))
+            decided = (has_ranks or places < len(self._view.hosts), now)
+            self._decided[service] = decided
+        return decided[0]
