Hold less urgent requests back while more urgent ones wait at other hosts

Cause: hosts do not know of each other's queues; a deferred request at one took the place for which an urgent one waited at another. Change: UsageReport says how many requests of each rank wait (index 4), EngineStatus their sums (index 13, with an empty placeholder at 12), both only where requests wait.

--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -25,6 +25,8 @@
     hosts have in flight on the engine. ``pending_prefill_tokens`` are the prompt tokens
     that await prefill, those of requests whose response has not started. ``slowdown``
     is the ratio of the engine's latency to normal: 1.0 is normal, more is slower.
+    ``waiting`` has pairs of a rank and the number of its requests that wait for an
+    engine of the service, at the hosts that report to this owner.
     """
 
     owner: HostId
@@ -39,3 +41,4 @@
     slowdown: float
     base_models: tuple[str, ...]
     copies: tuple[CopyStatus, ...]
+    waiting: tuple[tuple[int, int], ...] = ()
--- a/src/gooseberrydeal/_internal/models/routing/usage_report.py
+++ b/src/gooseberrydeal/_internal/models/routing/usage_report.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.ids import HostId, ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 
 
@@ -50,9 +50,18 @@
     load_requests: tuple[CopyLoadRequest, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingCount:
+    """Count a host's requests of a rank that wait for any engine of a service."""
+
+    service: ServiceName
+    rank: int
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """Hold a host's use of engines.
+    """Hold a host's use of engines, and its requests that wait for one.
 
     A report with a higher ``(incarnation, sequence)`` replaces an older one.
     """
@@ -61,3 +70,4 @@
     incarnation: int
     sequence: int
     engines: tuple[EngineUsage, ...]
+    waiting: tuple[WaitingCount, ...] = ()
--- a/src/gooseberrydeal/_internal/network/place_codec.py
+++ b/src/gooseberrydeal/_internal/network/place_codec.py
@@ -1,5 +1,7 @@
 """Encode and decode the messages about places at plain servers."""
 
+from collections.abc import Callable
+from enum import IntEnum
 from typing import Any, Final
 
 from gooseberrydeal._internal.models.ids import AccountName, HostId, ServerId
@@ -15,13 +17,19 @@
 _MAX_SECONDS: Final = 3_600.0
 
 
+class _PlaceKind(IntEnum):
+    REQUEST = 10
+    GRANT = 11
+    RELEASE = 12
+
+
 def place_message_fields(message: PlaceMessage) -> list[Any]:
-    """Return the fields of a message, by position."""
+    """Return the kind of a message as a report, and its fields by position."""
     if isinstance(message, PlaceRequest):
-        return _request_fields(message)
+        return [int(_PlaceKind.REQUEST), *_request_fields(message)]
     if isinstance(message, PlaceGrant):
-        return _grant_fields(message)
-    return _release_fields(message)
+        return [int(_PlaceKind.GRANT), *_grant_fields(message)]
+    return [int(_PlaceKind.RELEASE), *_release_fields(message)]
 
 
 def _request_fields(request: PlaceRequest) -> list[Any]:
@@ -37,11 +45,7 @@
     ]
 
 
-def parse_place_request(fields: list[Any]) -> PlaceRequest:
-    """Return a request from its fields.
-
-    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
-    """
+def _parse_request(fields: list[Any]) -> PlaceRequest:
     host, incarnation, number, server, rank, late_in, useless_in, account = fields[:8]
     return PlaceRequest(
         HostId(str(host)),
@@ -67,11 +71,7 @@
     ]
 
 
-def parse_place_grant(fields: list[Any]) -> PlaceGrant:
-    """Return an answer from its fields.
-
-    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
-    """
+def _parse_grant(fields: list[Any]) -> PlaceGrant:
     keeper, incarnation, number, server, outcome, seconds, is_contended = fields[:7]
     return PlaceGrant(
         HostId(str(keeper)),
@@ -95,11 +95,7 @@
     ]
 
 
-def parse_place_release(fields: list[Any]) -> PlaceRelease:
-    """Return a release from its fields.
-
-    Raises one of ``DECODE_ERRORS`` of the crash codec if they are not valid.
-    """
+def _parse_release(fields: list[Any]) -> PlaceRelease:
     host, incarnation, number, server, was_rejected, load = fields[:6]
     return PlaceRelease(
         HostId(str(host)),
@@ -117,3 +113,11 @@
 
 def _to_seconds(milliseconds: int) -> float:
     return int(milliseconds) / 1000
+
+
+# The parsers raise one of ``DECODE_ERRORS`` of the crash codec if fields are not valid.
+PLACE_PARSERS: Final[dict[int, Callable[[list[Any]], PlaceMessage]]] = {
+    _PlaceKind.REQUEST: _parse_request,
+    _PlaceKind.GRANT: _parse_grant,
+    _PlaceKind.RELEASE: _parse_release,
+}
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,12 +22,7 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
-from gooseberrydeal._internal.models.routing.place_messages import (
-    PlaceGrant,
-    PlaceMessage,
-    PlaceRelease,
-    PlaceRequest,
-)
+from gooseberrydeal._internal.models.routing.place_messages import PlaceMessage
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
@@ -52,9 +47,7 @@
     parse_limit_report,
 )
 from gooseberrydeal._internal.network.place_codec import (
-    parse_place_grant,
-    parse_place_release,
-    parse_place_request,
+    PLACE_PARSERS,
     place_message_fields,
 )
 from gooseberrydeal._internal.network.stream_codec import (
@@ -63,6 +56,12 @@
     stream_notice_fields,
     stream_query_fields,
 )
+from gooseberrydeal._internal.network.waiting_codec import (
+    parse_rank_counts,
+    parse_waiting_counts,
+    rank_count_fields,
+    waiting_count_fields,
+)
 
 Report = (
     UsageReport
@@ -89,16 +88,6 @@
     ISOLATION = 5
     STREAM = 6
     STREAM_QUERY = 7
-    PLACE_REQUEST = 10
-    PLACE_GRANT = 11
-    PLACE_RELEASE = 12
-
-
-_PLACE_KINDS: Final = {
-    PlaceRequest: _ReportKind.PLACE_REQUEST,
-    PlaceGrant: _ReportKind.PLACE_GRANT,
-    PlaceRelease: _ReportKind.PLACE_RELEASE,
-}
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -125,6 +114,8 @@
         for engine in report.engines
     ]
     fields = [report.host, report.incarnation, report.sequence, engines]
+    if report.waiting:
+        fields.append(waiting_count_fields(report.waiting))
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.USAGE), *fields])
 
 
@@ -148,6 +139,9 @@
         list(status.base_models),
         copies,
     ]
+    if status.waiting:
+        # Speeds have the position before.
+        fields += [[], rank_count_fields(status.waiting)]
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
@@ -183,8 +177,7 @@
 
 def encode_place_message(message: PlaceMessage) -> bytes:
     """Encode a message about a place at a plain server."""
-    kind = _PLACE_KINDS[type(message)]
-    return cbor2.dumps([PROTOCOL_VERSION, int(kind), *place_message_fields(message)])
+    return cbor2.dumps([PROTOCOL_VERSION, *place_message_fields(message)])
 
 
 def decode_report(data: bytes) -> Report | None:
@@ -213,6 +206,7 @@
         int(incarnation),
         int(sequence),
         tuple(map(_parse_engine_usage, engines)),
+        parse_waiting_counts(*fields[4:5]),
     )
 
 
@@ -264,6 +258,7 @@
         int(slowdown) / 100,
         tuple(map(str, base_models)),
         tuple(_copy_status(*item[:5]) for item in copies),
+        parse_rank_counts(*fields[13:14]),
     )
 
 
@@ -293,7 +288,5 @@
     _ReportKind.ISOLATION: parse_isolation_notice,
     _ReportKind.STREAM: parse_stream_notice,
     _ReportKind.STREAM_QUERY: parse_stream_query,
-    _ReportKind.PLACE_REQUEST: parse_place_request,
-    _ReportKind.PLACE_GRANT: parse_place_grant,
-    _ReportKind.PLACE_RELEASE: parse_place_release,
+    **PLACE_PARSERS,
 }
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -97,6 +97,11 @@
         """Return the selection of servers that a request may be sent to."""
         return self._eligible
 
+    @property
+    def queues(self) -> AdmissionQueues:
+        """Return the requests that wait for engines."""
+        return self._queues
+
     @property
     def rollout(self) -> VersionRollout:
         """Return what decides which version of an adapter may serve a request."""
@@ -130,7 +135,7 @@
                 decision = self._decide(request, copy, records, now)
                 proposed = self._proposed_load(decision, copy, now)
                 found = await self._find_sendable(request, copy, decision, proposed)
-                if found is not None:
+                if found is not None and not turn.must_hold_back(found[0]):
                     requested_at = (
                         now if pending_load is None else pending_load.requested_at
                     )
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 from typing import Any, Final, TypeVar
 
 from gooseberrydeal._internal.models.ids import HostId, ServerId
@@ -10,6 +11,7 @@
 from gooseberrydeal._internal.models.routing.usage_report import (
     EngineUsage,
     UsageReport,
+    WaitingCount,
 )
 from gooseberrydeal._internal.network.datagram_socket import DatagramSocket
 from gooseberrydeal._internal.network.report_codec import (
@@ -23,6 +25,7 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
+from gooseberrydeal._internal.policy.waiting.waiting_totals import WaitingTotals
 
 _ReportT = TypeVar("_ReportT", bound=Report)
 
@@ -69,6 +72,12 @@
         self._reported_slowdown: dict[ServerId, float] = {}
         self._reported_pending_prefill: dict[ServerId, int] = {}
         self._last_sequences: dict[HostId, tuple[int, int]] = {}
+        self._waiting = WaitingTotals()
+        self._own_waiting: Callable[[], tuple[WaitingCount, ...]] = tuple
+
+    def set_waiting(self, waiting: Callable[[], tuple[WaitingCount, ...]]) -> None:
+        """Set the function that returns this host's requests that wait."""
+        self._own_waiting = waiting
 
     def set_ownership(self, ownership: EngineOwnership) -> None:
         """Set the object that receives usage reports on engines owned by this host."""
@@ -143,6 +152,7 @@
 
         In small deployments it is sent to all hosts, in large ones to ``audience``.
         """
+        status = self._with_waiting(status)
         self._apply_status(status)
         hosts = self._view.hosts
         names = hosts.keys() if self._view.periods.reports_all else audience
@@ -153,6 +163,16 @@
                 data = data or encode_status(status)
                 self._socket.send(data, host.address)
 
+    def _with_waiting(self, status: EngineStatus) -> EngineStatus:
+        """Return a status of this host's engine with the requests that wait for one."""
+        record = self._servers.get(status.server)
+        if record is None:
+            return status
+        waiting = self._waiting.of_service(
+            record.entry.service, self._clock(), self._view.periods.host_timeout
+        )
+        return replace(status, waiting=waiting) if waiting else status
+
     def _is_due(self, record: ServerRecord) -> bool:
         """Return whether the owner must hear of an engine in this period."""
         return (
@@ -184,7 +204,9 @@
             self._send_usage(owner, usages)
 
     def _send_usage(self, owner: HostId, usages: list[EngineUsage]) -> None:
+        waiting = self._own_waiting()
         if owner == self._membership.host:
+            self._waiting.apply(owner, waiting, self._clock())
             for usage in usages:
                 self._apply_usage(owner, usage)
             return
@@ -198,6 +220,7 @@
                 self._membership.incarnation,
                 self._sequence,
                 tuple(usages[start : start + _MAX_ENGINES_PER_DATAGRAM]),
+                waiting,
             )
             self._socket.send(encode_usage(report), host.address)
 
@@ -215,6 +238,7 @@
         if known is not None and known[0] == current[0] and known[1] >= current[1]:
             return
         self._last_sequences[report.host] = current
+        self._waiting.apply(report.host, report.waiting, self._clock())
         for usage in report.engines:
             self._apply_usage(report.host, usage)
 
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -208,6 +208,7 @@
             self._places.client,
             self._metrics,
         )
+        self._report_exchange.set_waiting(self._dispatcher.queues.waiting)
         self._reachability = ReachabilityProber(
             self._servers,
             settings.domain,
--- a/src/gooseberrydeal/_internal/operations/router/waiting/admission_queue.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/admission_queue.py
@@ -10,7 +10,15 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.waiting.waiting_elsewhere import (
+    WaitingElsewhere,
+)
 from gooseberrydeal._internal.policy.waiting.admission_order import AdmissionOrder
+from gooseberrydeal._internal.policy.waiting.hold_back import (
+    hold_fraction,
+    may_hold_back,
+)
 from gooseberrydeal._internal.policy.waiting.retry_jitter import jittered_retry_after
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
 
@@ -36,17 +44,20 @@
     def __init__(
         self,
         service: ServiceName,
+        order: AdmissionOrder[AdmissionTicket],
+        elsewhere: WaitingElsewhere,
         signal: ChangeSignal,
         metrics: RouterMetrics,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._service = service
+        self._elsewhere = elsewhere
         self._signal = signal
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._order: AdmissionOrder[AdmissionTicket] = AdmissionOrder()
+        self._order = order
         self._timer: asyncio.TimerHandle | None = None
         self._checked_at = 0.0
         self._logged_at = 0.0
@@ -58,6 +69,26 @@
         """Return the order of the requests that wait."""
         return self._order
 
+    def must_hold_back(
+        self, request: WaitingRequest, record: ServerRecord, since: float
+    ) -> bool:
+        """Return whether a request leaves an engine's place to others, elsewhere.
+
+        The request arrived at ``since``.
+        """
+        now = self._clock()
+        more_urgent = self._elsewhere.more_urgent(request.rank, now)
+        if not more_urgent or self._order.is_owed(request.rank):
+            return False
+        utilisation = record.load.requests(now) / max(1, record.entry.slots)
+        if not may_hold_back(utilisation, since, request.useless_at, now):
+            return False
+        own = self._order.sent_per_second(now) * self._elsewhere.hosts
+        is_held = self._rng.random() < hold_fraction(more_urgent, own)
+        if is_held:
+            self._metrics.count_wait("held_back")
+        return is_held
+
     def enter(self, ticket: AdmissionTicket, request: WaitingRequest) -> None:
         """Add a request that waits for capacity."""
         self._order.enter(ticket, request, self._clock())
--- a/src/gooseberrydeal/_internal/operations/router/waiting/admission_queues.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/admission_queues.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
+from gooseberrydeal._internal.models.routing.usage_report import WaitingCount
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
@@ -16,10 +17,15 @@
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.waiting.admission_queue import (
     AdmissionQueue,
+    AdmissionTicket,
 )
 from gooseberrydeal._internal.operations.router.waiting.polled_turn import PolledTurn
 from gooseberrydeal._internal.operations.router.waiting.queued_turn import QueuedTurn
 from gooseberrydeal._internal.operations.router.waiting.request_turn import RequestTurn
+from gooseberrydeal._internal.operations.router.waiting.waiting_elsewhere import (
+    WaitingElsewhere,
+)
+from gooseberrydeal._internal.policy.waiting.admission_order import AdmissionOrder
 from gooseberrydeal._internal.policy.waiting.service_ranks import service_ranks
 
 # Hosts and servers come and go; whether a service has a queue is decided this often.
@@ -59,18 +65,36 @@
             return PolledTurn(request, self._signal, now)
         queue = self._queues.get(request.service)
         if queue is None:
-            queue = AdmissionQueue(
-                request.service, self._signal, self._metrics, self._clock, self._rng
-            )
+            queue = self._new_queue(request.service)
             self._queues[request.service] = queue
         return QueuedTurn(request, queue, self._signal, self._clock)
 
+    def waiting(self) -> tuple[WaitingCount, ...]:
+        """Return how many requests of each rank wait at this host."""
+        return tuple(
+            WaitingCount(service, rank, count)
+            for service, queue in self._queues.items()
+            for rank, count in queue.order.by_rank().items()
+        )
+
     def request_ended(self, record: ServerRecord) -> None:
         """Let requests check that wait for the engines of a service."""
         queue = self._queues.get(record.entry.service)
         if queue is not None:
             queue.capacity_freed()
 
+    def _new_queue(self, service: ServiceName) -> AdmissionQueue:
+        order: AdmissionOrder[AdmissionTicket] = AdmissionOrder()
+        return AdmissionQueue(
+            service,
+            order,
+            WaitingElsewhere(service, self._view, self._servers, order.by_rank),
+            self._signal,
+            self._metrics,
+            self._clock,
+            self._rng,
+        )
+
     def _has_queue(self, service: ServiceName, now: float) -> bool:
         configuration = self._view.configuration
         if configuration is not self._configuration:
--- a/src/gooseberrydeal/_internal/operations/router/waiting/polled_turn.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/polled_turn.py
@@ -8,6 +8,7 @@
     OVERLOAD_RETRY_AFTER_SECONDS,
 )
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 
 # Requests wait for capacity or a load for at most this fraction of the caller's
 # timeout. They are then refused as not run, while the caller still has time to retry.
@@ -54,6 +55,10 @@
         """Wait for a change of the adapter, for ``seconds`` at most."""
         await self._signal.wait(copy, min(seconds, self._ends_at - self._now))
 
+    def must_hold_back(self, record: ServerRecord) -> bool:
+        """Return whether to leave an engine's place to more urgent requests."""
+        return False
+
     def note_sent(self) -> None:
         """Do nothing: nobody waits for this request to be sent."""
 
--- a/src/gooseberrydeal/_internal/operations/router/waiting/queued_turn.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/queued_turn.py
@@ -5,6 +5,7 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.waiting.admission_queue import (
     AdmissionQueue,
     AdmissionTicket,
@@ -12,6 +13,7 @@
 from gooseberrydeal._internal.operations.router.waiting.polled_turn import (
     latest_polled_send,
 )
+from gooseberrydeal._internal.policy.waiting.hold_back import HOLD_SECONDS
 from gooseberrydeal._internal.policy.waiting.wait_limit import latest_send
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
 
@@ -30,6 +32,7 @@
         clock: Callable[[], float],
     ) -> None:
         now = clock()
+        self._arrived_at = request.arrived_at
         self._id = request.attributes.request_id
         self._queue = queue
         self._signal = signal
@@ -46,6 +49,7 @@
             ends_at,
         )
         self._has_waited = False
+        self._held_until = now
 
     @property
     def ends_at(self) -> float:
@@ -79,6 +83,16 @@
             self._queue.enter(self._ticket, self._wish)
             await self._queue.wait(self._ticket, copy, self.ends_at)
 
+    def must_hold_back(self, record: ServerRecord) -> bool:
+        """Return whether to leave an engine's place to more urgent requests."""
+        now = self._clock()
+        if now < self._held_until:
+            return True
+        is_held = self._queue.must_hold_back(self._wish, record, self._arrived_at)
+        if is_held:
+            self._held_until = now + HOLD_SECONDS
+        return is_held
+
     def note_sent(self) -> None:
         """Record that an engine takes the request."""
         self._queue.order.leave(self._ticket)
--- a/src/gooseberrydeal/_internal/operations/router/waiting/request_turn.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/request_turn.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 
 
 class RequestTurn(Protocol):
@@ -27,6 +28,10 @@
         """Wait for a change, for ``seconds`` at most while the copy is loading."""
         ...
 
+    def must_hold_back(self, record: ServerRecord) -> bool:
+        """Return whether to leave an engine's place to more urgent requests."""
+        ...
+
     def note_sent(self) -> None:
         """Record that an engine takes the request."""
         ...
--- a/src/gooseberrydeal/_internal/policy/waiting/admission_order.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/admission_order.py
@@ -102,6 +102,15 @@
         expected = (self._ahead(request, now) + 1) / self._rate(now)
         return now + expected > request.useless_at
 
+    def is_owed(self, rank: int) -> bool:
+        """Return whether a rank gets the next place, for its minimum share."""
+        return self._urgency.is_owed(rank)
+
+    def sent_per_second(self, now: float) -> float:
+        """Return how many requests were sent in a second, by the last few seconds."""
+        self._forget(now)
+        return len(self._sent_at) / _RATE_SECONDS
+
     def drain_seconds(self, now: float) -> float:
         """Return after how many seconds the waiting requests will have been sent."""
         seconds = (len(self._waiting) + 1) / self._rate(now)
--- a/src/gooseberrydeal/_internal/policy/waiting/urgency.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/urgency.py
@@ -37,17 +37,15 @@
         self, waiting: Mapping[_KeyT, WaitingRequest], now: float, seconds: float
     ) -> _KeyT:
         """Return the request to serve next; raise ``ValueError`` if none waits."""
-        starved = {
-            rank
-            for rank, count in self._passed_over.items()
-            if count >= MIN_RANK_SHARE_PLACES - 1
-        }
-        if starved:
-            chosen = {k: item for k, item in waiting.items() if item.rank in starved}
-            waiting = chosen or waiting
+        owed = {k: item for k, item in waiting.items() if self.is_owed(item.rank)}
+        waiting = owed or waiting
         keys = self._sort_keys(waiting.values(), now + seconds)
         return min(zip(keys, waiting, strict=True), key=lambda pair: pair[0])[1]
 
+    def is_owed(self, rank: int) -> bool:
+        """Return whether a rank gets the next place, for its minimum share."""
+        return self._passed_over.get(rank, 0) >= MIN_RANK_SHARE_PLACES - 1
+
     def note_served(
         self, request: WaitingRequest, waiting: Mapping[_KeyT, WaitingRequest]
     ) -> None:
--- a/tests/unit/test_report_codec.py
+++ b/tests/unit/test_report_codec.py
@@ -26,6 +26,7 @@
     CopyUse,
     EngineUsage,
     UsageReport,
+    WaitingCount,
 )
 from gooseberrydeal._internal.network.report_codec import (
     decode_report,
@@ -74,14 +75,26 @@
         ),
         max_size=3,
     ).map(tuple),
+    st.lists(st.tuples(_counts, _counts), max_size=2).map(tuple),
 )
 
 
-@given(usages=st.lists(_usages, max_size=3).map(tuple), number=_counts)
-def test_usage_reports_survive(usages: tuple[EngineUsage, ...], number: int) -> None:
-    report = UsageReport(HostId("h1"), number, number, usages)
+_waiting = st.lists(
+    st.builds(WaitingCount, st.text(max_size=9).map(ServiceName), _counts, _counts),
+    max_size=2,
+).map(tuple)
+
+
+@given(
+    usages=st.lists(_usages, max_size=3).map(tuple), number=_counts, waiting=_waiting
+)
+def test_usage_reports_survive(
+    usages: tuple[EngineUsage, ...], number: int, waiting: tuple[WaitingCount, ...]
+) -> None:
+    report = UsageReport(HostId("h1"), number, number, usages, waiting)
     found = decode_report(encode_usage(report))
     assert isinstance(found, UsageReport)
+    assert found.waiting == waiting
     assert (found.host, found.sequence) == ("h1", number)
     for got, sent in zip(found.engines, usages, strict=True):
         assert (got.copy_uses, got.server) == (sent.copy_uses, sent.server)
@@ -100,6 +113,7 @@
     assert isinstance(found, EngineStatus)
     assert (found.server, found.spare_slots) == (status.server, status.spare_slots)
     assert found.base_models == status.base_models
+    assert found.waiting == status.waiting
     assert [(c.key, c.state) for c in found.copies] == [
         (c.key, c.state) for c in status.copies
     ]
