--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -27,6 +27,8 @@
     that await prefill, those of requests whose response has not started. ``slowdown``
     is the ratio of the engine's latency to normal: 1.0 is normal, more is slower.
     ``speed`` is what all hosts observed of it, ``None`` if that is too little.
+    ``waiting`` has pairs of a rank and the number of its requests that wait for an
+    engine of the service, at the hosts that report to this owner.
     """
 
     owner: HostId
@@ -42,3 +44,4 @@
     base_models: tuple[str, ...]
     copies: tuple[CopyStatus, ...]
     speed: EngineSpeed | None = None
+    waiting: tuple[tuple[int, int], ...] = ()
--- a/src/gooseberrydeal/_internal/models/routing/usage_report.py
+++ b/src/gooseberrydeal/_internal/models/routing/usage_report.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberrydeal._internal.models.ids import HostId, ServerId
+from gooseberrydeal._internal.models.ids import HostId, ServerId, ServiceName
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.speed_observation import SpeedObservation
 
@@ -53,9 +53,18 @@
     observations: tuple[SpeedObservation, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingCount:
+    """Count a host's requests of a rank that wait for any engine of a service."""
+
+    service: ServiceName
+    rank: int
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """Hold a host's use of engines.
+    """Hold a host's use of engines, and its requests that wait for one.
 
     A report with a higher ``(incarnation, sequence)`` replaces an older one.
     """
@@ -64,3 +73,4 @@
     incarnation: int
     sequence: int
     engines: tuple[EngineUsage, ...]
+    waiting: tuple[WaitingCount, ...] = ()
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.place_messages import PlaceMessage
 from gooseberrydeal._internal.models.routing.quota_messages import (
     QuotaGrant,
     QuotaRequest,
@@ -49,6 +50,10 @@
     limit_report_fields,
     parse_limit_report,
 )
+from gooseberrydeal._internal.network.place_codec import (
+    PLACE_PARSERS,
+    place_message_fields,
+)
 from gooseberrydeal._internal.network.quota_codec import (
     parse_quota_grant,
     parse_quota_request,
@@ -67,6 +72,12 @@
     stream_notice_fields,
     stream_query_fields,
 )
+from gooseberrydeal._internal.network.waiting_codec import (
+    parse_rank_counts,
+    parse_waiting_counts,
+    rank_count_fields,
+    waiting_count_fields,
+)
 
 Report = (
     UsageReport
@@ -78,6 +89,7 @@
     | StreamQuery
     | QuotaRequest
     | QuotaGrant
+    | PlaceMessage
 )
 
 PROTOCOL_VERSION: Final = 1
@@ -123,6 +135,8 @@
         for engine in report.engines
     ]
     fields = [report.host, report.incarnation, report.sequence, engines]
+    if report.waiting:
+        fields.append(waiting_count_fields(report.waiting))
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.USAGE), *fields])
 
 
@@ -151,8 +165,10 @@
         list(status.base_models),
         copies,
     ]
-    if status.speed is not None:
-        fields.append(speed_fields(status.speed))
+    if status.speed is not None or status.waiting:
+        fields.append([] if status.speed is None else speed_fields(status.speed))
+    if status.waiting:
+        fields.append(rank_count_fields(status.waiting))
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
@@ -198,6 +214,11 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.QUOTA_GRANT), *fields])
 
 
+def encode_place_message(message: PlaceMessage) -> bytes:
+    """Encode a message about a place at a plain server."""
+    return cbor2.dumps([PROTOCOL_VERSION, *place_message_fields(message)])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -224,6 +245,7 @@
         int(incarnation),
         int(sequence),
         tuple(map(_parse_engine_usage, engines)),
+        parse_waiting_counts(*fields[4:5]),
     )
 
 
@@ -277,6 +299,7 @@
         tuple(map(str, base_models)),
         tuple(_copy_status(*item[:5]) for item in copies),
         parse_speed(fields[12:]),
+        parse_rank_counts(*fields[13:14]),
     )
 
 
@@ -308,4 +331,5 @@
     _ReportKind.STREAM_QUERY: parse_stream_query,
     _ReportKind.QUOTA_REQUEST: parse_quota_request,
     _ReportKind.QUOTA_GRANT: parse_quota_grant,
+    **PLACE_PARSERS,
 }
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -50,6 +50,16 @@
             "Crashes of backend servers that had requests of this host.",
             registry=self._registry,
         )
+        self._places = Counter(
+            "gooseberry_router_places_total",
+            "Requests for places at contended plain servers, by outcome.",
+            registry=self._registry,
+        )
+        self._waits = Counter(
+            "gooseberry_router_waits_total",
+            "Requests that waited in a service's queue, by outcome.",
+            registry=self._registry,
+        )
         self._wait_time = Histogram(
             "gooseberry_router_wait_seconds",
             "Time from a request's arrival to its first send.",
@@ -114,6 +124,14 @@
         """Count a crash of a backend server that had requests of this host."""
         self._crashes.inc({})
 
+    def count_place(self, outcome: str) -> None:
+        """Count a request for a place at a plain server, by its outcome."""
+        self._places.inc({"outcome": outcome})
+
+    def count_wait(self, outcome: str) -> None:
+        """Count a request that waited in the queue of a service, by its outcome."""
+        self._waits.inc({"outcome": outcome})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -10,13 +10,13 @@
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.assignment import (
     Assignment,
     NoAssignment,
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.eligible_servers import (
-    OVERLOAD_RETRY_AFTER_SECONDS,
     EligibleServers,
 )
 from gooseberrydeal._internal.operations.router.engine_candidate import (
@@ -29,6 +29,15 @@
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.version_rollout import VersionRollout
+from gooseberrydeal._internal.operations.router.waiting.admission_queues import (
+    AdmissionQueues,
+)
+from gooseberrydeal._internal.operations.router.waiting.place_client import (
+    PlaceClient,
+)
+from gooseberrydeal._internal.operations.router.waiting.plain_assignment import (
+    PlainAssignment,
+)
 from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
 from gooseberrydeal._internal.policy.engine_choice import (
     EngineAction,
@@ -37,19 +46,12 @@
     choose_engine,
     is_batch_full,
 )
-from gooseberrydeal._internal.policy.plain_server_choice import (
-    PlainCandidate,
-    choose_plain_server,
-)
 from gooseberrydeal._internal.policy.speeds.prefill_limit import PrefillLimit
 
 logger = logging.getLogger(__name__)
 
 # A waiting request checks again after this time even if no engine status wakes it.
 _RECHECK_INTERVAL_SECONDS: Final = 0.06
-# Requests wait for capacity or a load for at most this fraction of the caller's
-# timeout. They are then refused as not run, while the caller still has time to retry.
-_MAX_WAIT_FRACTION: Final = 0.5
 # For this fraction of the target latency a request waits rather than exceed the pause
 # limit of streams that are already running; after that the limit is ignored.
 _PAUSE_LIMIT_FRACTION: Final = 0.4
@@ -70,6 +72,8 @@
         on_load_requested: Callable[[ServerRecord], None],
         clock: Callable[[], float],
         rng: random.Random,
+        places: PlaceClient | None = None,
+        metrics: RouterMetrics | None = None,
     ) -> None:
         self._servers = servers
         self._view = view
@@ -77,10 +81,13 @@
         self._rollout = VersionRollout(
             servers, view, version_bound, on_load_requested, clock
         )
-        self._signal = signal
+        self._queues = AdmissionQueues(
+            view, servers, signal, metrics or RouterMetrics(), clock, rng
+        )
+        eligible.brittle.add_release_listener(self._queues.request_ended)
         self._on_load_requested = on_load_requested
         self._clock = clock
-        self._rng = rng
+        self._plain = PlainAssignment(eligible, places, domain, clock, rng)
         self._eligible = eligible
         self._scope = scope
         self._limits = eligible.limits
@@ -91,6 +98,11 @@
         """Return the selection of servers that a request may be sent to."""
         return self._eligible
 
+    @property
+    def queues(self) -> AdmissionQueues:
+        """Return the requests that wait for engines."""
+        return self._queues
+
     @property
     def rollout(self) -> VersionRollout:
         """Return what decides which version of an adapter may serve a request."""
@@ -103,50 +115,19 @@
             return cut_off
         self._limits.note_request(request.service)
         if request.attributes.adapter is None:
-            return await self._assign_plain(request)
+            return await self._plain.assign(request)
         return await self._assign_engine(request)
 
-    async def _assign_plain(self, request: RoutedRequest) -> Assignment | NoAssignment:
-        wait_until = self._clock() + request.route.target_latency
-        brittle = self._eligible.brittle
-        while True:
-            eligible = self._eligible.find(request)
-            records = {r.id: r for r in eligible if self._eligible.may_send(r)}
-            if records or not self._eligible.lack_places(eligible):
-                break
-            if not await brittle.wait_for_place(request.service, wait_until):
-                break
-        now = self._clock()
-        candidates = [
-            PlainCandidate(
-                server=record.id,
-                requests=record.load.requests(now),
-                slots=record.entry.slots,
-                slowdown=record.load.slowdown,
-                is_local=record.entry.domain == self._domain,
-                failure_rate=record.health.failure_rate(now),
-                is_avoided=not record.is_reachable,
-            )
-            for record in records.values()
-        ]
-        best = choose_plain_server(candidates, self._rng)
-        if best is None:
-            return self._eligible.refusal(request, eligible)
-        self._limits.take(records[best.server])
-        return Assignment(records[best.server])
-
     async def _assign_engine(self, request: RoutedRequest) -> Assignment | NoAssignment:
         """Wait for an engine with capacity, requesting adapter loads where needed."""
         started_at = self._clock()
         adapter = request.attributes.adapter
         assert adapter is not None
         self._demand.note_request(adapter, started_at)
-        caller_timeout = min(
-            request.deadline - request.arrived_at, request.route.caller_idle_timeout
-        )
-        wait_until = started_at + caller_timeout * _MAX_WAIT_FRACTION
+        turn = self._queues.turn(request)
         pending_load: PendingLoad | None = None
         try:
+            await turn.begin(self._rollout.newest(adapter))
             checks_without_load = 0
             while True:
                 copy = self._rollout.newest(adapter)
@@ -155,24 +136,26 @@
                 decision = self._decide(request, copy, records, now)
                 proposed = self._proposed_load(decision, copy, now)
                 found = await self._find_sendable(request, copy, decision, proposed)
-                if found is not None:
+                if found is not None and not turn.must_hold_back(found[0]):
                     requested_at = (
                         now if pending_load is None else pending_load.requested_at
                     )
                     self._limits.take(found[0])
+                    turn.note_sent()
                     return Assignment(*found, now - requested_at)
                 refusal = self._eligible.final_refusal(
                     request,
                     has_engine=decision.action is not EngineAction.NO_ENGINE,
-                    can_wait=now < wait_until,
+                    can_wait=now < turn.ends_at,
                 )
                 if refusal is not None:
                     return refusal
-                if now >= wait_until:
+                retry_after = turn.retry_after(now, is_loading=pending_load is not None)
+                if retry_after is not None:
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
                         reason = RefusalReason.LOAD_FAILED
-                    return NoAssignment(reason, OVERLOAD_RETRY_AFTER_SECONDS)
+                    return NoAssignment(reason, retry_after)
                 if proposed is not None:
                     pending_load = self._request_load(
                         pending_load, proposed, _target_deadline(request), now
@@ -181,10 +164,12 @@
                 if pending_load is not None:
                     ready_in = pending_load.record.ready_in(copy, now)
                     seconds = ready_in if ready_in > 0 else seconds
+                is_loading = pending_load is not None
                 if pending_load is None or pending_load.is_overdue(now):
                     checks_without_load += 1
-                await self._signal.wait(copy, min(seconds, wait_until - now))
+                await turn.wait(copy, seconds, is_loading=is_loading)
         finally:
+            turn.end()
             if pending_load is not None:
                 pending_load.record.remove_load_request(pending_load.copy)
 
