Log what the first status of a new owner lists, and cut single hosts from the lab's store

Cause: hosts refuse requests for adapters that an engine holds while its owner changes, and no line tells which state made them do so: the refusal says "overloaded", and the log of the new owner only that it claimed the engine.

Change: a host logs the first status of each new owner with the number of copies that it lists and that the last status of the owner before listed. The stand-in for the store can answer 503 to single hosts, through an address for each, so that the fault can be reproduced over real sockets.

--- a/src/gooseberrydeal/_internal/lab/router/metadata_app.py
+++ b/src/gooseberrydeal/_internal/lab/router/metadata_app.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, Final
@@ -61,12 +61,17 @@
         self._revision = _FIRST_REVISION
         self._next_lease = 1
         self._is_unavailable = False
+        self._cut_off: frozenset[str] = frozenset()
         self._epoch: int | None = 1
 
     def set_unavailable(self, *, is_unavailable: bool) -> None:
         """Start or end an outage, in which every call is answered with status 503."""
         self._is_unavailable = is_unavailable
 
+    def set_cut_off(self, callers: Iterable[str]) -> None:
+        """Answer every call of these callers with status 503, and those of no other."""
+        self._cut_off = frozenset(callers)
+
     def save(self) -> SavedStore:
         """Return a copy from which the store can be restored."""
         return SavedStore(dict(self._items), self._revision, self._next_lease)
@@ -106,10 +111,13 @@
             self._revision += 1
             self._changes.append(_Change(key, self._revision, None))
 
-    def app(self) -> Starlette:
-        """Return the ASGI application."""
+    def app(self, caller: str = "") -> Starlette:
+        """Return the ASGI application that serves one caller, by default any."""
         return Starlette(
-            middleware=[Middleware(_EpochHeader, epoch=lambda: self._epoch)],
+            middleware=[
+                Middleware(_EpochHeader, epoch=lambda: self._epoch),
+                Middleware(_CallerOutage, is_cut_off=lambda: caller in self._cut_off),
+            ],
             routes=[
                 Route("/-/kv-range", self._range),
                 Route("/-/kv-watch", self._watch),
@@ -225,6 +233,20 @@
         await self._app(scope, receive, send_with_epoch)
 
 
+class _CallerOutage:
+    """Answer calls with status 503 while their caller is cut off."""
+
+    def __init__(self, app: ASGIApp, is_cut_off: Callable[[], bool]) -> None:
+        self._app = app
+        self._is_cut_off = is_cut_off
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "http" and self._is_cut_off():
+            await _unavailable_response()(scope, receive, send)
+            return
+        await self._app(scope, receive, send)
+
+
 def _to_record(key: str, item: _Item | None, revision: int = 0) -> dict[str, Any]:
     if item is None:
         return {"key": key, "revision": revision, "removed": True}
--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -5,6 +5,8 @@
 import random
 from typing import Final
 
+from starlette.applications import Starlette
+
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.adapter_engine_app import AdapterEngineApp
 from gooseberrydeal._internal.lab.router.metadata_app import (
@@ -37,7 +39,7 @@
 
     def __init__(self, hosts: int, engines: int, slots: int) -> None:
         self._store = MetadataApp()
-        self._store_address = free_address()
+        self._store_addresses: dict[str, str] = {}
         self._slots = slots
         self._engines = {
             f"i-{number}": AdapterEngineApp(f"i-{number}", MODEL, slots)
@@ -71,19 +73,22 @@
 
     async def start(self) -> None:
         """Start the metadata store, the engines and the routers."""
-        await self._serve(self._store_address, self._store)
         self._store.put("op/config", self._configuration())
         for name, engine in self._engines.items():
             address = free_address()
-            await self._serve(address, engine)
+            await self._serve(address, engine.app())
             entry = engine.entry(SERVICE, address, _DOMAIN)
             self._store.put(f"servers/{name}", entry)
         for number in range(self._host_count):
             await self.start_host(f"host-{number}", is_first_start=True)
 
     async def start_host(self, name: str, *, is_first_start: bool) -> None:
-        """Start a router on new ports."""
+        """Start a router on new ports, with an address of the store of its own."""
         callers = free_address()
+        if name not in self._store_addresses:
+            self._store_addresses[name] = free_address()
+            await self._serve(self._store_addresses[name], self._store.app(name))
+        store_address = self._store_addresses[name]
         settings = HostSettings(
             host=HostId(name),
             domain=DomainName(_DOMAIN),
@@ -91,13 +96,13 @@
             readiness=free_address(),
             peers=free_address(),
             metrics=free_address(),
-            store=StoreSettings(self._store_address),
+            store=StoreSettings(store_address),
             is_first_start=is_first_start,
             bounds=RoutingBounds(grace=4.0),
         )
         node = RouterNode(
             settings,
-            PlatformStore(self._store_address),
+            PlatformStore(store_address),
             PlatformEngineClient(),
             PlatformRelayCodec(),
             PlatformMetadataCodec(),
@@ -129,11 +134,9 @@
         for server in self._servers:
             await server.abort()
 
-    async def _serve(
-        self, address: str, stand_in: MetadataApp | AdapterEngineApp
-    ) -> None:
+    async def _serve(self, address: str, app: Starlette) -> None:
         host, port = address.rsplit(":", 1)
-        server = HttpServer(stand_in.app(), host, int(port))
+        server = HttpServer(app, host, int(port))
         await server.start()
         self._servers.append(server)
 
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -1,6 +1,7 @@
 """Hold this host's view of one backend server."""
 
 import asyncio
+import logging
 from collections.abc import Mapping
 
 from gooseberrydeal._internal.models.ids import ServerId
@@ -28,6 +29,8 @@
 from gooseberrydeal._internal.policy.response_waits import ResponseWaits
 from gooseberrydeal._internal.policy.server_health import ServerHealth
 
+logger = logging.getLogger(__name__)
+
 
 class ServerRecord:
     """Combine a server's entry, its owner's status and this host's own usage."""
@@ -130,8 +133,19 @@
         self, status: EngineStatus, now: float, periods: ExchangePeriods
     ) -> bool:
         """Apply the owner's status; return whether it is newer than the last one."""
+        known = self._owner.status
         if not self._owner.apply(status, now, periods):
             return False
+        if known is not None and known.fencing_number != status.fencing_number:
+            logger.info(
+                "engine has a new owner, %s, whose first status lists %d adapter"
+                " copies; the last of %s listed %d",
+                status.owner,
+                len(status.copies),
+                known.owner,
+                len(known.copies),
+                extra={"server": status.server},
+            )
         self._copies.use_status(status.copies, now)
         self._load.report_others(
             max(0, status.requests - self._load.own_requests),
