Publish no status of an engine before its new owner has read what it holds

Cause: an owner tracks an engine's copies by the engine's report and its own orders. It read the report only when its first order was allowed, 11 s after it claimed an engine of another host, but published a status every 0.4 s from the claim on. Such a status lists no copies; it has a higher fencing number than the last one of the owner before, so that all hosts that got it took the engine for empty. If the owner of all engines changes, nobody may load either, and each request waits for half of its caller's time and is refused as "overloaded". Ruled out: entries of the store (there were no changes of them, and the status was fresh), denials of the engine, a load that does not end, a silent owner, versions.

Change: the owner reads the report at once, since that is no order, and publishes nothing before it has read one. The order count is taken from a report only if orders were allowed when the read began, so that it is read again before the first order. If the engine denies a copy in the delay, the report is read again. Reads without a previous order are now paced (0.5 s) like others. ReportReader holds the pace of reads, which were part of EngineOwner.

--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from typing import Final
 
-from gooseberrydeal._internal.exceptions import ServerError
 from gooseberrydeal._internal.models.ids import FencingNumber, HostId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.adapter_order import (
@@ -26,6 +24,10 @@
 from gooseberrydeal._internal.operations.router.entry_check import EntryCheck
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.order_sequence import OrderSequence
+from gooseberrydeal._internal.operations.router.report_reader import (
+    REPORT_LAG_SECONDS,
+    ReportReader,
+)
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.status_publisher import StatusPublisher
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
@@ -39,10 +41,6 @@
 
 logger = logging.getLogger(__name__)
 
-# An engine's report may be this old, so it is read no sooner after an order.
-_REPORT_LAG_SECONDS: Final = 0.3
-# Shortest time between two reads of the report, since each read is charged for.
-_MIN_REPORT_INTERVAL_SECONDS: Final = 0.5
 # If the engine denies having a copy that should be ready, the load is assumed to take
 # longer than expected, up to this time after the copy was due; then the engine's report
 # is read.
@@ -56,6 +54,10 @@
 class EngineOwner:
     """Load the adapters that waiting requests need and unload the least used ones.
 
+    Before its first order is allowed it reads what the engine holds and publishes that.
+    It publishes nothing before, since hosts take what a status does not list for
+    not held.
+
     Each order carries the number of orders before it, so that an order that was
     abandoned cannot be carried out after a newer one.
     """
@@ -74,10 +76,10 @@
         clock: Callable[[], float],
     ) -> None:
         self._record = record
-        self._orders = orders
         self._view = view
         self._may_order = may_order
         self._sequence = OrderSequence(record, orders, host, fencing, may_order, clock)
+        self._reader = ReportReader(record, orders, self._sequence, clock)
         self._base_models = BaseModels(record, self._sequence, clock)
         self._count_loads = count_loads
         self._load_time = load_time
@@ -87,8 +89,6 @@
         self._demand = EngineDemand()
         self._wake = asyncio.Event()
         self._started_at = record.entry.started_at
-        self._last_report_at = 0.0
-        self._next_report_at = math.inf
         self._unconfirmed_loads: set[AdapterCopyKey] = set()
         self._status = StatusPublisher(
             host,
@@ -96,6 +96,7 @@
             fencing,
             self._demand,
             self._slots,
+            lambda: self._reader.has_read,
             lambda: (
                 may_order() and self._sequence.is_count_known and record.is_reachable
             ),
@@ -140,13 +141,13 @@
             self._sequence.set_count(0, is_count_known=False)
             self._slots.reset([], [], self._clock())
             self._load_time.note_restart()
+            self._reader.schedule(self._clock())
             self._wake.set()
         elif self._entry_check.differs(entry, self._started_at):
             # An earlier report could be older than the entry.
-            report_at = self._clock() + _REPORT_LAG_SECONDS
-            self._next_report_at = min(self._next_report_at, report_at)
+            self._reader.schedule(self._clock() + REPORT_LAG_SECONDS)
             loop = asyncio.get_running_loop()
-            loop.call_later(_REPORT_LAG_SECONDS, self._wake.set)
+            loop.call_later(REPORT_LAG_SECONDS, self._wake.set)
 
     async def run(self) -> None:
         """Send orders and publish the status until cancelled."""
@@ -172,13 +173,15 @@
                 self._demand.drop_stale_hosts(self._clock(), limit)
 
     async def _step(self) -> None:
-        entry = self._record.entry
-        if not self._may_order() or entry.state is not ServerState.READY:
+        if self._record.entry.state is not ServerState.READY:
             return
         now = self._clock()
         self._slots.resize(self._configured_slots)
-        if now >= self._next_report_at:
+        if self._reader.is_due:
             self._sequence.invalidate_count()
+        if not self._may_order():
+            await self._observe(now)
+            return
         if not self._sequence.is_count_known and not await self._read_report():
             return
         if self._sequence.is_paused():
@@ -196,6 +199,15 @@
         if changed:
             self._status.publish()
 
+    async def _observe(self, now: float) -> None:
+        """Keep track of what the engine holds while no order may be sent."""
+        for key, item in self._demand.load_requests(now).items():
+            copy = self._slots.copies.get(key)
+            if item.is_missing and copy is not None and copy.state is CopyState.READY:
+                self._handle_missing(key, copy)
+        if self._reader.is_due:
+            await self._read_report()
+
     async def _load_if_possible(
         self, key: AdapterCopyKey, is_missing: bool, requested: set[AdapterCopyKey]
     ) -> bool:
@@ -235,7 +247,7 @@
         if outcome is OrderOutcome.ACCEPTED:
             # A request that was not yet reported to this host still runs on it.
             self._slots.begin_unload(victim)
-            self._next_report_at = self._clock() + _UNLOAD_RECHECK_SECONDS
+            self._reader.schedule(self._clock() + _UNLOAD_RECHECK_SECONDS)
         return False
 
     async def _load(self, key: AdapterCopyKey) -> bool:
@@ -261,38 +273,25 @@
             copy.state = CopyState.LOADING
             copy.ready_at = now + _LOAD_EXTENSION_SECONDS
         else:
-            self._next_report_at = min(self._next_report_at, now)
+            self._reader.schedule(now)
 
     async def _read_report(self) -> bool:
         """Read and apply the engine's report; return whether orders may be sent."""
-        now = self._clock()
-        wait = max(
-            self._sequence.last_sent_at + _REPORT_LAG_SECONDS - now,
-            self._last_report_at + _MIN_REPORT_INTERVAL_SECONDS - now,
-        )
-        if wait > 0 and self._sequence.last_sent_at:
-            await asyncio.sleep(wait)
-        self._last_report_at = self._clock()
-        try:
-            report = await self._orders.report(self._record.entry)
-        except ServerError as error:
-            logger.info(
-                "engine report not read; no orders until it is: %s",
-                error,
-                extra={"server": self._record.id},
-            )
+        # Another host may send orders until this one may.
+        is_count_final = self._may_order()
+        report = await self._reader.read()
+        if report is None:
             return False
-        self._next_report_at = math.inf
-        self._apply_report(report)
+        self._apply_report(report, is_count_final=is_count_final)
         return self._sequence.is_count_known
 
-    def _apply_report(self, report: EngineReport) -> None:
+    def _apply_report(self, report: EngineReport, *, is_count_final: bool) -> None:
         if report.started_at != self._started_at:
             self._load_time.note_restart()
         self._started_at = report.started_at
         self._base_models.apply_report(report)
         held, loading = list(report.held.adapters), list(report.loading)
         self._slots.reset(held, loading, self._clock())
-        self._sequence.set_count(report.order_count, is_count_known=not report.is_busy)
-        if self._sequence.is_count_known:
-            self._status.publish()
+        is_known = is_count_final and not report.is_busy
+        self._sequence.set_count(report.order_count, is_count_known=is_known)
+        self._status.publish()
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -21,7 +21,11 @@
 
 
 class StatusPublisher:
-    """Publish numbered statuses of one engine, on request or when its load changes."""
+    """Publish numbered statuses of one engine, on request or when its load changes.
+
+    None is published until ``is_known`` says that the engine's copies are known: hosts
+    would take copies that a status does not list for not held.
+    """
 
     def __init__(
         self,
@@ -30,6 +34,7 @@
         fencing: FencingNumber,
         demand: EngineDemand,
         slots: AdapterSlots,
+        is_known: Callable[[], bool],
         may_load: Callable[[], bool],
         base_models: Callable[[], Collection[str]],
         periods: Callable[[], ExchangePeriods],
@@ -41,6 +46,7 @@
         self._fencing = fencing
         self._demand = demand
         self._slots = slots
+        self._is_known = is_known
         self._may_load = may_load
         self._base_models = base_models
         self._periods = periods
@@ -68,11 +74,13 @@
     def publish(self) -> None:
         """Publish a status now instead of the scheduled one."""
         self.cancel()
-        self._publish(self._next_status(), self._demand.hosts)
+        if self._is_known():
+            self._publish(self._next_status(), self._demand.hosts)
 
     def publish_to(self, host: HostId) -> None:
         """Publish a status now to one host, which has not had one recently."""
-        self._publish(self._next_status(), (host,))
+        if self._is_known():
+            self._publish(self._next_status(), (host,))
 
     def _next_status(self) -> EngineStatus:
         now = self._clock()
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
@@ -81,10 +82,12 @@
         *,
         is_first_start: bool = True,
         number: int = 1,
+        address: str = "127.0.0.1:9",
     ) -> None:
         clock: Callable[[], float] = asyncio.get_running_loop().time
         self.name = name
-        member = membership(name, number=number)
+        member = replace(membership(name, number=number), address=address)
+        self.member = member
         self.store = FakeMetadataStore(data)
         self.orders = FakeEngineOrders(engine, clock)
         self.view = MetadataView()
