Keep what the last status of a silent owner listed when an entry is read

Cause: once an owner has been silent for 1.5 s, each entry of its engine that was applied replaced the copies of the last status, also one that was known already and is applied again with a new configuration.

Change: an entry that is known already says nothing new. A new one adds to the copies of the last status for 12 s, longer than it takes until a new owner tells of the engine; then it alone counts, as before. Copies of earlier entries do not add up, and a restart still clears all. A copy that is wrongly kept costs a send that the engine denies (421).

--- a/src/gooseberrydeal/_internal/operations/router/engine_copies.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_copies.py
@@ -1,5 +1,6 @@
 """Hold what this host knows of the adapter copies on one engine."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Final
@@ -13,6 +14,10 @@
 _MAX_RECENT_COPIES: Final = 96
 # How long after the end of a load a copy that was missing is still remembered.
 _MISSING_RETENTION_SECONDS: Final = 1.0
+# An entry may be older than the last status and lacks adapters that are being loaded,
+# so copies of that status are kept for longer than it takes until another host tells of
+# the engine after its owner fell silent: the owner's lease of 9 s, a poll of the store.
+_STATED_RETENTION_SECONDS: Final = 12.0
 
 
 class EngineCopies:
@@ -21,6 +26,8 @@
     def __init__(self) -> None:
         self._copies: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
         self._stated: tuple[CopyStatus, ...] | None = None
+        self._last_stated: dict[AdapterCopyKey, tuple[CopyState, float]] = {}
+        self._stated_at = -math.inf
         self._missing: dict[AdapterCopyKey, float] = {}
         self._recent: OrderedDict[AdapterCopyKey, None] = OrderedDict()
 
@@ -30,20 +37,27 @@
 
     def clear(self) -> None:
         """Forget all copies, since the engine has started again."""
-        self._copies.clear()
+        self._copies = {}
         self._stated = None
+        self._last_stated = {}
         self._recent.clear()
 
     def use_entry(self, adapters: Iterable[AdapterCopyKey], now: float) -> None:
-        """Use the copies in the engine's entry."""
-        self._copies = dict.fromkeys(adapters, (CopyState.READY, now))
+        """Use the copies in the engine's entry, and those of a status before it."""
+        listed = dict.fromkeys(adapters, (CopyState.READY, now))
+        if now - self._stated_at < _STATED_RETENTION_SECONDS:
+            self._copies = {**self._last_stated, **listed}
+        else:
+            self._copies = listed
         self._stated = None
 
     def use_status(self, copies: tuple[CopyStatus, ...], now: float) -> None:
         """Use the copies in a status of the engine's owner."""
+        self._stated_at = now
         if copies == self._stated:
             return
         self._copies = {copy.key: (copy.state, now + copy.ready_in) for copy in copies}
+        self._last_stated = self._copies
         # The time until a copy is ready counts from each status anew.
         are_ready = all(copy.state is CopyState.READY for copy in copies)
         self._stated = copies if are_ready else None
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -111,7 +111,12 @@
         max_connections: int,
         now: float,
     ) -> None:
-        """Apply a newer entry; a restart drops connections, copies and status."""
+        """Apply an entry; one of a restart drops connections, copies and status.
+
+        An entry that is known already, as after a change of the configuration, says
+        nothing new of the copies.
+        """
+        is_new = entry != self._entry
         is_restart = entry.is_other_start(self._entry)
         has_moved = entry.address != self._entry.address
         if is_restart or has_moved:
@@ -126,7 +131,7 @@
         if is_restart:
             self._copies.clear()
             self._owner.clear()
-        if not self._owner.is_fresh(now):
+        if is_new and not self._owner.is_fresh(now):
             self._use_entry_copies(now)
 
     def apply_status(
--- a/tests/unit/test_engine_copies.py
+++ b/tests/unit/test_engine_copies.py
@@ -36,3 +36,34 @@
     copies.use_status((), 2.0)
     assert copies.state(copy_key("a1"), 2.0) is None
     assert copies.is_warm(copy_key("a1"))
+
+
+def test_an_entry_does_not_drop_what_the_last_status_listed_a_short_time_ago() -> None:
+    # Guards against an entry that is older than the last status of a silent owner, or
+    # that lacks an adapter which was being loaded.
+    copies = EngineCopies()
+    copies.use_status(_READY, 1.0)
+    copies.use_entry([copy_key("a2")], 4.0)
+    assert copies.state(copy_key("a1"), 4.0) is CopyState.READY
+    assert copies.state(copy_key("a2"), 4.0) is CopyState.READY
+
+
+def test_an_entry_replaces_the_copies_of_earlier_entries() -> None:
+    # Guards against copies that add up while a host hears of an engine by entries only.
+    copies = EngineCopies()
+    copies.use_status(_READY, 1.0)
+    copies.use_entry([copy_key("a2")], 4.0)
+    copies.use_entry([copy_key("a3")], 5.0)
+    assert copies.state(copy_key("a2"), 5.0) is None
+    copies.use_entry([copy_key("a3")], 20.0)
+    assert copies.state(copy_key("a1"), 20.0) is None
+    assert copies.state(copy_key("a3"), 20.0) is CopyState.READY
+
+
+def test_copies_of_before_a_restart_do_not_come_back_with_an_entry() -> None:
+    # Guards against keeping a status of the engine's start before.
+    copies = EngineCopies()
+    copies.use_status(_READY, 1.0)
+    copies.clear()
+    copies.use_entry([copy_key("a2")], 2.0)
+    assert copies.state(copy_key("a1"), 2.0) is None
--- a/tests/unit/test_server_table.py
+++ b/tests/unit/test_server_table.py
@@ -1,9 +1,18 @@
 """Check which servers of a service accept requests as their entries change."""
 
 from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
+from gooseberrydeal._internal.models.routing.engine_status import CopyStatus
 from gooseberrydeal._internal.models.routing.server_entry import ServerState
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
-from tests.lib.routing_builders import LANGUAGE, PLAIN, configuration, server_entry
+from tests.lib.routing_builders import (
+    LANGUAGE,
+    PLAIN,
+    configuration,
+    copy_key,
+    engine_status,
+    server_entry,
+)
 
 
 def _accepting(servers: ServerTable) -> dict[str, list[str]]:
@@ -29,3 +38,37 @@
     servers.remove(ServerId("i-1"))
     servers.remove(ServerId("i-2"))
     assert _accepting(servers) == {LANGUAGE: [], PLAIN: []}
+
+
+def test_a_new_configuration_does_not_undo_what_an_owner_told_of_its_engine() -> None:
+    # Guards against a known entry, which may be old, that is applied again while the
+    # engine has no owner.
+    now = 0.0
+    servers = ServerTable(lambda: now)
+    servers.configure(configuration())
+    servers.put(server_entry("i-1"))
+    copies = (CopyStatus(copy_key(), CopyState.READY),)
+    servers.apply_status(engine_status("i-1", copies=copies))
+    now = 30.0
+    servers.configure(configuration(version=2))
+    record = servers.get(ServerId("i-1"))
+    assert record is not None
+    assert record.copy_state(copy_key(), now) is CopyState.READY
+
+
+def test_an_entry_older_than_the_last_status_does_not_undo_it() -> None:
+    # Guards against an entry written before a load that the last status lists, read
+    # after the engine's owner fell silent.
+    now = 0.0
+    servers = ServerTable(lambda: now)
+    servers.configure(configuration())
+    servers.put(server_entry("i-1"))
+    copies = (CopyStatus(copy_key(), CopyState.READY),)
+    servers.apply_status(engine_status("i-1", copies=copies))
+    now = 4.0
+    servers.put(server_entry("i-1", order_count=1))
+    record = servers.get(ServerId("i-1"))
+    assert record is not None
+    assert record.copy_state(copy_key(), now) is CopyState.READY
+    servers.put(server_entry("i-1", started_at=2))
+    assert record.copy_state(copy_key(), now) is None
