Refuse for want of an owner with a reason of its own

Cause: a request that must wait for a load got "overloaded" also where engines had capacity but no owner could order the load, as between the end of an owner and the first order of the next. Callers and engineers on call looked for load. No reason fitted: "owner_unreachable" says that the request may have run, and "not_owner" and "no_server" are about other things.

Change: 503 "no_owner", if no engine with capacity has an owner that may order. "load_failed" stays where a load was requested and did not end in time.

Measured: the tests of the reason fail on the code before and pass now.

--- a/src/gooseberrydeal/_internal/models/http_status.py
+++ b/src/gooseberrydeal/_internal/models/http_status.py
@@ -19,6 +19,7 @@
     RefusalReason.NO_SERVER: 503,
     RefusalReason.SERVERS_UNREACHABLE: 503,
     RefusalReason.LOAD_FAILED: 503,
+    RefusalReason.NO_OWNER: 503,
     RefusalReason.NOT_OWNER: 503,
     RefusalReason.SERVER_LEAVING: 503,
     RefusalReason.SERVER_SLOW: 503,
--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -20,6 +20,7 @@
     NO_SERVER = "no_server"
     SERVERS_UNREACHABLE = "servers_unreachable"
     LOAD_FAILED = "load_failed"
+    NO_OWNER = "no_owner"
     NOT_OWNER = "not_owner"
     SERVER_LEAVING = "server_leaving"
     SERVER_SLOW = "server_slow"
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -171,6 +171,8 @@
                     reason = RefusalReason.OVERLOADED
                     if pending_load is not None:
                         reason = RefusalReason.LOAD_FAILED
+                    elif decision.lacks_owner:
+                        reason = RefusalReason.NO_OWNER
                     return NoAssignment(reason, OVERLOAD_RETRY_AFTER_SECONDS)
                 if proposed is not None:
                     pending_load = self._request_load(
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -161,11 +161,13 @@
     """Hold the action for a request and the engine that it concerns.
 
     ``cost_seconds`` is the expected time to the first token plus penalties.
+    ``lacks_owner`` means that no owner of an engine with capacity may load.
     """
 
     action: EngineAction
     server: ServerId | None = None
     cost_seconds: float = 0.0
+    lacks_owner: bool = False
 
 
 def is_batch_full(requests: float, batch_size: int) -> bool:
@@ -210,9 +212,8 @@
     """
     if not candidates:
         return EngineDecision(EngineAction.NO_ENGINE)
-    available = [
-        c for c in candidates if c.has_model and c.has_capacity(size.kv_cache_tokens)
-    ]
+    with_capacity = [c for c in candidates if c.has_capacity(size.kv_cache_tokens)]
+    available = [c for c in with_capacity if c.has_model]
     prompt = size.prompt_tokens
     options = [
         EngineDecision(EngineAction.SEND, item.server, item.cost_seconds(prompt))
@@ -232,12 +233,14 @@
         if not _are_slots_scarce(available) or not options:
             options += _load_options(copy, prompt, available, expected_uses)
     if not options:
-        return _queue_decision(copy, available)
+        return _queue_decision(copy, available, with_capacity)
     return min(options, key=lambda option: (option.cost_seconds, option.server))
 
 
 def _queue_decision(
-    copy: AdapterCopyKey, engines: Sequence[EngineCandidate]
+    copy: AdapterCopyKey,
+    engines: Sequence[EngineCandidate],
+    with_capacity: Sequence[EngineCandidate],
 ) -> EngineDecision:
     """Return the engine whose owner should load the adapter once it has a slot."""
     eligible = {
@@ -246,7 +249,9 @@
         if item.copy is None and item.accepts_load_orders and not item.is_avoided
     }
     if not copy.adapter or not eligible:
-        return EngineDecision(EngineAction.WAIT)
+        can_order = any(item.accepts_load_orders for item in with_capacity)
+        lacks_owner = bool(with_capacity) and not can_order
+        return EngineDecision(EngineAction.WAIT, lacks_owner=lacks_owner)
     name = first(f"{copy.model}/{copy.adapter}", eligible)
     return EngineDecision(EngineAction.QUEUE, eligible[name or ""])
 
--- a/tests/unit/test_engine_choice.py
+++ b/tests/unit/test_engine_choice.py
@@ -124,6 +124,18 @@
     assert choose_engine(copy_key(), SIZE, without_owners).action is EngineAction.WAIT
 
 
+@pytest.mark.parametrize("has_model", [True, False])
+def test_a_wait_for_an_owner_is_told_from_a_wait_for_capacity(has_model: bool) -> None:
+    # Guards against requests that only an owner could help and that count as overload.
+    idle = candidate("i-1", can_load=False, has_model=has_model)
+    full = candidate("i-2", can_load=False, requests=128.0, accepts_load_orders=True)
+    assert choose_engine(copy_key(), SIZE, [idle]).lacks_owner
+    assert choose_engine(copy_key(), SIZE, [idle, full]).lacks_owner
+    assert not choose_engine(copy_key(), SIZE, [full]).lacks_owner
+    owned = candidate("i-3", can_load=False, accepts_load_orders=True)
+    assert not choose_engine(copy_key(), SIZE, [idle, owned]).lacks_owner
+
+
 def test_no_engine_is_reported_without_candidates() -> None:
     assert choose_engine(copy_key(), SIZE, []).action is EngineAction.NO_ENGINE
 
