Check a frozen owner's engines with a process that is suspended

Cause: the tests of owner changes emulated a freeze by cutting a host off; its own tasks went on.

The lab's cluster tells where the store serves a host.

--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -31,7 +31,7 @@
 SERVICE: Final = "language"
 CALLER_HOST: Final = "language.example"
 PATH_PREFIX: Final = "/letters/"
-_DOMAIN: Final = "lab-a"
+DOMAIN: Final = "lab-a"
 
 
 class RouterCluster:
@@ -77,7 +77,7 @@
         for name, engine in self._engines.items():
             address = free_address()
             await self._serve(address, engine.app())
-            entry = engine.entry(SERVICE, address, _DOMAIN)
+            entry = engine.entry(SERVICE, address, DOMAIN)
             self._store.put(f"servers/{name}", entry)
         for number in range(self._host_count):
             await self.start_host(f"host-{number}", is_first_start=True)
@@ -85,13 +85,10 @@
     async def start_host(self, name: str, *, is_first_start: bool) -> None:
         """Start a router on new ports, with an address of the store of its own."""
         callers = free_address()
-        if name not in self._store_addresses:
-            self._store_addresses[name] = free_address()
-            await self._serve(self._store_addresses[name], self._store.app(name))
-        store_address = self._store_addresses[name]
+        store_address = await self.store_address(name)
         settings = HostSettings(
             host=HostId(name),
-            domain=DomainName(_DOMAIN),
+            domain=DomainName(DOMAIN),
             callers=callers,
             readiness=free_address(),
             peers=free_address(),
@@ -114,6 +111,13 @@
         self._caller_addresses[name] = callers
         self._metrics_addresses[name] = settings.metrics
 
+    async def store_address(self, host: str) -> str:
+        """Return the address (``IP:port``) of the store that serves one host."""
+        if host not in self._store_addresses:
+            self._store_addresses[host] = free_address()
+            await self._serve(self._store_addresses[host], self._store.app(host))
+        return self._store_addresses[host]
+
     async def stop_host(self, name: str) -> int:
         """Stop a router gracefully; return the number of replies that were cut off."""
         return await self._nodes.pop(name).stop()
--- a/tests/lib/router_process.py
+++ b/tests/lib/router_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 from types import TracebackType
@@ -18,14 +19,14 @@
 class RouterProcess:
     """Start ``gooseberry-router`` with a settings file in a folder, and end it."""
 
-    def __init__(self, folder: Path, store_address: str) -> None:
+    def __init__(self, folder: Path, store_address: str, domain: str = "d1") -> None:
         self.callers = free_address()
         self.readiness = free_address()
         self.peers = free_address()
         port = self.peers.rsplit(":", 1)[1]
         self._settings = folder / "boot.conf"
         self._settings.write_text(
-            "nodeName=host-0\nzone=d1\nip=127.0.0.1\nbootstrap=true\n"
+            f"nodeName=host-0\nzone={domain}\nip=127.0.0.1\nbootstrap=true\n"
             f"portRange={port},{int(port) + 10}\n"
             f"listen.front={self.callers}\nlisten.ready={self.readiness}\n"
             f"platform.address={store_address}\n"
@@ -68,6 +69,16 @@
             self._process.kill()
             await asyncio.wait_for(self._process.wait(), _STOP_SECONDS)
 
+    def freeze(self) -> None:
+        """Suspend the process."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a suspended process go on."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGCONT)
+
     async def wait_ready(self, seconds: float) -> bool:
         """Return whether the process says within a time that it is ready."""
         loop = asyncio.get_running_loop()
