--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -5,6 +5,8 @@
 import random
 from typing import Final
 
+from starlette.applications import Starlette
+
 from gooseberrydeal._internal.lab.free_port import free_address
 from gooseberrydeal._internal.lab.router.adapter_engine_app import AdapterEngineApp
 from gooseberrydeal._internal.lab.router.metadata_app import (
@@ -29,7 +31,7 @@
 SERVICE: Final = "language"
 CALLER_HOST: Final = "language.example"
 PATH_PREFIX: Final = "/letters/"
-_DOMAIN: Final = "lab-a"
+DOMAIN: Final = "lab-a"
 
 
 class RouterCluster:
@@ -37,7 +39,7 @@
 
     def __init__(self, hosts: int, engines: int, slots: int) -> None:
         self._store = MetadataApp()
-        self._store_address = free_address()
+        self._store_addresses: dict[str, str] = {}
         self._slots = slots
         self._engines = {
             f"i-{number}": AdapterEngineApp(f"i-{number}", MODEL, slots)
@@ -71,33 +73,33 @@
 
     async def start(self) -> None:
         """Start the metadata store, the engines and the routers."""
-        await self._serve(self._store_address, self._store)
         self._store.put("op/config", self._configuration())
         for name, engine in self._engines.items():
             address = free_address()
-            await self._serve(address, engine)
-            entry = engine.entry(SERVICE, address, _DOMAIN)
+            await self._serve(address, engine.app())
+            entry = engine.entry(SERVICE, address, DOMAIN)
             self._store.put(f"servers/{name}", entry)
         for number in range(self._host_count):
             await self.start_host(f"host-{number}", is_first_start=True)
 
     async def start_host(self, name: str, *, is_first_start: bool) -> None:
-        """Start a router on new ports."""
+        """Start a router on new ports, with an address of the store of its own."""
         callers = free_address()
+        store_address = await self.store_address(name)
         settings = HostSettings(
             host=HostId(name),
-            domain=DomainName(_DOMAIN),
+            domain=DomainName(DOMAIN),
             callers=callers,
             readiness=free_address(),
             peers=free_address(),
             metrics=free_address(),
-            store=StoreSettings(self._store_address),
+            store=StoreSettings(store_address),
             is_first_start=is_first_start,
             bounds=RoutingBounds(grace=4.0),
         )
         node = RouterNode(
             settings,
-            PlatformStore(self._store_address),
+            PlatformStore(store_address),
             PlatformEngineClient(),
             PlatformRelayCodec(),
             PlatformMetadataCodec(),
@@ -109,6 +111,13 @@
         self._caller_addresses[name] = callers
         self._metrics_addresses[name] = settings.metrics
 
+    async def store_address(self, host: str) -> str:
+        """Return the address (``IP:port``) of the store that serves one host."""
+        if host not in self._store_addresses:
+            self._store_addresses[host] = free_address()
+            await self._serve(self._store_addresses[host], self._store.app(host))
+        return self._store_addresses[host]
+
     async def stop_host(self, name: str) -> int:
         """Stop a router gracefully; return the number of replies that were cut off."""
         return await self._nodes.pop(name).stop()
@@ -129,11 +138,9 @@
         for server in self._servers:
             await server.abort()
 
-    async def _serve(
-        self, address: str, stand_in: MetadataApp | AdapterEngineApp
-    ) -> None:
+    async def _serve(self, address: str, app: Starlette) -> None:
         host, port = address.rsplit(":", 1)
-        server = HttpServer(stand_in.app(), host, int(port))
+        server = HttpServer(app, host, int(port))
         await server.start()
         self._servers.append(server)
 
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -1,6 +1,7 @@
 """Hold this host's view of one backend server."""
 
 import asyncio
+import logging
 from collections.abc import Mapping
 
 from gooseberrydeal._internal.models.ids import ServerId
@@ -30,6 +31,8 @@
 from gooseberrydeal._internal.policy.speeds.server_speed import ServerSpeed
 from gooseberrydeal._internal.policy.speeds.service_speed import ServiceSpeed
 
+logger = logging.getLogger(__name__)
+
 
 class ServerRecord:
     """Combine a server's entry, its owner's status and this host's own usage."""
@@ -120,7 +123,12 @@
         max_connections: int,
         now: float,
     ) -> None:
-        """Apply a newer entry; a restart drops connections, copies and status."""
+        """Apply an entry; one of a restart drops connections, copies and status.
+
+        An entry that is known already, as after a change of the configuration, says
+        nothing new of the copies.
+        """
+        is_new = entry != self._entry
         is_restart = entry.is_other_start(self._entry)
         has_moved = entry.address != self._entry.address
         if is_restart or has_moved:
@@ -136,15 +144,26 @@
             self._copies.clear()
             self._owner.clear()
             self._speed.clear()
-        if not self._owner.is_fresh(now):
+        if is_new and not self._owner.is_fresh(now):
             self._use_entry_copies(now)
 
     def apply_status(
         self, status: EngineStatus, now: float, periods: ExchangePeriods
     ) -> bool:
         """Apply the owner's status; return whether it is newer than the last one."""
+        known = self._owner.status
         if not self._owner.apply(status, now, periods):
             return False
+        if known is not None and known.fencing_number != status.fencing_number:
+            logger.info(
+                "engine has a new owner, %s, whose first status lists %d adapter"
+                " copies; the last of %s listed %d",
+                status.owner,
+                len(status.copies),
+                known.owner,
+                len(known.copies),
+                extra={"server": status.server},
+            )
         self._copies.use_status(status.copies, now)
         if status.speed is not None:
             self._speed.apply_owner(status.speed, now)
