Hand engines over while their owner is cut off from the store

Change: the owner offers its engines after two missed renewals; a host whose call to the store began after the offer and was answered accepts; the owner releases the engine with the age of its last order, and the successor replaces the claim under its revision and waits only for the gap between two holders. In an outage of the whole store nobody accepts.

--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.owner_handover import OwnerHandover
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
@@ -37,6 +38,10 @@
     crash_report_fields,
     parse_crash_report,
 )
+from gooseberrydeal._internal.network.handover_codec import (
+    handover_fields,
+    parse_handover,
+)
 from gooseberrydeal._internal.network.isolation_codec import (
     isolation_notice_fields,
     parse_isolation_notice,
@@ -60,6 +65,7 @@
     | IsolationNotice
     | StreamNotice
     | StreamQuery
+    | OwnerHandover
 )
 
 PROTOCOL_VERSION: Final = 1
@@ -76,6 +82,7 @@
     ISOLATION = 5
     STREAM = 6
     STREAM_QUERY = 7
+    HANDOVER = 13
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -158,6 +165,12 @@
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STREAM_QUERY), *fields])
 
 
+def encode_handover(handover: OwnerHandover) -> bytes:
+    """Encode a message by which hosts hand over engines."""
+    fields = handover_fields(handover)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.HANDOVER), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -264,4 +277,5 @@
     _ReportKind.ISOLATION: parse_isolation_notice,
     _ReportKind.STREAM: parse_stream_notice,
     _ReportKind.STREAM_QUERY: parse_stream_query,
+    _ReportKind.HANDOVER: parse_handover,
 }
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -15,10 +15,7 @@
 )
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.models.routing.engine_report import EngineReport
-from gooseberrydeal._internal.models.routing.server_entry import (
-    ServerEntry,
-    ServerState,
-)
+from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.models.routing.usage_report import EngineUsage
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.operations.router.base_models import BaseModels
@@ -105,6 +102,11 @@
             clock,
         )
 
+    @property
+    def sequence(self) -> OrderSequence:
+        """Return the engine's orders."""
+        return self._sequence
+
     @property
     def _configured_slots(self) -> int:
         engine = self._record.service.engine
@@ -172,8 +174,7 @@
                 self._demand.drop_stale_hosts(self._clock(), limit)
 
     async def _step(self) -> None:
-        entry = self._record.entry
-        if not self._may_order() or entry.state is not ServerState.READY:
+        if not self._may_order() or not self._record.accepts_requests:
             return
         now = self._clock()
         self._slots.resize(self._configured_slots)
@@ -207,9 +208,7 @@
             if is_missing and copy.state is CopyState.READY:
                 self._handle_missing(key, copy)
             return False
-        if key.model not in self._base_models.held:
-            return False
-        if is_loading_full:
+        if is_loading_full or key.model not in self._base_models.held:
             return False
         older = self._slots.other_version(key)
         in_use = self._demand.in_use()
--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -4,14 +4,12 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from typing import Final
 
-from gooseberrydeal._internal.exceptions import LeaseLostError, StoreError
+from gooseberrydeal._internal.exceptions import StoreError
 from gooseberrydeal._internal.models.ids import FencingNumber, ServerId
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
-from gooseberrydeal._internal.models.routing.store_revision import epoch_of
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_store import MetadataStore
 from gooseberrydeal._internal.operations.router.engine_owner import EngineOwner
@@ -19,15 +17,19 @@
     LOCAL_VALIDITY_SECONDS,
     LeaseKeeper,
 )
-from gooseberrydeal._internal.operations.router.metadata_view import (
-    OWNER_PREFIX,
-    MetadataView,
+from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.claim_writer import (
+    ClaimWriter,
 )
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.engine_assignment import preferred_owner
 from gooseberrydeal._internal.policy.load_time import LoadTime
+from gooseberrydeal._internal.policy.ownership.handover import (
+    first_order_delay,
+    may_claim_again,
+)
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 logger = logging.getLogger(__name__)
@@ -63,7 +65,6 @@
         clock: Callable[[], float],
     ) -> None:
         self._membership = membership
-        self._store = store
         self._orders = orders
         self._view = view
         self._servers = servers
@@ -76,12 +77,25 @@
         self._epoch: int | None = None
         self._epoch_began_at = -math.inf
         self._own_claims: dict[ServerId, OwnerClaim] = {}
+        # Revisions of own claims under which another host may give orders.
+        self._released: set[int] = set()
         self._owned_before: set[ServerId] = set()
-        self._first_order_at: dict[ServerId, float] = {}
+        self._claims = ClaimWriter(membership, store, view, lease, clock)
+        self._started_at: dict[ServerId, float] = {}
         self._load_times: dict[ServerId, LoadTime] = {}
         self._tasks = TaskOwner()
         self._wake = asyncio.Event()
 
+    @property
+    def lease(self) -> LeaseKeeper:
+        """Return this host's lease."""
+        return self._lease
+
+    @property
+    def own_claims(self) -> Mapping[ServerId, OwnerClaim]:
+        """Return the claims under which this host gives orders."""
+        return {server: self._own_claims[server] for server in self._owners}
+
     @property
     def owners(self) -> Mapping[ServerId, EngineOwner]:
         """Return the running owner of each engine that this host owns."""
@@ -134,7 +148,7 @@
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
             if server not in engines or not is_ours:
-                self._stop_owner(server)
+                self._stop_owner(server, "claim lost or engine removed")
         for record in engines.values():
             await self._check_engine(record)
 
@@ -161,13 +175,60 @@
                 delay = 0.0 if is_new else self._takeover_seconds()
                 await self._claim_engine(record, revision, delay)
         elif claim.owner == self._membership.host:
-            if self._is_own_claim(claim):
-                self._start_owner(
-                    record, claim, self._first_order_at.get(record.id, 0.0)
-                )
+            if self._is_released(claim):
+                await self._claim_if_in_touch(record, claim)
+            elif self._is_own_claim(claim):
+                self._start_owner(record, claim)
             else:
                 await self._claim_engine(record, claim.revision, 0.0)
 
+    def _is_released(self, claim: OwnerClaim) -> bool:
+        return claim.revision in self._released
+
+    async def _claim_if_in_touch(self, record: ServerRecord, claim: OwnerClaim) -> None:
+        """Claim an engine again that no other host took over.
+
+        The new claim replaces the one that was released, so that the other host either
+        wrote first or can't write any more.
+        """
+        if may_claim_again(
+            self._lease.seconds_since_renewal, has_lease=self._lease.is_valid
+        ):
+            await self._claim_engine(record, claim.revision, 0.0)
+
+    def release(self, server: ServerId, revision: int) -> float | None:
+        """Give an engine up for good under a claim; return the age of its last order.
+
+        The age is in seconds. Returns ``None`` if this host does not own the engine
+        under that claim.
+        """
+        claim, owner = self._own_claims.get(server), self._owners.get(server)
+        if claim is None or claim.revision != revision or owner is None:
+            return None
+        now = self._clock()
+        if now < self._claims.first_order_at(server):
+            # The owner before this one may still give orders.
+            return None
+        # The orders of an earlier start of the owner are not known here.
+        last_order_at = max(owner.sequence.last_sent_at, self._started_at[server])
+        age = 0.0 if owner.sequence.is_sending else now - last_order_at
+        self._released.add(revision)
+        self._stop_owner(server, "handed over to a host that reaches the store")
+        return age
+
+    async def take_over(
+        self, server: ServerId, revision: int, last_order_age: float
+    ) -> None:
+        """Claim an engine that its owner released under the claim of a revision.
+
+        Raises ``StoreError`` if the store fails.
+        """
+        record, claim = self._servers.get(server), self._view.owners.get(server)
+        is_known = claim is not None and claim.revision == revision
+        if record is not None and is_known and self._lease.is_valid:
+            delay = first_order_delay(self._handover_gap_seconds, last_order_age)
+            await self._claim_engine(record, revision, delay)
+
     def _begin_epoch(self) -> None:
         """Give up all leases and claims if the store was restored from a copy."""
         if self._epoch is not None:
@@ -177,6 +238,7 @@
                 if self._lease.was_valid(claim.lease)
             }
             self._own_claims.clear()
+            self._released.clear()
             self._epoch_began_at = self._clock()
             self._lease.discard()
         self._epoch = self._view.store_epoch
@@ -191,48 +253,15 @@
     async def _claim_engine(
         self, record: ServerRecord, revision: int, delay: float
     ) -> None:
-        lease = self._lease.lease
-        if lease is None:
-            return
-        new_claim = OwnerClaim(
-            self._membership.host, lease, epoch=self._view.store_epoch
-        )
-        # A claim may be renewed while an earlier one still waits for its first order.
-        first_order_at = max(
-            self._first_order_at.get(record.id, 0.0), self._clock() + delay
-        )
-        self._first_order_at[record.id] = first_order_at
-        try:
-            new_revision = await self._store.put(
-                OWNER_PREFIX + record.id,
-                new_claim.encode(),
-                if_revision=revision,
-                lease=lease,
-            )
-        except LeaseLostError:
-            logger.info(
-                "engine %s not claimed: the lease of this host has ended", record.id
-            )
-            return
-        if new_revision is None:
-            return
-        if epoch_of(new_revision) != self._view.store_epoch:
-            # The store was restored meanwhile; what this host has read is outdated.
-            return
-        self._owned_before.discard(record.id)
-        claim = replace(new_claim, revision=new_revision)
-        self._view.owners[record.id] = claim
-        logger.info(
-            "engine claimed; first order allowed in %.1f s",
-            delay,
-            extra={"server": record.id, "epoch": new_revision},
-        )
-        self._start_owner(record, claim, self._first_order_at[record.id])
+        claim = await self._claims.claim(record.id, revision, delay)
+        if claim is not None:
+            self._owned_before.discard(record.id)
+            self._start_owner(record, claim)
 
-    def _start_owner(
-        self, record: ServerRecord, claim: OwnerClaim, first_order_at: float
-    ) -> None:
+    def _start_owner(self, record: ServerRecord, claim: OwnerClaim) -> None:
         self._own_claims[record.id] = claim
+        self._started_at[record.id] = self._clock()
+        first_order_at = self._claims.first_order_at(record.id)
         owner = EngineOwner(
             record,
             self._orders,
@@ -254,11 +283,8 @@
             owner.run(), f"owner of {record.id}"
         )
 
-    def _stop_owner(self, server: ServerId) -> None:
-        logger.info(
-            "engine ownership ended: claim lost or engine removed",
-            extra={"server": server},
-        )
+    def _stop_owner(self, server: ServerId, reason: str) -> None:
+        logger.info("engine ownership ended: %s", reason, extra={"server": server})
         del self._owners[server]
         self._running.pop(server).cancel()
 
--- a/src/gooseberrydeal/_internal/operations/router/lease_keeper.py
+++ b/src/gooseberrydeal/_internal/operations/router/lease_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -56,6 +57,13 @@
         """Return whether no other host can have claimed this host's records."""
         return self._lease is not None and self._elapsed() < self._valid_until
 
+    @property
+    def seconds_since_renewal(self) -> float:
+        """Return the age of the last renewal, infinity if no lease is held."""
+        if self._lease is None:
+            return math.inf
+        return self._elapsed() - self._valid_until + LOCAL_VALIDITY_SECONDS
+
     def was_valid(self, lease: LeaseId) -> bool:
         """Return whether no other host can give orders yet instead of this one.
 
--- a/src/gooseberrydeal/_internal/operations/router/order_sequence.py
+++ b/src/gooseberrydeal/_internal/operations/router/order_sequence.py
@@ -47,6 +47,7 @@
         self._count = 0
         self._is_count_known = False
         self._last_sent_at = 0.0
+        self._is_sending = False
         self._paused_until = 0.0
 
     @property
@@ -64,6 +65,11 @@
         """Return the clock time of the last order, 0 if none was sent."""
         return self._last_sent_at
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether an order was sent that has no outcome yet."""
+        return self._is_sending
+
     def is_paused(self) -> bool:
         """Return whether the next order has to wait after a failed one."""
         return self._clock() < self._paused_until
@@ -90,10 +96,14 @@
             self._fencing,
         )
         outcome = OrderOutcome.UNKNOWN
-        for _ in range(_MAX_SENDS):
-            if outcome is not OrderOutcome.UNKNOWN or not self._may_order():
-                break
-            outcome = await self._orders.order(self._record.entry, order)
+        self._is_sending = True
+        try:
+            for _ in range(_MAX_SENDS):
+                if outcome is not OrderOutcome.UNKNOWN or not self._may_order():
+                    break
+                outcome = await self._orders.order(self._record.entry, order)
+        finally:
+            self._is_sending = False
         self._last_sent_at = self._clock()
         logger.info(
             "order after %d accepted orders: %s, outcome %s",
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Hand the ownership of engines from host to host."""
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.owner_handover import OwnerHandover
 from gooseberrydeal._internal.models.routing.stream_notice import (
     StreamNotice,
     StreamQuery,
@@ -49,6 +50,9 @@
     MetadataFollower,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
+    HandoverExchange,
+)
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.peer_requests import (
     PeerRequestHandler,
@@ -153,6 +157,17 @@
             now,
         )
         self._report_exchange.set_ownership(self._ownership)
+        self._handover = HandoverExchange(
+            membership,
+            self._view,
+            self._servers,
+            self._ownership,
+            self._report_exchange.send,
+            now,
+        )
+        self._report_exchange.set_handler(
+            OwnerHandover, self._handover.message_received
+        )
         lost_writes = LostWrites()
         self._known_state_writer = KnownStateWriter(
             membership, store, self._view, lost_writes, now
@@ -251,6 +266,7 @@
         self._tasks.start(self._lease_keeper.run(), "lease")
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
+        self._tasks.start(self._handover.run(), "handover of engines")
         self._tasks.start(self._report_exchange.run(), "report exchange")
         self._tasks.start(self._limit_exchange.run(), "limit exchange")
         self._tasks.start(self._known_state_writer.run(), "known state")
@@ -287,6 +303,7 @@
         self._peers.close()
         self._endpoints.stop()
         await self._reachability.stop()
+        await self._handover.stop()
         await self._ownership.stop()
         await self._crash_protection.stop()
         await self._stream_versions.stop()
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which host gives an engine its orders."""
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.engine_status import EngineStatus
+from gooseberrydeal._internal.models.routing.owner_handover import OwnerHandover
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
@@ -16,6 +18,7 @@
     CopyUse,
     EngineUsage,
 )
+from gooseberrydeal._internal.network.report_codec import decode_report
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
@@ -25,6 +28,9 @@
     MetadataFollower,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
+    HandoverExchange,
+)
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -40,6 +46,7 @@
 
 SERVER = ServerId("i-1")
 HANDOVER_GAP_SECONDS = 3.0
+_DATAGRAM_SECONDS = 0.001
 
 
 class FakeDecoder:
@@ -84,7 +91,8 @@
     ) -> None:
         clock: Callable[[], float] = asyncio.get_running_loop().time
         self.name = name
-        member = membership(name, number=number)
+        # The address is the key by which hosts reach each other here.
+        member = replace(membership(name, number=number), address=name)
         self.store = FakeMetadataStore(data)
         self.orders = FakeEngineOrders(engine, clock)
         self.view = MetadataView()
@@ -102,6 +110,17 @@
             lambda status, audience: self.statuses.append(status),
             clock,
         )
+        self.member = member
+        self.is_cut_from_hosts = False
+        self.network: dict[str, OwnerHost] = {}
+        self.handover = HandoverExchange(
+            member,
+            self.view,
+            self.servers,
+            self.ownership,
+            self._send_datagram,
+            clock,
+        )
         lost_writes = LostWrites()
         self.writer = KnownStateWriter(
             member, self.store, self.view, lost_writes, clock
@@ -123,15 +142,32 @@
         self._tasks.start(self.follower.run(), "follower")
         self._tasks.start(self.lease.run(), "lease")
         self._tasks.start(self.ownership.run(), "ownership")
+        self._tasks.start(self.handover.run(), "handover")
         self._tasks.start(self.writer.run(), "known state")
         return self
 
+    def join(self, network: dict[str, "OwnerHost"]) -> "OwnerHost":
+        """Exchange datagrams with the hosts of a network."""
+        self.network = network
+        network[self.member.address] = self
+        return self
+
+    def _send_datagram(self, data: bytes, address: str) -> None:
+        target = self.network.get(address)
+        if target is None or target.is_cut_from_hosts or self.is_cut_from_hosts:
+            return
+        report = decode_report(data)
+        assert isinstance(report, OwnerHandover)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_DATAGRAM_SECONDS, target.handover.message_received, report)
+
     def _metadata_changed(self) -> None:
         self.ownership.metadata_changed()
         self.writer.metadata_changed()
 
     async def kill(self) -> None:
         """Stop all tasks without releasing the lease or the owner records."""
+        await self.handover.stop()
         await self.ownership.stop()
         await self._tasks.stop()
 
