--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -22,6 +22,7 @@
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
+from gooseberrydeal._internal.models.routing.owner_handover import OwnerHandover
 from gooseberrydeal._internal.models.routing.place_messages import PlaceMessage
 from gooseberrydeal._internal.models.routing.quota_messages import (
     QuotaGrant,
@@ -42,6 +43,10 @@
     crash_report_fields,
     parse_crash_report,
 )
+from gooseberrydeal._internal.network.handover_codec import (
+    handover_fields,
+    parse_handover,
+)
 from gooseberrydeal._internal.network.isolation_codec import (
     isolation_notice_fields,
     parse_isolation_notice,
@@ -90,6 +95,7 @@
     | QuotaRequest
     | QuotaGrant
     | PlaceMessage
+    | OwnerHandover
 )
 
 PROTOCOL_VERSION: Final = 1
@@ -108,6 +114,7 @@
     STREAM_QUERY = 7
     QUOTA_REQUEST = 8
     QUOTA_GRANT = 9
+    HANDOVER = 13
 
 
 def encode_usage(report: UsageReport) -> bytes:
@@ -219,6 +226,12 @@
     return cbor2.dumps([PROTOCOL_VERSION, *place_message_fields(message)])
 
 
+def encode_handover(handover: OwnerHandover) -> bytes:
+    """Encode a message by which hosts hand over engines."""
+    fields = handover_fields(handover)
+    return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.HANDOVER), *fields])
+
+
 def decode_report(data: bytes) -> Report | None:
     """Decode a report; return ``None`` if its kind is unknown, as from a newer host.
 
@@ -332,4 +345,5 @@
     _ReportKind.QUOTA_REQUEST: parse_quota_request,
     _ReportKind.QUOTA_GRANT: parse_quota_grant,
     **PLACE_PARSERS,
+    _ReportKind.HANDOVER: parse_handover,
 }
