Name the field of a generated engine status in its test

Cause: two parts appended fields to the status, and the test filled one of them by position. Change: the field is passed by name.

--- a/tests/unit/test_report_codec.py
+++ b/tests/unit/test_report_codec.py
@@ -75,7 +75,7 @@
         ),
         max_size=3,
     ).map(tuple),
-    st.lists(st.tuples(_counts, _counts), max_size=2).map(tuple),
+    waiting=st.lists(st.tuples(_counts, _counts), max_size=2).map(tuple),
 )
 
 
