Answer hosts that only the store turns away, and tell them of new owners

Cause: owners send statuses to the hosts in the store's list only. A host that the store turns away leaves that list when its lease ends after 9 s, although the others still reach it and get its reports. It then had no status of any engine, and took all owners for silent, so that each adapter that no engine held was refused there until the store answered, also where the owner was sound.

Change: LapsedHosts keeps the address of a host that left the list for 15 s, and for as long as it reports; small deployments send statuses there, too. Reports go to the newest owner that is known, by the store or by its status.

Measured: the two cases of the new test fail on the code before and pass now.

--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -19,6 +19,7 @@
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
+from gooseberrydeal._internal.operations.router.lapsed_hosts import LapsedHosts
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
@@ -44,7 +45,7 @@
     Each engine is owned by one host, which loads and evicts its adapters. The owner
     bases its decisions on the usage reports of all hosts and sends them the status. In
     large deployments only hosts that use an engine, or ask about it, exchange reports
-    with its owner.
+    with its owner. Owners go on answering hosts that only the store does not reach.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self._ownership: EngineOwnership | None = None
         self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._socket = DatagramSocket(self._on_report)
+        self._lapsed = LapsedHosts(view, clock)
         self._sequence = 0
         self._pending: set[ServerRecord] = set()
         self._reported_used: set[ServerId] = set()
@@ -94,6 +96,7 @@
     async def run(self) -> None:
         """Report this host's usage of all engines periodically, until cancelled."""
         while True:
+            self._lapsed.update()
             self._report(
                 [
                     record
@@ -141,17 +144,21 @@
     def publish(self, status: EngineStatus, audience: Collection[HostId]) -> None:
         """Send the status of an engine owned by this host to others.
 
-        In small deployments it is sent to all hosts, in large ones to ``audience``.
+        In small deployments it is sent to all hosts, also to those whose membership
+        lapsed a short time ago, in large ones to ``audience``.
         """
         self._apply_status(status)
         hosts = self._view.hosts
-        names = hosts.keys() if self._view.periods.reports_all else audience
+        names: Iterable[HostId] = audience
+        if self._view.periods.reports_all:
+            names = {*hosts, *self._lapsed.names}
         data = b""
         for name in names:
             host = hosts.get(name)
-            if host is not None and name != self._membership.host:
+            address = self._lapsed.address(name) if host is None else host.address
+            if address is not None and name != self._membership.host:
                 data = data or encode_status(status)
-                self._socket.send(data, host.address)
+                self._socket.send(data, address)
 
     def _is_due(self, record: ServerRecord) -> bool:
         """Return whether the owner must hear of an engine in this period."""
@@ -169,8 +176,8 @@
         now = self._clock()
         by_owner: dict[HostId, list[EngineUsage]] = {}
         for record in records:
-            claim = self._view.owners.get(record.id)
-            if claim is not None:
+            owner = self._owner_of(record)
+            if owner is not None:
                 record.owner.note_asked(now)
                 if record.is_used:
                     self._reported_used.add(record.id)
@@ -179,10 +186,19 @@
                 usage = record.usage(now)
                 self._reported_pending_prefill[record.id] = usage.pending_prefill_tokens
                 self._reported_slowdown[record.id] = usage.slowdown
-                by_owner.setdefault(claim.owner, []).append(usage)
+                by_owner.setdefault(owner, []).append(usage)
         for owner, usages in by_owner.items():
             self._send_usage(owner, usages)
 
+    def _owner_of(self, record: ServerRecord) -> HostId | None:
+        """Return the newest owner of an engine, by the store or by its own status."""
+        claim = self._view.owners.get(record.id)
+        status = record.owner.status
+        if claim is None or status is None:
+            return None if claim is None else claim.owner
+        is_newer = status.fencing_number > claim.revision
+        return status.owner if is_newer else claim.owner
+
     def _send_usage(self, owner: HostId, usages: list[EngineUsage]) -> None:
         if owner == self._membership.host:
             for usage in usages:
@@ -215,6 +231,7 @@
         if known is not None and known[0] == current[0] and known[1] >= current[1]:
             return
         self._last_sequences[report.host] = current
+        self._lapsed.note_report(report.host)
         for usage in report.engines:
             self._apply_usage(report.host, usage)
 
--- a/tests/functional/test_owner_changes.py
+++ b/tests/functional/test_owner_changes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from tests.lib.owner_change_world import OwnerChangeWorld
 from tests.lib.routing_builders import copy_key
 from tests.lib.virtual_loop import run_virtual
@@ -156,6 +157,32 @@
     assert not world.unseen
 
 
+@pytest.mark.parametrize("cut", [("h1",), ("h0", "h1")])
+def test_a_host_that_only_the_store_turns_away_still_gets_loads(
+    cut: tuple[str, ...],
+) -> None:
+    # Guards against owners that do not answer hosts whose membership has lapsed, and
+    # against reports that go to an owner which another host has replaced.
+    copy = copy_key("new")
+
+    async def change(world: OwnerChangeWorld) -> None:
+        for host in world.hosts:
+            if host.name in cut:
+                world.cut_off(host, also_from_hosts=False)
+        await world.watch(_CHANGE_SECONDS)
+        (asking,) = (host for host in world.hosts if host.name == "h1")
+        now = asyncio.get_running_loop().time()
+        assert asking.record(_SERVER).owner.accepts_load_orders(now)
+        asking.record(_SERVER).add_load_request(copy, now)
+        await asyncio.sleep(2.0)
+        later = asyncio.get_running_loop().time()
+        assert copy in world.engines[_SERVER].copies
+        assert asking.record(_SERVER).copy_state(copy, later) is CopyState.READY
+
+    world = _run(lambda: OwnerChangeWorld(hosts=4, engines=2), change)
+    assert not world.unseen
+
+
 @pytest.mark.parametrize("change", [_kill, _cut_from_store, _cut_from_store_and_hosts])
 def test_no_order_is_sent_before_the_takeover_delay(change: Change) -> None:
     # Guards against a report read in the delay that counts as leave to send orders.
