--- a/tests/unit/test_router_guards.py
+++ b/tests/unit/test_router_guards.py
@@ -14,12 +14,15 @@
 from gooseberrydeal._internal.operations.router.crash_gossip import CrashGossip
 from gooseberrydeal._internal.operations.router.crash_guard import CrashGuard
 from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
+from gooseberrydeal._internal.operations.router.engine_owner import EngineOwner
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
 )
+from gooseberrydeal._internal.operations.router.lapsed_hosts import LapsedHosts
 from gooseberrydeal._internal.operations.router.limited_engine_orders import (
     LimitedEngineOrders,
 )
+from gooseberrydeal._internal.operations.router.report_reader import ReportReader
 from gooseberrydeal._internal.policy import (
     crash_history,
     limit_division,
@@ -34,6 +37,7 @@
     test_crash_sharing,
     test_limit_division,
     test_lost_writes_record,
+    test_owner_changes,
     test_prompt_part_sharing,
     test_start_after_restore,
     test_stated_limits,
@@ -68,7 +72,44 @@
     )
 
 
+def _check_unread_report() -> None:
+    test_owner_changes.test_an_owner_that_cannot_read_a_report_says_nothing_of_the_copies(
+        test_owner_changes._kill
+    )
+
+
+def _check_turned_away() -> None:
+    test_owner_changes.test_a_host_that_only_the_store_turns_away_still_gets_loads(
+        ("h1",)
+    )
+
+
+async def _observe_nothing(self: EngineOwner, now: float) -> None:
+    return
+
+
 _GUARDS: list[Guard] = [
+    Guard(
+        "an owner that has read no report says nothing of the copies",
+        ReportReader,
+        "has_read",
+        property(lambda self: True),
+        _check_unread_report,
+    ),
+    Guard(
+        "an owner follows what its engine holds before its first order",
+        EngineOwner,
+        "_observe",
+        _observe_nothing,
+        test_owner_changes.test_a_new_owner_reads_again_what_the_engine_denies_to_hold,
+    ),
+    Guard(
+        "owners answer hosts that only the store turns away",
+        LapsedHosts,
+        "address",
+        lambda self, host: None,
+        _check_turned_away,
+    ),
     Guard(
         "requests that are served all the time are not refused",
         CrashGuard,
