--- a/src/gooseberrydeal/_internal/operations/router/peer_requests.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_requests.py
@@ -17,8 +17,9 @@
 # Longer than the hosts that pass requests on keep a connection, so that no request
 # crosses the close of its connection.
 _IDLE_TIMEOUT_SECONDS: Final = 30.0
-# The fields of the host that passes a request on, and of the time that is left.
-_PEER_FIELDS_BYTES: Final = 1_024
+# The fields of the host that passes a request on, of the account, whose name has up to
+# 200 characters and is sent twice, once in percent-encoding, and of the time left.
+_PEER_FIELDS_BYTES: Final = 2_048
 
 
 class PeerRequestHandler:
--- a/tests/functional/test_account_keys.py
+++ b/tests/functional/test_account_keys.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import pytest
@@ -117,6 +118,33 @@
     handler.handle_for_peer = handle  # type: ignore[method-assign]
 
 
+@pytest.mark.parametrize("path", ["/safe/a", "/onward/a"])
+def test_no_attempt_holds_the_key_and_each_has_the_account(path: str) -> None:
+    async def scenario(cluster: AccountCluster) -> None:
+        cluster.ranks["alice"] = 3
+        cluster.declare(_ACCOUNTS)
+        await asyncio.sleep(2.0)
+        for server in cluster.servers:
+            server.resets_streams = True
+        # One of the servers turns requests away that may be repeated.
+        if path == "/safe/a":
+            cluster.servers[0].full_until = math.inf
+        heads: list[bytes] = []
+        for number in range(20):
+            body = b"attempt %d" % number
+            assert await cluster.status(_CUT, _ALICE, path, body) == 200
+            heads = cluster.heads_of(body)
+            if len(heads) > 1:
+                break
+        assert len(heads) > 1
+        for head in heads:
+            assert head.count(b"\r\nx-tenant: alice\r\n") == 1
+            assert b"\r\nx-request-priority: 3\r\n" in head
+            assert b"authorization" not in head
+
+    _run(scenario)
+
+
 def test_a_key_that_is_taken_away_or_moved_counts_at_all_hosts() -> None:
     async def scenario(cluster: AccountCluster) -> None:
         cluster.declare({"alice": [], "bob": [_BOB], "carol": [_ALICE, "new-key-1"]})
--- a/tests/lib/account_cluster.py
+++ b/tests/lib/account_cluster.py
@@ -43,6 +43,7 @@
         self._open_prefixes = set(open_prefixes)
         self._version = 0
         self._store_links: dict[str, LinkProxy] = {}
+        self.ranks: dict[str, int] = {}
         self.clocks: dict[str, SuspendableClock] = {}
 
     async def __aexit__(self, *exc: object) -> None:
@@ -113,9 +114,9 @@
 
     def _configuration(self) -> bytes:
         self._version += 1
-        tenants = [{"name": STARTER, "apiKeys": [STARTER_KEY]}]
+        tenants: list[dict[str, object]] = [{"name": STARTER, "apiKeys": [STARTER_KEY]}]
         tenants += [
-            {"name": name, "apiKeys": list(keys)}
+            {"name": name, "apiKeys": list(keys), "priority": self.ranks.get(name)}
             for name, keys in self._accounts.items()
         ]
         data = json.loads(
