--- a/src/gooseberrydeal/_internal/operations/router/quotas/quota_members.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/quota_members.py
@@ -69,9 +69,7 @@
         """Return whether no other host can have begun to grant instead of this one."""
         if self._has_lease() and self.list_age() <= MAX_LIST_AGE_SECONDS:
             return True
-        return self.standing.is_confirmed(
-            self.others, self._clock(), MAX_LIST_AGE_SECONDS
-        )
+        return self._is_confirmed(MAX_LIST_AGE_SECONDS)
 
     def reserve_hosts(self) -> int | None:
         """Return by how many hosts reserves are divided, ``None`` if unknown."""
@@ -93,6 +91,12 @@
         ruled out if all others confirmed the list just now.
         """
         now = self._clock()
-        if not self.standing.is_confirmed(self.others, now, FRESH_CONFIRMATION_SECONDS):
+        if not self._is_confirmed(FRESH_CONFIRMATION_SECONDS):
             self.history.restart(now)
             logger.info("registered anew: no quotas are granted for 3 s")
+
+    def _is_confirmed(self, within: float) -> bool:
+        now = self._clock()
+        return self.history.is_complete(now) and self.standing.is_confirmed(
+            self.others, now, within
+        )
--- a/src/gooseberrydeal/_internal/policy/quotas/member_history.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/member_history.py
@@ -14,6 +14,10 @@
 # Reserves are divided by all hosts that were known within this time: those that may
 # still spend theirs in the same window, although the store no longer lists them.
 _KEPT_SECONDS: Final = 75.0
+# The list counts as complete only if no host has left it within this time. A host that
+# left may have been cut off from the store, and may be listed again where this one
+# does not see it.
+_LEFT_SECONDS: Final = 600.0
 _DIGEST_BYTES: Final = 6
 
 
@@ -31,7 +35,7 @@
         self._is_first_start = is_first_start
         self._hosts: frozenset[HostId] = frozenset()
         self._views: deque[tuple[float, frozenset[HostId]]] = deque()
-        self._seen: dict[HostId, float] = {}
+        self._left: dict[HostId, float] = {}
         self._allocators: dict[AccountName, HostId | None] = {}
         self._first_since: dict[AccountName, float] = {}
         self._digest: int | None = None
@@ -55,7 +59,10 @@
         if hosts == self._hosts:
             return False
         found = frozenset(hosts)
-        self._seen.update(dict.fromkeys(self._hosts | found, now))
+        oldest = now - _LEFT_SECONDS
+        left = {h: at for h, at in self._left.items() if at >= oldest}
+        left.update(dict.fromkeys(self._hosts - found, now))
+        self._left = {host: at for host, at in left.items() if host not in found}
         self._hosts = found
         self._views.append((now, found))
         while len(self._views) > 1 and self._views[1][0] < now - _KEPT_SECONDS:
@@ -101,10 +108,13 @@
         if not is_settled or read_age > MAX_RESERVE_AGE_SECONDS:
             return None
         oldest = now - _KEPT_SECONDS
-        for host in [h for h, at in self._seen.items() if at < oldest]:
-            if host not in self._hosts:
-                del self._seen[host]
-        return len(self._seen.keys() | self._hosts) or None
+        left = sum(at >= oldest for at in self._left.values())
+        return len(self._hosts) + left or None
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether no host has left the list lately."""
+        oldest = now - _LEFT_SECONDS
+        return all(at < oldest for at in self._left.values())
 
     def may_use_reserve(self, window: float, now: float) -> bool:
         """Return whether an earlier process can't have used the reserve in a window."""
