Load adapters where their weights are in memory, and learn the speed of fetches

Change: owners summarize these copies in 128 bytes once a second; the number of fetches at full speed, and of copies that an engine keeps, follow the loads that were early and late.

--- a/src/gooseberrydeal/_internal/models/routing/engine_status.py
+++ b/src/gooseberrydeal/_internal/models/routing/engine_status.py
@@ -28,7 +28,8 @@
     is the ratio of the engine's latency to normal: 1.0 is normal, more is slower.
     ``speed`` is what all hosts observed of it, ``None`` if that is too little.
     ``waiting`` has pairs of a rank and the number of its requests that wait for an
-    engine of the service, at the hosts that report to this owner.
+    engine of the service, at the hosts that report to this owner. ``warm_copies`` is an
+    encoded ``WarmCopies``, empty if the status leaves it out.
     """
 
     owner: HostId
@@ -45,3 +46,4 @@
     copies: tuple[CopyStatus, ...]
     speed: EngineSpeed | None = None
     waiting: tuple[tuple[int, int], ...] = ()
+    warm_copies: bytes = b""
--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -101,6 +101,8 @@
 PROTOCOL_VERSION: Final = 1
 # Copy states are encoded as their index in this list.
 _COPY_STATES: Final = (CopyState.READY, CopyState.LOADING, CopyState.UNLOADING)
+# Position of the warm copies in a status; hosts of earlier versions send fewer fields.
+_WARM_COPIES_INDEX: Final = 14
 _MAX_CACHED_COPIES: Final = 4_096
 
 
@@ -172,10 +174,12 @@
         list(status.base_models),
         copies,
     ]
-    if status.speed is not None or status.waiting:
+    if status.speed is not None or status.waiting or status.warm_copies:
         fields.append([] if status.speed is None else speed_fields(status.speed))
-    if status.waiting:
+    if status.waiting or status.warm_copies:
         fields.append(rank_count_fields(status.waiting))
+    if status.warm_copies:
+        fields.append(status.warm_copies)
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
@@ -313,6 +317,7 @@
         tuple(_copy_status(*item[:5]) for item in copies),
         parse_speed(fields[12:]),
         parse_rank_counts(*fields[13:14]),
+        bytes(fields[_WARM_COPIES_INDEX]) if len(fields) > _WARM_COPIES_INDEX else b"",
     )
 
 
--- a/src/gooseberrydeal/_internal/operations/router/engine_copies.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_copies.py
@@ -8,6 +8,7 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.models.routing.engine_status import CopyStatus
+from gooseberrydeal._internal.policy.loads.warm_copies import WarmCopies
 
 # Adapter copies that an engine may still cache in its memory; the least recently held
 # ones are dropped first.
@@ -30,6 +31,7 @@
         self._stated_at = -math.inf
         self._missing: dict[AdapterCopyKey, float] = {}
         self._recent: OrderedDict[AdapterCopyKey, None] = OrderedDict()
+        self._warm: WarmCopies | None = None
 
     def __contains__(self, key: AdapterCopyKey) -> bool:
         """Return whether the engine holds a copy, or is loading or unloading it."""
@@ -41,6 +43,7 @@
         self._stated = None
         self._last_stated = {}
         self._recent.clear()
+        self._warm = None
 
     def use_entry(self, adapters: Iterable[AdapterCopyKey], now: float) -> None:
         """Use the copies in the engine's entry, and those of a status before it."""
@@ -67,6 +70,11 @@
         while len(self._recent) > _MAX_RECENT_COPIES:
             self._recent.popitem(last=False)
 
+    def use_warm_copies(self, data: bytes) -> None:
+        """Use the owner's summary of the copies that the engine can load fast."""
+        if data:
+            self._warm = WarmCopies.decode(data)
+
     def state(self, key: AdapterCopyKey, now: float) -> CopyState | None:
         """Return the state of a copy, ``None`` if the engine does not hold it."""
         found = self._copies.get(key)
@@ -87,6 +95,8 @@
 
     def is_warm(self, key: AdapterCopyKey) -> bool:
         """Return whether the engine held the copy recently and so reloads it fast."""
+        if self._warm is not None:
+            return key in self._warm
         return key in self._recent
 
     def versions(self, model: str, adapter: str) -> list[AdapterCopyKey]:
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -86,7 +86,6 @@
         self._demand = EngineDemand()
         self._wake = asyncio.Event()
         self._started_at = record.entry.started_at
-        self._unconfirmed_loads: set[AdapterCopyKey] = set()
         self._status = StatusPublisher(
             host,
             record.id,
@@ -98,6 +97,7 @@
                 may_order() and self._sequence.is_count_known and record.is_reachable
             ),
             lambda: self._base_models.held,
+            self._load_time.encode_warm_copies,
             record.speed,
             lambda: view.periods,
             publish,
@@ -123,9 +123,7 @@
             if copy is None:
                 continue
             copy.note_use(started, now)
-            if key in self._unconfirmed_loads:
-                self._unconfirmed_loads.discard(key)
-                self._load_time.note_on_time()
+            self._load_time.note_used(key)
         if usage.load_requests:
             self._wake.set()
         if is_new and not self._view.periods.reports_all:
@@ -252,24 +250,24 @@
         return False
 
     async def _load(self, key: AdapterCopyKey) -> bool:
-        seconds = self._load_time.expected_seconds(key, self._count_loads())
+        fetching = self._count_loads()
+        seconds = self._load_time.expected_seconds(key, fetching)
         outcome = await self._sequence.send(OrderAction.LOAD, key)
         if outcome not in (OrderOutcome.DONE, OrderOutcome.ACCEPTED):
             return False
         now = self._clock()
         ready_at = now if outcome is OrderOutcome.DONE else now + seconds
         self._slots.begin_load(key, ready_at, now)
-        if not self._load_time.is_warm(key) and outcome is OrderOutcome.ACCEPTED:
-            self._unconfirmed_loads.add(key)
-        self._load_time.note_held(key)
+        if outcome is OrderOutcome.ACCEPTED:
+            self._load_time.begin(key, fetching)
+        else:
+            self._load_time.note_held(key)
         return True
 
     def _handle_missing(self, key: AdapterCopyKey, copy: HeldCopy) -> None:
         """Extend the expected load time, or request a read of the engine's report."""
         now = self._clock()
-        if key in self._unconfirmed_loads:
-            self._unconfirmed_loads.discard(key)
-            self._load_time.note_late()
+        self._load_time.note_missing(key)
         if now - copy.ready_at < _MAX_LOAD_OVERRUN_SECONDS:
             copy.state = CopyState.LOADING
             copy.ready_at = now + _LOAD_EXTENSION_SECONDS
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -165,6 +165,7 @@
                 extra={"server": status.server},
             )
         self._copies.use_status(status.copies, now)
+        self._copies.use_warm_copies(status.warm_copies)
         if status.speed is not None:
             self._speed.apply_owner(status.speed, now)
         self._load.report_others(
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -1,6 +1,7 @@
 """Publish the adapter copies and the load of one engine to all hosts."""
 
 import asyncio
+import math
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -19,6 +20,9 @@
 # If the tokens of prompts that wait for prefill have changed by more than this, about
 # 40 ms of prefill, a status is published after a delay that collects further changes.
 _PUBLISH_THRESHOLD_TOKENS: Final = 800
+# The summary of warm copies takes about as many bytes as the rest of a status, and
+# changes by a few loads in this time.
+_WARM_COPIES_INTERVAL_SECONDS: Final = 1.0
 
 
 class StatusPublisher:
@@ -38,6 +42,7 @@
         is_known: Callable[[], bool],
         may_load: Callable[[], bool],
         base_models: Callable[[], Collection[str]],
+        warm_copies: Callable[[], bytes],
         speed: ServerSpeed,
         periods: Callable[[], ExchangePeriods],
         publish: StatusSender,
@@ -51,6 +56,7 @@
         self._is_known = is_known
         self._may_load = may_load
         self._base_models = base_models
+        self._warm_copies = warm_copies
         self._speed = speed
         self._periods = periods
         self._publish = publish
@@ -58,6 +64,7 @@
         self._sequence = 0
         self._pending_prefill_tokens = 0
         self._slowdown = 1.0
+        self._warm_copies_at = -math.inf
         self._timer: asyncio.TimerHandle | None = None
 
     def publish_if_load_changed(self) -> None:
@@ -78,14 +85,19 @@
         """Publish a status now instead of the scheduled one."""
         self.cancel()
         if self._is_known():
-            self._publish(self._next_status(), self._demand.hosts)
+            now = self._clock()
+            is_due = now - self._warm_copies_at >= _WARM_COPIES_INTERVAL_SECONDS
+            if is_due:
+                self._warm_copies_at = now
+            status = self._next_status(with_warm_copies=is_due)
+            self._publish(status, self._demand.hosts)
 
     def publish_to(self, host: HostId) -> None:
         """Publish a status now to one host, which has not had one recently."""
         if self._is_known():
-            self._publish(self._next_status(), (host,))
+            self._publish(self._next_status(with_warm_copies=True), (host,))
 
-    def _next_status(self) -> EngineStatus:
+    def _next_status(self, *, with_warm_copies: bool) -> EngineStatus:
         now = self._clock()
         self._pending_prefill_tokens = self._demand.pending_prefill_tokens()
         self._slowdown = self._demand.slowdown()
@@ -96,6 +108,8 @@
             for key, copy in self._slots.copies.items()
         )
         requested = set(self._demand.load_requests(now))
+        # Where owners tell all hosts, these know what an engine held before.
+        lists_warm = with_warm_copies and not self._periods().reports_all
         return EngineStatus(
             self._owner,
             self._server,
@@ -110,6 +124,7 @@
             tuple(sorted(self._base_models())),
             copies,
             self._speed.observed(now),
+            warm_copies=self._warm_copies() if lists_warm else b"",
         )
 
     def cancel(self) -> None:
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Decide on adapter loads by what they cost."""
