Learn the service times of plain servers

Cause: plain servers of one service run at different speeds, but were chosen by load only.

Change: a response's time from send to head, with the stated slowdown and the estimated queue divided out, is a sample of the server's service time. Its ratio to the median of its service, between a quarter and 4, multiplies the slowdown in the choice. Responses with an error status do not count.

--- a/src/gooseberrydeal/_internal/operations/router/head_notes.py
+++ b/src/gooseberrydeal/_internal/operations/router/head_notes.py
@@ -15,9 +15,13 @@
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.serve_times import ServeTimes
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.operations.router.speeds.plain_timer import PlainTimer
 from gooseberrydeal._internal.operations.router.speeds.response_timer import (
     ResponseTimer,
 )
+from gooseberrydeal._internal.operations.router.speeds.response_timing import (
+    ResponseTiming,
+)
 from gooseberrydeal._internal.operations.router.stream_continuation import (
     StreamContinuation,
 )
@@ -43,12 +47,15 @@
         self._times = times
         self._events = events
         self._clock = clock
-        self._timer: ResponseTimer | None = None
+        self._timer: ResponseTiming | None = None
 
     def sent(self, assignment: Assignment, request: RoutedRequest) -> None:
         """Record that the request is sent to a server now."""
         self._times.note_sent(self._clock(), assignment.load_wait)
-        self._timer = ResponseTimer(assignment, request, self._clock)
+        if assignment.record.service.engine is None:
+            self._timer = PlainTimer(assignment, self._clock)
+        else:
+            self._timer = ResponseTimer(assignment, request, self._clock)
         self._events.set_listener(self._timer.events_received)
 
     def ended(self, longest_pause: float) -> None:
@@ -68,8 +75,9 @@
         """Record what the head of a response says of the request and its server."""
         times = self._times
         times.head_at = self._clock()
-        if self._timer is not None and attributes.load is not None:
-            self._timer.set_slowdown(attributes.load.slowdown)
+        if self._timer is not None:
+            load = attributes.load
+            self._timer.head_received(status, 1.0 if load is None else load.slowdown)
         for field in notice_fields(record.id, record.entry.started_at, attributes):
             self._exchange.add_peer_field(field)
         self._continuation.note_response(status, record, connection)
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -28,7 +28,8 @@
 from gooseberrydeal._internal.policy.response_waits import ResponseWaits
 from gooseberrydeal._internal.policy.server_health import ServerHealth
 from gooseberrydeal._internal.policy.speeds.server_speed import ServerSpeed
-from gooseberrydeal._internal.policy.speeds.service_speed import ServiceSpeed
+from gooseberrydeal._internal.policy.speeds.service_time import ServiceTime
+from gooseberrydeal._internal.policy.speeds.usual_speeds import UsualSpeeds
 
 
 class ServerRecord:
@@ -39,13 +40,15 @@
         entry: ServerEntry,
         service: ServiceConfiguration,
         max_connections: int,
-        service_speed: ServiceSpeed | None = None,
+        usual: UsualSpeeds | None = None,
     ) -> None:
         self._entry = entry
         self._service = service
         self._load = LoadEstimate()
         self._waits = ResponseWaits()
-        self._speed = ServerSpeed(entry.id, service_speed or ServiceSpeed())
+        usual = usual or UsualSpeeds()
+        self._speed = ServerSpeed(entry.id, usual.engine)
+        self._service_time = ServiceTime(usual.plain)
         self._health = ServerHealth()
         self._pool = self._new_pool(entry.address, max_connections)
         self._owner = OwnerView()
@@ -87,9 +90,14 @@
 
     @property
     def speed(self) -> ServerSpeed:
-        """Return the estimate of the server's speed."""
+        """Return the estimate of the engine's speed."""
         return self._speed
 
+    @property
+    def service_time(self) -> ServiceTime:
+        """Return the estimate of the plain server's service time."""
+        return self._service_time
+
     @property
     def health(self) -> ServerHealth:
         """Return the server's recent failures and reachability."""
@@ -136,6 +144,7 @@
             self._copies.clear()
             self._owner.clear()
             self._speed.clear()
+            self._service_time.clear()
         if not self._owner.is_fresh(now):
             self._use_entry_copies(now)
 
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -12,7 +12,7 @@
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
-from gooseberrydeal._internal.policy.speeds.service_speed import ServiceSpeed
+from gooseberrydeal._internal.policy.speeds.usual_speeds import UsualSpeeds
 
 
 class ServerTable:
@@ -28,7 +28,7 @@
         self._periods = ExchangePeriods()
         self._loads_in_progress: dict[ServerId, tuple[int, float]] = {}
         self._generation = 0
-        self._speeds: defaultdict[ServiceName, ServiceSpeed] = defaultdict(ServiceSpeed)
+        self._speeds: defaultdict[ServiceName, UsualSpeeds] = defaultdict(UsualSpeeds)
         self._accepting: dict[ServiceName, tuple[ServerRecord, ...]] = {}
 
     @property
@@ -37,7 +37,7 @@
         return self._records.values()
 
     @property
-    def speeds(self) -> Mapping[ServiceName, ServiceSpeed]:
+    def speeds(self) -> Mapping[ServiceName, UsualSpeeds]:
         """Return the usual speeds of the services that have or had servers."""
         return self._speeds
 
@@ -144,6 +144,7 @@
         if record is not None:
             record.pool.retire()
             record.speed.clear()
+            record.service_time.clear()
             self._generation += 1
             self._accepting.clear()
 
--- a/src/gooseberrydeal/_internal/operations/router/speeds/response_timer.py
+++ b/src/gooseberrydeal/_internal/operations/router/speeds/response_timer.py
@@ -51,8 +51,8 @@
         self._last_at = math.inf
         self._gaps: list[float] = []
 
-    def set_slowdown(self, slowdown: float) -> None:
-        """Set the slowdown that the response states, which is divided out."""
+    def head_received(self, status: int, slowdown: float) -> None:
+        """Note the slowdown that the response states, which is divided out."""
         self._slowdown = max(0.1, slowdown)
 
     def events_received(self, count: int) -> None:
