Make refusals for routes that may be unread traceable

Cause: a host that has not read the store lately answers 503 account_unconfirmed to a request for which it has no route, without a count or a log line. Result: test_account_gate.py and the tests of cut-off hosts in test_account_revocation.py: 56 passed.

--- a/src/gooseberrydeal/_internal/operations/router/accounts/account_gate.py
+++ b/src/gooseberrydeal/_internal/operations/router/accounts/account_gate.py
@@ -21,8 +21,8 @@
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.refusals import refuse
 from gooseberrydeal._internal.policy.accounts.key_check import (
-    UNCONFIRMED_RETRY_AFTER_SECONDS,
     KeyCheck,
+    KeyState,
     check_key,
     has_lapsed,
     revocation_age,
@@ -86,15 +86,22 @@
         self._refuse(exchange, attributes.request_id, check, age)
         return None
 
-    def refuse_unknown_route(self, exchange: CallerExchange) -> None:
-        """Refuse a request for which the configuration in use has no route."""
-        reason = RefusalReason.UNKNOWN_OPERATION
-        retry_after = None
+    def refuse_unknown_route(
+        self, exchange: CallerExchange, attributes: RequestAttributes
+    ) -> None:
+        """Refuse a request for which the configuration in use has no route.
+
+        Where there are accounts, a configuration that was not read yet may have one.
+        """
+        age = self._view.proof.age
         if self._accounts is not None:
-            found = unknown_refusal(self._view.proof.age, self._bounds)
-            if found is RefusalReason.ACCOUNT_UNCONFIRMED:
-                reason, retry_after = found, UNCONFIRMED_RETRY_AFTER_SECONDS
-        refuse(exchange, reason, retry_after)
+            check = KeyCheck(
+                KeyState.NOT_READ, None, unknown_refusal(age, self._bounds)
+            )
+            if check.refusal is RefusalReason.ACCOUNT_UNCONFIRMED:
+                self._refuse(exchange, attributes.request_id, check, age)
+                return
+        refuse(exchange, RefusalReason.UNKNOWN_OPERATION, None)
 
     def publish(self) -> None:
         """Set the gauges of accounts, if there are any."""
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -157,7 +157,7 @@
             return
         route = self._routes.find(attributes.host, attributes.path)
         if route is None:
-            self._accounts.refuse_unknown_route(exchange)
+            self._accounts.refuse_unknown_route(exchange, attributes)
             return
         admission = self._admit(exchange, attributes, route, peer)
         if admission is None:
--- a/src/gooseberrydeal/_internal/policy/accounts/key_check.py
+++ b/src/gooseberrydeal/_internal/policy/accounts/key_check.py
@@ -19,12 +19,16 @@
 
 
 class KeyState(Enum):
-    """List what is known of a request's key; metrics and logs get the values."""
+    """List what is known of a request's key; metrics and logs get the values.
+
+    It is not read if the configuration has no route for the request.
+    """
 
     KNOWN = "known"
     UNKNOWN = "unknown"
     MISSING = "missing"
     MALFORMED = "malformed"
+    NOT_READ = "not_read"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/functional/test_account_revocation.py
+++ b/tests/functional/test_account_revocation.py
@@ -58,7 +58,9 @@
                 assert (key_status, fields["retry-after"]) == (503, "0.05")
                 assert not cluster.nodes[host]._endpoints._is_ready()
                 assert await cluster.status(host, "unknown") == 503
+                assert await cluster.status(host, _BOB, "/nowhere/a") == 503
             else:
+                assert await cluster.status(host, _BOB, "/nowhere/a") in (404, 503)
                 assert await cluster.final(host, _BOB) == 200
         await cluster.cut_store(cut, LinkState.OPEN)
         await cluster.until_status(_BOB, 200, "/safe/a")
