Pace the reads of a store that gives no proof

Cause: while a restored store is not settled, each host with strict revocation read it every 0.1 s, although calls are priced and no read could be a proof. Change: after a read that is no proof, the next one follows after 0.3 s, as after a failed call. Result: test_account_gate.py: 53 passed; both files of account tests over real sockets with test_passed_on_requests, test_metadata_follower, test_start_after_restore and test_relay: 95 passed.

--- a/src/gooseberrydeal/_internal/operations/router/accounts/store_proof.py
+++ b/src/gooseberrydeal/_internal/operations/router/accounts/store_proof.py
@@ -10,8 +10,11 @@
 # The store is read again once the proof has used up this fraction of its lifetime,
 # which leaves time for a call that fails and another one.
 _DUE_FRACTION: Final = 0.5
-# Shortest pause between two reads, also while none of them is a proof.
+# Shortest pause between two reads, however many requests need a proof.
 _MIN_PAUSE_SECONDS: Final = 0.1
+# The same while reads are no proof, as after a call that failed: a restored store takes
+# some seconds until it is settled, and all hosts read it.
+_UNCONFIRMED_PAUSE_SECONDS: Final = 0.3
 
 
 class StoreProof:
@@ -21,6 +24,7 @@
         self._clock = clock
         self._freshness = Freshness()
         self._lifetime = math.inf
+        self._min_pause = _MIN_PAUSE_SECONDS
         self._wake = asyncio.Event()
 
     @property
@@ -38,7 +42,10 @@
 
     def read_ended(self, began_at: float, revision: int, *, is_confirmed: bool) -> None:
         """Take account of a call that read all changes and began at ``began_at``."""
-        self._freshness.read_ended(began_at, revision, is_confirmed=is_confirmed)
+        is_proof = self._freshness.read_ended(
+            began_at, revision, is_confirmed=is_confirmed
+        )
+        self._min_pause = _MIN_PAUSE_SECONDS if is_proof else _UNCONFIRMED_PAUSE_SECONDS
 
     def read_soon(self) -> None:
         """End the pause before the next read."""
@@ -50,7 +57,7 @@
         if math.isinf(self._lifetime):
             due = seconds
         self._wake.clear()
-        shortest = min(seconds, _MIN_PAUSE_SECONDS)
+        shortest = min(seconds, self._min_pause)
         if shortest > 0:
             await asyncio.sleep(shortest)
         rest = min(seconds, due) - shortest
--- a/tests/unit/test_account_gate.py
+++ b/tests/unit/test_account_gate.py
@@ -161,6 +161,19 @@
     run_virtual(scenario())
 
 
+def test_reads_that_are_no_proof_are_repeated_at_a_pace() -> None:
+    async def scenario() -> None:
+        clock = asyncio.get_running_loop().time
+        proof = StoreProof(clock)
+        proof.set_lifetime(4.75)
+        proof.read_ended(clock(), 1, is_confirmed=False)
+        began_at = clock()
+        await proof.pause(0.8)
+        assert clock() - began_at == pytest.approx(0.3)
+
+    run_virtual(scenario())
+
+
 def test_a_restored_store_confirms_keys_once_its_epoch_is_settled() -> None:
     trust = StoreTrust(is_first_start=False)
     trust.store_read(1, 0.0, has_record=True, is_settled=True)
