Tell slow fetches from many fetches when loads are late or early

Change: a load beside more fetches than run at full speed changes only that number, another one only the time; the number of copies kept falls faster.

--- a/src/gooseberrydeal/_internal/policy/load_time.py
+++ b/src/gooseberrydeal/_internal/policy/load_time.py
@@ -26,14 +26,12 @@
 _MIN_FULL_SPEED_FETCHES: Final = 8.0
 _MAX_FULL_SPEED_FETCHES: Final = 4096.0
 _RAISE_FETCHES_FACTOR: Final = 1.1
-_LOWER_FETCHES_FACTOR: Final = 0.97
-# From this fraction of the estimate on, a late load may have been slowed by others.
-_CROWDED_FRACTION: Final = 0.8
+_LOWER_FETCHES_FACTOR: Final = 0.9
 # Copies whose weights an engine keeps in memory; it drops the least recently used. The
 # number is lowered by loads that were expected to need no fetch but took as long.
 _MAX_COPIES_IN_MEMORY: Final = 96
 _MIN_COPIES_IN_MEMORY: Final = 8
-_LOWER_COPIES_FACTOR: Final = 0.95
+_LOWER_COPIES_FACTOR: Final = 0.9
 
 
 class LoadTime:
@@ -108,11 +106,11 @@
     def note_late(self, fetching: int = 0) -> None:
         """Record a load that was not ready when expected.
 
-        ``fetching`` is the number of loads that were in progress when it began. The
-        estimate of the fetch time is raised, or that of the fetches at full speed
-        lowered if there were about as many.
+        ``fetching`` is the number of loads that were in progress when it began. With
+        more than run at full speed, that number is lowered, else the estimate of the
+        fetch time is raised.
         """
-        if fetching + 1 > self._full_speed_fetches * _CROWDED_FRACTION:
+        if fetching + 1 > self._full_speed_fetches:
             fetches = self._full_speed_fetches * _LOWER_FETCHES_FACTOR
             self._full_speed_fetches = max(_MIN_FULL_SPEED_FETCHES, fetches)
             return
@@ -124,10 +122,12 @@
     def note_on_time(self, fetching: int = 0) -> None:
         """Record a load that was ready when expected; lower the estimate.
 
-        ``fetching`` is the number of loads that were in progress when it began.
+        ``fetching`` is the number of loads that were in progress when it began. With
+        more than run at full speed, the load says nothing of the time at full speed.
         """
         if fetching + 1 > self._full_speed_fetches:
             fetches = self._full_speed_fetches * _RAISE_FETCHES_FACTOR
             self._full_speed_fetches = min(_MAX_FULL_SPEED_FETCHES, fetches)
+            return
         factor = _LOWER_FACTOR if self._was_underestimated else _INITIAL_LOWER_FACTOR
         self._fetch_seconds = max(_MIN_FETCH_SECONDS, self._fetch_seconds * factor)
