Let requests wait for contended engines at their place keepers

Cause: hosts hear of the load of engines every 0.15 to 1 s, and send to the same free place at once; the waiting is then in the engines, where no rank counts. Change: where requests wait in a queue and engines are contended, hosts ask the engine's place keeper, as for plain servers. Hosts confirm places in use, so that long streams keep theirs.

--- a/src/gooseberrydeal/_internal/models/routing/place_messages.py
+++ b/src/gooseberrydeal/_internal/models/routing/place_messages.py
@@ -24,7 +24,9 @@
 
     ``number`` is different for each request of an incarnation of a host. The request
     is late if its response begins later than ``late_in`` seconds from now, and useless
-    after ``useless_in`` seconds. ``account`` is empty without a client account.
+    after ``useless_in`` seconds. ``account`` is empty without a client account, and
+    ``tokens`` is what it may occupy of an engine's memory. With ``is_in_use`` it says
+    that the place, which was granted, is still needed.
     """
 
     host: HostId
@@ -35,6 +37,8 @@
     late_in: float
     useless_in: float
     account: AccountName
+    tokens: int = 0
+    is_in_use: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gooseberrydeal/_internal/network/place_codec.py
+++ b/src/gooseberrydeal/_internal/network/place_codec.py
@@ -42,11 +42,14 @@
         _to_milliseconds(request.late_in),
         _to_milliseconds(request.useless_in),
         request.account,
+        request.tokens,
+        request.is_in_use,
     ]
 
 
 def _parse_request(fields: list[Any]) -> PlaceRequest:
-    host, incarnation, number, server, rank, late_in, useless_in, account = fields[:8]
+    host, incarnation, number, server, rank, late_in, useless_in = fields[:7]
+    account, tokens, is_in_use = fields[7:10]
     return PlaceRequest(
         HostId(str(host)),
         int(incarnation),
@@ -56,6 +59,8 @@
         _to_seconds(late_in),
         _to_seconds(useless_in),
         AccountName(str(account)),
+        max(0, int(tokens)),
+        bool(is_in_use),
     )
 
 
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -32,12 +32,16 @@
 from gooseberrydeal._internal.operations.router.waiting.admission_queues import (
     AdmissionQueues,
 )
+from gooseberrydeal._internal.operations.router.waiting.engine_places import (
+    EnginePlaces,
+)
 from gooseberrydeal._internal.operations.router.waiting.place_client import (
     PlaceClient,
 )
 from gooseberrydeal._internal.operations.router.waiting.plain_assignment import (
     PlainAssignment,
 )
+from gooseberrydeal._internal.operations.router.waiting.request_turn import RequestTurn
 from gooseberrydeal._internal.policy.adapter_demand import AdapterDemand
 from gooseberrydeal._internal.policy.engine_choice import (
     EngineAction,
@@ -83,6 +87,7 @@
         self._queues = AdmissionQueues(
             view, servers, signal, metrics or RouterMetrics(), clock, rng
         )
+        self._engine_places = EnginePlaces(places, self._queues, clock, rng)
         eligible.brittle.add_release_listener(self._queues.request_ended)
         self._on_load_requested = on_load_requested
         self._clock = clock
@@ -123,6 +128,7 @@
         adapter = request.attributes.adapter
         assert adapter is not None
         self._demand.note_request(adapter, started_at)
+        request.release_place()
         turn = self._queues.turn(request)
         pending_load: PendingLoad | None = None
         try:
@@ -135,13 +141,18 @@
                 decision = self._decide(request, copy, records, now)
                 proposed = self._proposed_load(decision, copy, now)
                 found = await self._find_sendable(request, copy, decision, proposed)
-                if found is not None and not turn.must_hold_back(found[0]):
+                placed = await self._engine_places.place(
+                    request, turn, copy, found, records, is_loading=proposed is not None
+                )
+                if isinstance(placed, NoAssignment):
+                    return placed
+                if isinstance(placed, tuple):
                     requested_at = (
                         now if pending_load is None else pending_load.requested_at
                     )
-                    self._limits.take(found[0])
+                    self._limits.take(placed[0])
                     turn.note_sent()
-                    return Assignment(*found, now - requested_at)
+                    return Assignment(*placed, now - requested_at)
                 refusal = self._eligible.final_refusal(
                     request,
                     has_engine=decision.action is not EngineAction.NO_ENGINE,
@@ -159,19 +170,29 @@
                     pending_load = self._request_load(
                         pending_load, proposed, _target_deadline(request), now
                     )
-                seconds = _RECHECK_INTERVAL_SECONDS
-                if pending_load is not None:
-                    ready_in = pending_load.record.ready_in(copy, now)
-                    seconds = ready_in if ready_in > 0 else seconds
-                is_loading = pending_load is not None
                 if pending_load is None or pending_load.is_overdue(now):
                     checks_without_load += 1
-                await turn.wait(copy, seconds, is_loading=is_loading)
+                if placed is None:
+                    await self._wait(turn, copy, pending_load, now)
         finally:
             turn.end()
             if pending_load is not None:
                 pending_load.record.remove_load_request(pending_load.copy)
 
+    async def _wait(
+        self,
+        turn: RequestTurn,
+        copy: AdapterCopyKey,
+        pending_load: PendingLoad | None,
+        now: float,
+    ) -> None:
+        """Wait for a change, or until the load that was requested is expected."""
+        seconds = _RECHECK_INTERVAL_SECONDS
+        if pending_load is not None:
+            ready_in = pending_load.record.ready_in(copy, now)
+            seconds = ready_in if ready_in > 0 else seconds
+        await turn.wait(copy, seconds, is_loading=pending_load is not None)
+
     def _request_load(
         self,
         current: PendingLoad | None,
--- a/src/gooseberrydeal/_internal/operations/router/waiting/admission_queues.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/admission_queues.py
@@ -61,7 +61,7 @@
     def turn(self, request: RoutedRequest) -> RequestTurn:
         """Return how a request that begins to look for an engine waits."""
         now = self._clock()
-        if not self._has_queue(request.service, now):
+        if not self.has_queue(request.service):
             return PolledTurn(request, self._signal, now)
         queue = self._queues.get(request.service)
         if queue is None:
@@ -95,7 +95,9 @@
             self._rng,
         )
 
-    def _has_queue(self, service: ServiceName, now: float) -> bool:
+    def has_queue(self, service: ServiceName) -> bool:
+        """Return whether requests for a service wait in a queue."""
+        now = self._clock()
         configuration = self._view.configuration
         if configuration is not self._configuration:
             self._configuration = configuration
--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_client.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_client.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import AccountName, ServerId, ServiceName
@@ -22,6 +23,7 @@
 from gooseberrydeal._internal.operations.router.waiting.keeper_silence import (
     KeeperSilence,
 )
+from gooseberrydeal._internal.operations.router.waiting.no_place import NoPlace
 from gooseberrydeal._internal.operations.router.waiting.place_link import PlaceLink
 from gooseberrydeal._internal.operations.router.waiting.place_waiter import (
     PlaceAsk,
@@ -45,8 +47,6 @@
 _PATIENCE_FRACTION: Final = 0.5
 # Requests of plain services take some tens of ms; a load stated before is too old.
 _LOAD_SECONDS: Final = 0.1
-# For a response to reach its caller before that gives up.
-_CALLER_MARGIN_SECONDS: Final = 0.05
 
 
 class PlaceClient:
@@ -73,27 +73,35 @@
         self._contention: dict[ServiceName, Contention] = {}
         self._silence = KeeperSilence()
         self._asks: dict[int, tuple[PlaceWaiter, PlaceAsk]] = {}
-        self._held: set[int] = set()
+        self._held: dict[int, PlaceAsk] = {}
         self._loads: dict[ServerId, tuple[int, float]] = {}
         self._last_number = 0
         link.set_handler(PlaceGrant, self.grant_received)
 
     def is_needed(self, service: ServiceName) -> bool:
-        """Return whether requests for a service have to ask for places now."""
-        contention = self._contention.get(service)
-        if contention is None or not contention.is_on(self._clock()):
+        """Return whether requests for a plain service have to ask for places now."""
+        if not self.is_contended(service):
             return False
         records = self._servers.of_service(service)
         return sum(r.entry.slots for r in records) < len(self._view.hosts)
 
+    def is_contended(self, service: ServiceName) -> bool:
+        """Return whether the servers of a service have little room left."""
+        contention = self._contention.get(service)
+        return contention is not None and contention.is_on(self._clock())
+
+    def note_full(self, record: ServerRecord) -> None:
+        """Record that a server of a service has no room, as far as this host knows."""
+        self._contention_of(record).note_rejected(self._clock())
+
     def response_received(
         self, record: ServerRecord, attributes: ResponseAttributes
     ) -> None:
         """Apply what a response says of how full its server is."""
-        if record.service.engine is not None:
-            return
         contention = self._contention_of(record)
-        if attributes.is_not_run and attributes.wait_seconds is None:
+        is_rejected = attributes.is_not_run and attributes.wait_seconds is None
+        # Engines also turn requests away whose adapter they do not have.
+        if is_rejected and record.service.engine is None:
             contention.note_rejected(self._clock())
         load = attributes.load
         if load is not None:
@@ -104,7 +112,8 @@
     def grant_received(self, grant: PlaceGrant) -> None:
         """Take in the answer of a place keeper.
 
-        A place whose request no longer waits for it is given back at once.
+        A place whose request no longer waits for it is given back at once, and that of
+        a request that is being served is confirmed.
         """
         record = self._servers.get(grant.server)
         if record is not None and grant.is_contended:
@@ -118,7 +127,13 @@
         if found is not None:
             waiter, ask = found
             waiter.note_answer(ask, grant)
-        elif grant.outcome is PlaceOutcome.GRANTED and grant.number not in self._held:
+            return
+        if grant.outcome is not PlaceOutcome.GRANTED:
+            return
+        held = self._held.get(grant.number)
+        if held is not None:
+            self._link.send(held.keeper, replace(held.message, is_in_use=True))
+        else:
             self._metrics.count_place("granted_late")
             own = self._link.own
             release = PlaceRelease(
@@ -127,17 +142,24 @@
             self._link.send(grant.keeper, release)
 
     async def acquire(
-        self, request: RoutedRequest, records: Sequence[ServerRecord], now: float
-    ) -> HeldPlace | float | None:
+        self,
+        request: RoutedRequest,
+        records: Sequence[ServerRecord],
+        useless_in: float,
+        late_in: float,
+        patience: float = math.inf,
+    ) -> HeldPlace | NoPlace | None:
         """Return a place at one of the servers, which are in order of preference.
 
-        Returns after how many seconds to try again if there is none in time, and
-        ``None`` if that is not known, as a keeper does not answer. ``now`` is the time
-        on the clock of the request.
+        Returns ``None`` if a keeper does not answer. The response is late if it begins
+        after ``late_in`` seconds, and useless after ``useless_in``. The request waits
+        for ``patience`` seconds at most.
         """
         waiter = PlaceWaiter()
         try:
-            found = await self._acquire(waiter, request, records, now)
+            found = await self._acquire(
+                waiter, request, records, useless_in, late_in, patience
+            )
         finally:
             for ask in waiter.asks:
                 del self._asks[ask.message.number]
@@ -145,9 +167,9 @@
                     self._release(ask, was_rejected=False)
         if found is None:
             self._metrics.count_place("keeper_silent")
-        elif isinstance(found, float):
+        elif isinstance(found, NoPlace) and found.is_final:
             self._metrics.count_place("none_in_time")
-            self._log_refusal(request, waiter, found)
+            self._log_refusal(request, waiter, found.seconds)
         return found
 
     async def _acquire(
@@ -155,11 +177,11 @@
         waiter: PlaceWaiter,
         request: RoutedRequest,
         records: Sequence[ServerRecord],
-        now: float,
-    ) -> HeldPlace | float | None:
-        late_in = request.arrived_at + request.route.target_latency - now
-        useless_in = request.deadline - now - _CALLER_MARGIN_SECONDS
-        ends_at = self._clock() + useless_in
+        useless_in: float,
+        late_in: float,
+        patience: float,
+    ) -> HeldPlace | NoPlace | None:
+        ends_at = self._clock() + min(useless_in, patience)
         for record in records[:_MAX_KEEPERS]:
             ask = self._new_ask(waiter, request, record, late_in, useless_in)
             if ask is None or not await self._ask(waiter, ask):
@@ -170,8 +192,11 @@
             if ask.waits_at_most(late_in * _PATIENCE_FRACTION):
                 break
         while waiter.waiting and self._clock() < ends_at:
-            seconds = min(max(waiter.retry_after, _MIN_REPEAT_SECONDS), useless_in)
-            if await waiter.wait_for_change(min(seconds, _MAX_REPEAT_SECONDS)):
+            seconds = max(waiter.retry_after, _MIN_REPEAT_SECONDS)
+            seconds = min(seconds, _MAX_REPEAT_SECONDS, ends_at - self._clock())
+            if await waiter.wait_for_change(seconds):
+                break
+            if self._clock() >= ends_at:
                 break
             for ask in waiter.waiting:
                 if not await self._ask(waiter, ask):
@@ -179,7 +204,8 @@
         if waiter.granted is not None:
             self._metrics.count_place("granted_after_wait")
             return self._hold(waiter, waiter.granted)
-        return waiter.retry_after
+        is_final = not waiter.waiting or patience >= useless_in
+        return NoPlace(waiter.retry_after, is_final)
 
     def _new_ask(
         self,
@@ -204,6 +230,7 @@
             late_in,
             useless_in,
             AccountName("") if account is None else account.name,
+            request.tokens if record.service.engine is not None else 0,
         )
         ask = PlaceAsk(message, keeper)
         waiter.asks.append(ask)
@@ -226,7 +253,7 @@
 
     def _hold(self, waiter: PlaceWaiter, ask: PlaceAsk) -> HeldPlace:
         waiter.held = ask
-        self._held.add(ask.message.number)
+        self._held[ask.message.number] = ask
         seconds = 0.0 if ask.answer is None else ask.answer.seconds
         return HeldPlace(
             ask.server,
@@ -238,7 +265,7 @@
     def _release(self, ask: PlaceAsk, *, was_rejected: bool) -> None:
         """Give a place back, or withdraw a request for one."""
         message = ask.message
-        self._held.discard(message.number)
+        self._held.pop(message.number, None)
         release = PlaceRelease(
             message.host,
             message.incarnation,
--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_keeper.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_keeper.py
@@ -22,6 +22,7 @@
     PlaceId,
     PlaceQueue,
 )
+from gooseberrydeal._internal.policy.waiting.server_room import ServerRoom
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
 
 logger = logging.getLogger(__name__)
@@ -91,15 +92,19 @@
         if not self._link.is_known(request.host):
             return
         now = self._clock()
+        place = PlaceId(request.host, request.incarnation, request.number)
         kept = self._find(record, now)
+        if request.is_in_use:
+            kept.queue.confirm(place, now)
+            return
         kept.queue.drop_earlier(request.host, request.incarnation)
         wish = WaitingRequest(
             request.rank,
             request.account,
             now + request.late_in,
             now + request.useless_in,
+            request.tokens,
         )
-        place = PlaceId(request.host, request.incarnation, request.number)
         self._answer(record.id, kept, kept.queue.ask(place, wish, now))
         self._notify(record.id, kept, now)
         self._arm()
@@ -121,14 +126,16 @@
         self._answer(release.server, kept, answers)
 
     def _keeps(self, record: ServerRecord) -> bool:
-        is_plain = record.service.engine is None and record.accepts_requests
-        return is_plain and self._link.keeper(record) == self._link.own.host
+        is_own = self._link.keeper(record) == self._link.own.host
+        return is_own and record.accepts_requests
 
     def _find(self, record: ServerRecord, now: float) -> _KeptServer:
         kept = self._kept.get(record.id)
         if kept is None or kept.started_at != record.entry.started_at:
             assumed = round(record.load.requests(self._now()))
-            queue = PlaceQueue(record.entry.slots, assumed, now)
+            room = ServerRoom.from_capacity(record.entry.slots, record.service.engine)
+            tokens = record.load.tokens(self._now())
+            queue = PlaceQueue(room, assumed, now, tokens)
             kept = _KeptServer(queue, record.entry.started_at, now)
             self._kept[record.id] = kept
             logger.info(
--- a/src/gooseberrydeal/_internal/operations/router/waiting/plain_assignment.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/plain_assignment.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
+from typing import Final
 
 from gooseberrydeal._internal.models.ids import DomainName, ServerId
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
@@ -15,6 +16,7 @@
 from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.waiting.held_place import HeldPlace
+from gooseberrydeal._internal.operations.router.waiting.no_place import NoPlace
 from gooseberrydeal._internal.operations.router.waiting.place_client import (
     PlaceClient,
 )
@@ -24,6 +26,9 @@
 )
 from gooseberrydeal._internal.policy.waiting.retry_jitter import jittered_retry_after
 
+# For a response to reach its caller before that gives up.
+_CALLER_MARGIN_SECONDS: Final = 0.05
+
 
 class PlainAssignment:
     """Choose the plain server with the least load, with a place where one is needed.
@@ -66,8 +71,8 @@
         server: ServerId = best.server
         if self._needs_place(request, records, best):
             found = await self._acquire(request, records, candidates, best)
-            if isinstance(found, float):
-                seconds = jittered_retry_after(found, self._rng)
+            if isinstance(found, NoPlace):
+                seconds = jittered_retry_after(found.seconds, self._rng)
                 return NoAssignment(RefusalReason.OVERLOADED, seconds)
             if found is not None:
                 request.place = found
@@ -93,13 +98,19 @@
         records: Mapping[ServerId, ServerRecord],
         candidates: Sequence[PlainCandidate],
         best: PlainCandidate,
-    ) -> HeldPlace | float | None:
+    ) -> HeldPlace | NoPlace | None:
         assert self._places is not None
         others = [c for c in candidates if c is not best and not c.is_avoided]
         second = choose_plain_server(others, self._rng)
         order = [best] if second is None else [best, second]
         wanted = [records[item.server] for item in order]
-        return await self._places.acquire(request, wanted, self._clock())
+        now = self._clock()
+        return await self._places.acquire(
+            request,
+            wanted,
+            request.deadline - now - _CALLER_MARGIN_SECONDS,
+            request.arrived_at + request.route.target_latency - now,
+        )
 
     def _candidates(
         self, records: Mapping[ServerId, ServerRecord]
--- a/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/place_queue.py
@@ -7,6 +7,7 @@
 from gooseberrydeal._internal.models.routing.place_messages import PlaceOutcome
 from gooseberrydeal._internal.policy.waiting.place_limit import PlaceLimit
 from gooseberrydeal._internal.policy.waiting.place_utilisation import PlaceUtilisation
+from gooseberrydeal._internal.policy.waiting.server_room import ServerRoom
 from gooseberrydeal._internal.policy.waiting.service_times import ServiceTimes
 from gooseberrydeal._internal.policy.waiting.urgency import Urgency
 from gooseberrydeal._internal.policy.waiting.waiting_request import WaitingRequest
@@ -14,9 +15,8 @@
 # Added to the longest service time seen: a busy host can take this long to report the
 # end of a request.
 _LEASE_MARGIN_SECONDS: Final = 0.5
-# A place that is held for longer than this multiple of the mean service time is granted
-# again: the first grant or the release may have been lost. Service times of one server
-# vary less than that.
+# A place of which nothing was heard for this multiple of the mean service time is
+# granted again: the grant or the release may have been lost. Most requests end before.
 _REPEAT_AFTER_MEANS: Final = 1.6
 # A message about a place that ended up to this long ago is a late or doubled one.
 _ENDED_SECONDS: Final = 3.0
@@ -44,23 +44,30 @@
 class PlaceQueue:
     """Count the places that were granted, and queue the requests that wait for one.
 
-    ``assumed`` requests are at the server that this queue did not grant. Their places
-    are free one after the other within the usual service time.
+    ``assumed`` requests are at the server that this queue did not grant, and occupy
+    ``assumed_tokens``. Their places are free one after the other within the usual
+    service time.
     """
 
-    def __init__(self, slots: int, assumed: int, now: float) -> None:
-        self._slots = max(1, slots)
-        self._times = ServiceTimes()
+    def __init__(
+        self, room: ServerRoom, assumed: int, now: float, assumed_tokens: float = 0.0
+    ) -> None:
+        self._room = room
+        self._slots = room.slots
+        self._times = ServiceTimes(room.usual_seconds)
         self._urgency = Urgency()
         self._utilisation = PlaceUtilisation(now)
         self._waiting: dict[PlaceId, WaitingRequest] = {}
         self._granted_at: dict[PlaceId, float] = {}
+        self._tokens: dict[PlaceId, int] = {}
         self._repeated_at: dict[PlaceId, float] = {}
+        self._heard_at: dict[PlaceId, float] = {}
         self._ended_at: dict[PlaceId, float] = {}
         self._limit = PlaceLimit(self._slots)
         count = min(assumed, self._slots)
         step = self._times.mean / max(1, count)
         self._assumed_until = [now + step * (index + 1) for index in range(count)]
+        self._assumed_tokens = assumed_tokens / max(1, count)
         self._expired = 0
 
     @property
@@ -117,8 +124,7 @@
 
         ``load`` is how many requests the server said to have.
         """
-        granted_at = self._granted_at.pop(place, None)
-        self._repeated_at.pop(place, None)
+        granted_at = self._take_back(place)
         self._waiting.pop(place, None)
         self._ended_at[place] = now
         if was_rejected:
@@ -129,28 +135,38 @@
                 self._limit.note_load(load, has_waiting=bool(self._waiting))
         return self.advance(now)
 
+    def confirm(self, place: PlaceId, now: float) -> None:
+        """Record that a host still uses a place."""
+        if place in self._granted_at:
+            self._heard_at[place] = now
+
     def drop_earlier(self, host: HostId, incarnation: int) -> None:
         """Forget what earlier incarnations of a host asked for and held."""
         for places in (self._waiting, self._granted_at):
             for place in [p for p in places if p.host == host]:
                 if place.incarnation != incarnation:
-                    del places[place]
-                    self._repeated_at.pop(place, None)
+                    self._waiting.pop(place, None)
+                    self._take_back(place)
 
     def advance(self, now: float) -> list[PlaceAnswer]:
         """Return the answers that are due: places granted, and requests refused."""
         self._expire(now)
         answers = []
-        seconds = self._times.mean
+        seconds = self._response_seconds
         while self._waiting and self._in_use < self._limit.places(now):
             place = self._urgency.next(self._waiting, now, seconds)
             request = self._waiting[place]
             if now + seconds > request.useless_at:
                 answers.append(self._refuse(place, now))
                 continue
+            if not self._room.has_memory(self._tokens_in_use, request.tokens):
+                # Smaller ones do not go before it, or it might never fit.
+                break
             del self._waiting[place]
             self._urgency.note_served(request, self._waiting)
             self._granted_at[place] = self._repeated_at[place] = now
+            self._heard_at[place] = now
+            self._tokens[place] = request.tokens
             answers.append(self._grant(place))
         self._note_utilisation(now)
         return answers
@@ -159,7 +175,7 @@
         """Refuse requests that can't get a place in time, as others go before them."""
         kept = 0
         answers = []
-        for place in self._urgency.order(self._waiting, now, self._times.mean):
+        for place in self._urgency.order(self._waiting, now, self._response_seconds):
             wait = (kept + 1) * self._turn_seconds
             if self._is_hopeless(self._waiting[place], wait, now):
                 answers.append(self._refuse(place, now))
@@ -170,14 +186,13 @@
     def repeat_grants(self, now: float) -> list[PlaceAnswer]:
         """Return the grants of places that should have been released by now.
 
-        Their hosts use the place, or give it back if they do not hold it any more. The
-        time to the next repetition doubles.
+        Their hosts confirm that they use the place, use it now, or give it back if they
+        do not hold it any more.
         """
+        before = now - self._times.mean * _REPEAT_AFTER_MEANS
         answers = []
-        for place, granted_at in self._granted_at.items():
-            repeated_at = self._repeated_at[place]
-            least = self._times.mean * _REPEAT_AFTER_MEANS
-            if now - repeated_at > max(least, repeated_at - granted_at):
+        for place, repeated_at in self._repeated_at.items():
+            if repeated_at < before:
                 self._repeated_at[place] = now
                 answers.append(self._grant(place))
         return answers
@@ -186,6 +201,17 @@
         """Refuse all waiting requests, since the server takes none any more."""
         return [self._refuse(place, now) for place in list(self._waiting)]
 
+    @property
+    def _response_seconds(self) -> float:
+        """Return how long after a grant the response is of use to its caller."""
+        first_event = self._room.first_event_seconds
+        return self._times.mean if first_event is None else first_event
+
+    @property
+    def _tokens_in_use(self) -> float:
+        assumed = len(self._assumed_until) * self._assumed_tokens
+        return sum(self._tokens.values()) + assumed
+
     @property
     def _in_use(self) -> int:
         return len(self._granted_at) + len(self._assumed_until)
@@ -197,7 +223,15 @@
 
     @property
     def _lease(self) -> float:
-        return self._times.longest + _LEASE_MARGIN_SECONDS
+        repeated_after = self._times.mean * _REPEAT_AFTER_MEANS
+        return max(self._times.longest, repeated_after) + _LEASE_MARGIN_SECONDS
+
+    def _take_back(self, place: PlaceId) -> float | None:
+        """Free a place; return when it was granted, ``None`` if it was not."""
+        self._repeated_at.pop(place, None)
+        self._heard_at.pop(place, None)
+        self._tokens.pop(place, None)
+        return self._granted_at.pop(place, None)
 
     def _grant(self, place: PlaceId) -> PlaceAnswer:
         return PlaceAnswer(place, PlaceOutcome.GRANTED, self._lease)
@@ -211,19 +245,19 @@
 
     def _expected_wait(self, place: PlaceId, now: float) -> float:
         ahead = self._urgency.count_ahead(
-            self._waiting[place], self._waiting.values(), now, self._times.mean
+            self._waiting[place], self._waiting.values(), now, self._response_seconds
         )
         return (ahead + 1) * self._turn_seconds
 
     def _is_hopeless(self, request: WaitingRequest, wait: float, now: float) -> bool:
-        served_at = now + wait + self._times.mean
+        served_at = now + wait + self._response_seconds
         return served_at > request.useless_at or len(self._waiting) > _MAX_WAITING
 
     def _expire(self, now: float) -> None:
         """Free places whose lease has ended, and forget what is long over."""
         oldest = now - self._lease
-        for place in [p for p, at in self._granted_at.items() if at <= oldest]:
-            del self._granted_at[place], self._repeated_at[place]
+        for place in [p for p, at in self._heard_at.items() if at <= oldest]:
+            self._take_back(place)
             self._ended_at[place] = now
             self._expired += 1
         self._assumed_until = [at for at in self._assumed_until if at > now]
--- a/src/gooseberrydeal/_internal/policy/waiting/service_times.py
+++ b/src/gooseberrydeal/_internal/policy/waiting/service_times.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 # Assumed until a request was observed.
-_DEFAULT_SECONDS: Final = 0.1
+DEFAULT_SECONDS: Final = 0.1
 # Weight of the newest observation in the mean, which follows a server that slows down
 # within about ten requests.
 _NEWEST_WEIGHT: Final = 0.1
@@ -14,15 +14,16 @@
 class ServiceTimes:
     """Keep the mean and the recent maximum of observed times, in seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, default: float = DEFAULT_SECONDS) -> None:
+        self._default = default
         self._mean: float | None = None
-        self._longest = [_DEFAULT_SECONDS, _DEFAULT_SECONDS]
+        self._longest = [default, default]
         self._period_began_at = 0.0
 
     @property
     def mean(self) -> float:
         """Return the mean, in which newer observations weigh more."""
-        return _DEFAULT_SECONDS if self._mean is None else self._mean
+        return self._default if self._mean is None else self._mean
 
     @property
     def longest(self) -> float:
--- a/tests/unit/test_place_queue.py
+++ b/tests/unit/test_place_queue.py
@@ -21,6 +21,7 @@
     PlaceId,
     PlaceQueue,
 )
+from gooseberrydeal._internal.policy.waiting.server_room import ServerRoom
 from gooseberrydeal._internal.policy.waiting.urgency import (
     MIN_RANK_SHARE_PLACES,
     Urgency,
@@ -40,7 +41,7 @@
 
 
 def _full_queue() -> PlaceQueue:
-    queue = PlaceQueue(_SLOTS, 0, 0.0)
+    queue = PlaceQueue(ServerRoom(_SLOTS), 0, 0.0)
     for number in range(_PLACES):
         queue.ask(_place(number), _request(), 0.0)
     return queue
@@ -70,6 +71,27 @@
     assert queue.expired == _PLACES
 
 
+def test_places_that_hosts_confirm_are_not_given_to_others() -> None:
+    # Guards against long streams whose place is given to another request.
+    queue = _full_queue()
+    queue.ask(_place(9), _request(), 0.0)
+    for step in range(1, 40):
+        for answer in queue.repeat_grants(step / 10):
+            queue.confirm(answer.place, step / 10)
+        assert _granted(queue.advance(step / 10)) == []
+
+
+def test_requests_wait_until_the_memory_of_the_engine_has_room() -> None:
+    # Guards against engines that end since their requests exceed their memory.
+    queue = PlaceQueue(ServerRoom(20, max_tokens=1000.0), 2, 0.0, 300.0)
+    sizes = {1: 400, 2: 400, 3: 100}
+    for number, tokens in sizes.items():
+        queue.ask(_place(number), WaitingRequest(0, "", number, 60.0, tokens), 0.0)
+    # The small one does not overtake, so that the large one gets its turn.
+    assert (queue.granted, queue.waiting) == (1, 2)
+    assert _granted(queue.advance(0.2)) == [2, 3]
+
+
 def test_a_restarted_host_holds_nothing() -> None:
     queue = _full_queue()
     queue.drop_earlier(HostId("h1"), 2)
@@ -77,7 +99,7 @@
 
 
 def test_late_and_doubled_requests_take_no_place() -> None:
-    queue = PlaceQueue(_SLOTS, 0, 0.0)
+    queue = PlaceQueue(ServerRoom(_SLOTS), 0, 0.0)
     queue.release(_place(5), 0.0, was_rejected=False)
     assert queue.ask(_place(5), _request(), 0.01) == []
     first = queue.ask(_place(6), _request(), 0.01)
@@ -136,6 +158,8 @@
         _times,
         _times,
         _names.map(AccountName),
+        _numbers,
+        st.booleans(),
     ),
     st.builds(
         PlaceGrant,
