--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -174,14 +174,9 @@
         self._declaration_watch = DeclarationWatch(
             store, self._view, decoder.declaration_prefix, self._follower, now
         )
+        exchange = self._report_exchange
         self._places = PlaceSharing(
-            membership,
-            self._view,
-            self._servers,
-            self._report_exchange,
-            self._metrics,
-            now,
-            clock.seconds_since_boot,
+            membership, self._view, self._servers, exchange, self._metrics, clock
         )
         self._dispatcher = Dispatcher(
             self._servers,
--- a/src/gooseberrydeal/_internal/operations/router/waiting/place_sharing.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/place_sharing.py
@@ -1,7 +1,5 @@
 """Connect the parts that share the places of plain servers."""
 
-from collections.abc import Callable
-
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.place_messages import (
     PlaceGrant,
@@ -19,13 +17,13 @@
     PlaceKeeper,
 )
 from gooseberrydeal._internal.operations.router.waiting.place_link import PlaceLink
+from gooseberrydeal._internal.utils.clock import SystemClock
 
 
 class PlaceSharing:
     """Let this host ask for places, and allocate those of the servers it keeps.
 
-    ``now`` is the clock of requests; ``seconds_since_boot`` counts the time while the
-    host is suspended.
+    Places go by the clock that counts the time while the host is suspended.
     """
 
     def __init__(
@@ -35,12 +33,12 @@
         servers: ServerTable,
         exchange: ReportExchange,
         metrics: RouterMetrics,
-        now: Callable[[], float],
-        seconds_since_boot: Callable[[], float],
+        clock: SystemClock,
     ) -> None:
-        link = PlaceLink(membership, view, exchange.send, seconds_since_boot)
-        self._client = PlaceClient(link, view, servers, metrics, seconds_since_boot)
-        self._keeper = PlaceKeeper(link, servers, metrics, now, seconds_since_boot)
+        elapsed = clock.seconds_since_boot
+        link = PlaceLink(membership, view, exchange.send, elapsed)
+        self._client = PlaceClient(link, view, servers, metrics, elapsed)
+        self._keeper = PlaceKeeper(link, servers, metrics, clock.monotonic, elapsed)
         exchange.set_handler(PlaceRequest, self._keeper.request_received)
         exchange.set_handler(PlaceRelease, self._keeper.release_received)
         exchange.set_handler(PlaceGrant, self._client.grant_received)
