Keep all hosts together under a server's cap on connections

Cause, by the code: each host's share is the cap divided by the hosts listed at the time. When hosts leave, the others' shares grow at once, while a server still counts the connections of hosts that lost power or their network; connections opened by probes were not counted, and idle ones stayed open when a share shrank.

Change: a share is 0.85 of the cap divided by the most hosts listed within the last minute. Idle connections count, and those unused for longest are closed beyond the share.

--- a/src/gooseberrydeal/_internal/network/http1/connection_pool.py
+++ b/src/gooseberrydeal/_internal/network/http1/connection_pool.py
@@ -74,8 +74,9 @@
         return any(connection.is_reusable() for connection in self._idle)
 
     def set_limit(self, max_connections: int) -> None:
-        """Change the maximum number of connections in use."""
+        """Change the maximum number of connections, and close idle ones beyond it."""
         self._max_connections = max_connections
+        self._close_excess()
 
     async def acquire(
         self, avoided: Collection[ServerConnection] = ()
@@ -97,6 +98,9 @@
             else:
                 found = connection
         self._idle += reversed(kept)
+        if found is None and kept:
+            # A connection that is to be avoided gives way to the new one.
+            self._close_excess(spare=1)
         if found is not None:
             self._in_use += 1
             return found
@@ -118,12 +122,14 @@
         :class:`ServerUnreachableError` if it can't be made.
         """
         self._idle.append(await self._open())
+        self._close_excess()
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool after its response has ended."""
         self._in_use -= 1
-        if connection.is_reusable() and self._in_use < self._max_connections:
+        if connection.is_reusable():
             self._idle.append(connection)
+            self._close_excess()
         else:
             connection.abort()
 
@@ -148,6 +154,13 @@
             connection.abort()
         self._idle.clear()
 
+    def _close_excess(self, spare: int = 0) -> None:
+        """Close the idle connections unused for longest, down to ``spare`` below."""
+        excess = self._in_use + len(self._idle) + spare - self._max_connections
+        for connection in self._idle[: max(0, excess)]:
+            connection.abort()
+        del self._idle[: max(0, excess)]
+
     async def _open(self) -> ServerConnection:
         host, port = split_ip_and_port(self._address)
         loop = asyncio.get_running_loop()
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -11,6 +11,7 @@
 )
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
+from gooseberrydeal._internal.policy.connection_share import ConnectionShare
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.speeds.usual_speeds import UsualSpeeds
 
@@ -25,6 +26,7 @@
         self._entries: dict[ServerId, ServerEntry] = {}
         self._configuration: RoutingConfiguration | None = None
         self._hosts = 1
+        self._share = ConnectionShare()
         self._periods = ExchangePeriods()
         self._loads_in_progress: dict[ServerId, tuple[int, float]] = {}
         self._generation = 0
@@ -83,6 +85,7 @@
         """
         if hosts != self._hosts:
             self._hosts = max(1, hosts)
+            self._share.note_hosts(hosts, self._clock())
             self._periods = ExchangePeriods.for_hosts(hosts)
             for record in self._records.values():
                 record.pool.set_limit(self._connection_limit(record.entry))
@@ -153,4 +156,4 @@
             return 1
         service = self._configuration.services.get(entry.service)
         limit = 1 if service is None else service.max_connections
-        return max(2, int(limit / self._hosts))
+        return self._share.limit(limit, self._clock())
