Choose the better of two engines where many hosts read the same statuses

Cause: with more than 16 hosts a status is 0.1 s old or more, and all hosts sent to the engine of the lowest cost in it, ties by name.

Change: in such deployments choose_engine takes the better of two random engines among those that are ready within 0.2 s of the lowest cost. Up to 16 hosts nothing changes.

--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -290,7 +290,9 @@
         expected_uses = self._demand.expected_uses(copy.key, now) * len(
             self._view.hosts
         )
-        return choose_engine(copy, size, candidates, expected_uses)
+        # With few hosts, statuses are recent and the least loaded engine is the best.
+        rng = None if self._view.periods.reports_all else self._rng
+        return choose_engine(copy, size, candidates, expected_uses, rng)
 
 
 def _target_deadline(request: RoutedRequest) -> float:
--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -1,6 +1,7 @@
 """Choose the engine for a request that names a model or an adapter."""
 
 import math
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -34,6 +35,9 @@
 _RANK_SECONDS: Final = 0.02
 # A new copy goes to the least loaded of this many top-ranked engines.
 _MAX_RANKED_ENGINES: Final = 4
+# Costs that differ by less than this are not told apart where many hosts choose by the
+# same statuses, which are about this old: all would send to the same engine.
+_SAME_COST_SECONDS: Final = 0.2
 # Penalty for an engine in another failure domain, which causes cross-domain traffic.
 _OTHER_DOMAIN_PENALTY_SECONDS: Final = 0.01
 # Penalty at a failure rate of 1; lower rates are charged proportionally.
@@ -178,6 +182,7 @@
     size: RequestSize,
     candidates: Sequence[EngineCandidate],
     expected_uses: float = 1.0,
+    rng: random.Random | None = None,
 ) -> EngineDecision:
     """Return where to send a request, or where to load its adapter first.
 
@@ -187,7 +192,8 @@
     first, load time included. For a new copy, engines with similar queues are taken in
     the adapter's rendezvous order, so that hosts that decide at the same time agree.
     ``expected_uses`` is the expected number of requests that an additional copy would
-    serve; the cost of its fetch is divided among them.
+    serve; the cost of its fetch is divided among them. With ``rng``, the better of two
+    random engines is chosen among those that are ready at about the lowest cost.
     """
     if not candidates:
         return EngineDecision(EngineAction.NO_ENGINE)
@@ -214,7 +220,20 @@
             options += _load_options(copy, prompt, available, expected_uses)
     if not options:
         return _queue_decision(copy, available)
-    return min(options, key=lambda option: (option.cost_seconds, option.server))
+    best = min(options, key=_by_cost)
+    if rng is None or best.action is not EngineAction.SEND:
+        return best
+    limit = best.cost_seconds + _SAME_COST_SECONDS
+    near = [
+        option
+        for option in options
+        if option.action is EngineAction.SEND and option.cost_seconds <= limit
+    ]
+    return min(rng.sample(near, min(2, len(near))), key=_by_cost)
+
+
+def _by_cost(option: EngineDecision) -> tuple[float, str]:
+    return option.cost_seconds, option.server or ""
 
 
 def _queue_decision(
