--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from gooseberrydeal._internal.models.ids import ServiceName
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 
 _BUCKET_BOUNDS_SECONDS: Final = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 10.0]
@@ -62,6 +63,11 @@
             "What the router believes: version, servers, hosts, engines owned.",
             registry=self._registry,
         )
+        self._speed = Gauge(
+            "gooseberry_router_service_speed",
+            "The usual speed of a service's servers, by figure.",
+            registry=self._registry,
+        )
 
     def count_attempt(self, outcome: str) -> None:
         """Count an attempt to send a request to a backend server, by its outcome."""
@@ -99,6 +105,10 @@
         """Set one value of the state gauge, by name."""
         self._state.set({"name": name}, value)
 
+    def set_speed(self, service: ServiceName, figure: str, value: float) -> None:
+        """Set one figure of the usual speed of a service's servers."""
+        self._speed.set({"service": service, "figure": figure}, value)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         content, _ = render(self._registry, ["text/plain"])
--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -9,6 +9,9 @@
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.speeds.speed_gauges import (
+    export_speeds,
+)
 from gooseberrydeal._internal.operations.router.status_endpoint import (
     StatusEndpoint,
 )
@@ -70,4 +73,5 @@
         self._metrics.set_state("hosts", len(self._view.hosts))
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
+        export_speeds(self._servers, self._metrics)
         return HTTPStatus.OK, self._metrics.render()
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -10,6 +10,7 @@
     EngineStatus,
 )
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
+from gooseberrydeal._internal.operations.router.speeds.speed_log import SpeedLog
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
@@ -46,6 +47,7 @@
         self._may_load = may_load
         self._base_models = base_models
         self._speed = speed
+        self._speed_log = SpeedLog(server)
         self._periods = periods
         self._publish = publish
         self._clock = clock
@@ -88,6 +90,8 @@
             for key, copy in self._slots.copies.items()
         )
         requested = set(self._demand.load_requests(now))
+        speed = self._speed.observed(now)
+        self._speed_log.note(speed, now)
         return EngineStatus(
             self._owner,
             self._server,
@@ -101,7 +105,7 @@
             self._slowdown,
             tuple(sorted(self._base_models())),
             copies,
-            self._speed.observed(now),
+            speed,
         )
 
     def cancel(self) -> None:
--- a/src/gooseberrydeal/_internal/policy/speeds/server_speed.py
+++ b/src/gooseberrydeal/_internal/policy/speeds/server_speed.py
@@ -92,6 +92,9 @@
                 for name, value in _figures(usual)
             )
         )
+        # The share of a running request may be next to nothing.
+        slope = min(speed.step_seconds_per_request, self._owner.step_seconds)
+        self._owner = replace(self._owner, step_seconds_per_request=slope)
         self._owner_at = now
         self._current = None
         self._service.note(self._server, self._owner)
@@ -100,9 +103,7 @@
         """Return the figures for the owner's status, ``None`` with few responses."""
         if self._steps.count < _MIN_RESPONSES:
             return None
-        prefill = self._service.own_prefill(now)
-        own = replace(self._service.speed(now), seconds_per_prompt_token=prefill)
-        return self._blend(own, now)
+        return self._blend(self._service.own_speed(now), now)
 
     def current(self, now: float) -> EngineSpeed:
         """Return the speed that the engine is expected to have."""
--- a/src/gooseberrydeal/_internal/policy/speeds/service_speed.py
+++ b/src/gooseberrydeal/_internal/policy/speeds/service_speed.py
@@ -38,13 +38,18 @@
         self._known: dict[ServerId, EngineSpeed] = {}
         self._speed = DEFAULT_ENGINE_SPEED
         self._refresh_at = 0.0
-        self._own_prefill = DEFAULT_ENGINE_SPEED.seconds_per_prompt_token
+        self._own = DEFAULT_ENGINE_SPEED
 
     @property
     def known_engines(self) -> int:
         """Return the number of engines with a speed of their own."""
         return len(self._known)
 
+    @property
+    def latest(self) -> EngineSpeed:
+        """Return the usual speed as it was last needed."""
+        return self._speed
+
     @property
     def responses(self) -> int:
         """Return the number of responses from which the speed was learned."""
@@ -90,10 +95,10 @@
         usual = self._prefill.median
         return 1.0 if usual is None else samples.blend(usual, now) / usual
 
-    def own_prefill(self, now: float) -> float:
-        """Return the prefill time by this host's waits, in seconds per prompt token."""
+    def own_speed(self, now: float) -> EngineSpeed:
+        """Return the usual speed by what this host observed or was reported."""
         self.speed(now)
-        return self._own_prefill
+        return self._own
 
     def speed(self, now: float) -> EngineSpeed:
         """Return the usual speed, at most a quarter of a second old."""
@@ -103,22 +108,34 @@
         return self._speed
 
     def _current(self, now: float) -> EngineSpeed:
-        default = DEFAULT_ENGINE_SPEED
-        known = self._known.values()
-        is_known = len(known) >= _MIN_KNOWN_ENGINES
-        step = self._steps.blend(default.step_seconds, now)
-        prefill = self._prefill.blend(default.seconds_per_prompt_token, now)
-        step_tokens = self._step_tokens.estimate or default.step_tokens
-        if is_known:
-            step = statistics.median(item.step_seconds for item in known)
-            prefill = step * statistics.median(
-                item.seconds_per_prompt_token / item.step_seconds for item in known
-            )
-            step_tokens = statistics.median(item.step_tokens for item in known)
-        self._own_prefill = self._waits.slope_seconds or prefill
+        known = list(self._known.values())
+        prior = _median(known) if known else DEFAULT_ENGINE_SPEED
+        step = prior.step_seconds
+        prefill = prior.seconds_per_prompt_token
+        if len(known) < _MIN_KNOWN_ENGINES:
+            step = self._steps.blend(step, now)
+            prefill = self._prefill.blend(prefill, now)
+        slope = prior.step_seconds_per_request / prior.step_seconds
         # Observed steps have the requests' share in them while it is not known.
-        prior = default.step_seconds_per_request / default.step_seconds
-        slope = self._slope.relative(0.0 if is_known or self._steps.count else prior)
-        return EngineSpeed(
-            prefill if is_known else self._own_prefill, step, slope * step, step_tokens
+        slope = self._slope.relative(0.0 if known or self._steps.count else slope)
+        step_tokens = self._step_tokens.estimate or prior.step_tokens
+        self._own = EngineSpeed(
+            self._waits.slope_seconds or prefill, step, slope * step, step_tokens
         )
+        if len(known) < _MIN_KNOWN_ENGINES:
+            return self._own
+        return EngineSpeed(prefill, step, slope * step, prior.step_tokens)
+
+
+def _median(speeds: list[EngineSpeed]) -> EngineSpeed:
+    """Return the median of each figure, the prefill time relative to the step."""
+    step = statistics.median(item.step_seconds for item in speeds)
+    return EngineSpeed(
+        step
+        * statistics.median(
+            item.seconds_per_prompt_token / item.step_seconds for item in speeds
+        ),
+        step,
+        statistics.median(item.step_seconds_per_request for item in speeds),
+        statistics.median(item.step_tokens for item in speeds),
+    )
