--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -94,6 +94,7 @@
     async def run(self) -> None:
         """Report this host's usage of all engines periodically, until cancelled."""
         while True:
+            self._servers.refresh_shares()
             self._report(
                 [
                     record
--- a/src/gooseberrydeal/_internal/operations/router/server_table.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_table.py
@@ -27,6 +27,7 @@
         self._configuration: RoutingConfiguration | None = None
         self._hosts = 1
         self._share = ConnectionShare()
+        self._sharing_hosts = 1
         self._periods = ExchangePeriods()
         self._loads_in_progress: dict[ServerId, tuple[int, float]] = {}
         self._generation = 0
@@ -87,6 +88,16 @@
             self._hosts = max(1, hosts)
             self._share.note_hosts(hosts, self._clock())
             self._periods = ExchangePeriods.for_hosts(hosts)
+            self.refresh_shares()
+
+    def refresh_shares(self) -> None:
+        """Apply this host's share of the servers' connections if it has changed.
+
+        It grows some time after hosts have left, without any change of the metadata.
+        """
+        hosts = self._share.hosts(self._clock())
+        if hosts != self._sharing_hosts:
+            self._sharing_hosts = hosts
             for record in self._records.values():
                 record.pool.set_limit(self._connection_limit(record.entry))
 
