--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -12,6 +12,9 @@
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
+from gooseberrydeal._internal.operations.router.speeds.speed_gauges import (
+    export_speeds,
+)
 from gooseberrydeal._internal.operations.router.status_endpoint import (
     StatusEndpoint,
 )
@@ -80,4 +83,5 @@
         self._metrics.set_state("callers_connected", self._callers.open_count)
         self._accounts.publish()
         self._show_quotas()
+        export_speeds(self._servers, self._metrics)
         return HTTPStatus.OK, self._metrics.render()
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -106,6 +106,7 @@
         """Report this host's usage of all engines periodically, until cancelled."""
         while True:
             self._lapsed.update()
+            self._servers.refresh_shares()
             self._report(
                 [
                     record
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -11,6 +11,7 @@
     EngineStatus,
 )
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
+from gooseberrydeal._internal.operations.router.speeds.speed_log import SpeedLog
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.adapter_slots import AdapterSlots
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
@@ -58,6 +59,7 @@
         self._base_models = base_models
         self._warm_copies = warm_copies
         self._speed = speed
+        self._speed_log = SpeedLog(server)
         self._periods = periods
         self._publish = publish
         self._clock = clock
@@ -110,6 +112,8 @@
         requested = set(self._demand.load_requests(now))
         # Where owners tell all hosts, these know what an engine held before.
         lists_warm = with_warm_copies and not self._periods().reports_all
+        speed = self._speed.observed(now)
+        self._speed_log.note(speed, now)
         return EngineStatus(
             self._owner,
             self._server,
@@ -123,7 +127,7 @@
             self._slowdown,
             tuple(sorted(self._base_models())),
             copies,
-            self._speed.observed(now),
+            speed,
             warm_copies=self._warm_copies() if lists_warm else b"",
         )
 
