--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -92,6 +92,7 @@
         eligible.brittle.add_release_listener(self._queues.request_ended)
         self._on_load_requested = on_load_requested
         self._clock = clock
+        self._rng = rng
         self._plain = PlainAssignment(eligible, places, domain, clock, rng)
         self._eligible = eligible
         self._scope = scope
