--- a/src/gooseberrydeal/_internal/policy/quotas/account_share.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/account_share.py
@@ -19,8 +19,8 @@
 
 # A host asks for this multiple of what it expects to use within a grant's lifetime, and
 # when less than this part of it is left, so that even uneven use asks about once in it.
-_AHEAD_FACTOR: Final = 1.5
-_ASK_BELOW: Final = 0.3
+_AHEAD_FACTOR: Final = 2.0
+_ASK_BELOW: Final = 0.25
 # Tokens that expire within this part of a lifetime no longer count as left.
 _RENEWED_FRACTION: Final = 0.1
 # A host asks ahead of demand at most this often within a lifetime. Near the limit, a
--- a/tests/lib/quota_world.py
+++ b/tests/lib/quota_world.py
@@ -17,6 +17,9 @@
 )
 from gooseberrydeal._internal.network.report_codec import decode_report
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.operations.router.delayed_removals import (
+    REREGISTRATION_SECONDS,
+)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.quotas.host_quotas import HostQuotas
 from gooseberrydeal._internal.operations.router.quotas.quota_charge import QuotaRefusal
@@ -28,6 +31,8 @@
 LEASE_SECONDS = 9.0
 _VALID_SECONDS = 7.5
 _RENEW_SECONDS = 1.5
+# After a longer gap between two reads, hosts that are missing are kept for a time.
+_OUTAGE_SECONDS = 2.0
 
 
 class QuotaHost:
@@ -202,7 +207,7 @@
     async def _follow(self, host: QuotaHost) -> None:
         """Read the store and keep the lease, as the host's other components do."""
         loop = asyncio.get_running_loop()
-        renewed_at = -math.inf
+        renewed_at = grace_until = -math.inf
         while self.hosts.get(host.name) is host:
             now = loop.time()
             if host.reads_store and not host.is_frozen:
@@ -213,9 +218,11 @@
                     self.listed[host.name] = host.lease_until = now + LEASE_SECONDS
                     if is_new:
                         host.quotas.registered()
-                hosts = {n: until for n, until in self.listed.items() if until > now}
-                host.view.hosts.clear()
-                for name in hosts:
+                if now - host.view.changes_read_until > _OUTAGE_SECONDS:
+                    grace_until = now + REREGISTRATION_SECONDS
+                if now >= grace_until:
+                    host.view.hosts.clear()
+                for name in (n for n, until in self.listed.items() if until > now):
                     member = HostMembership(HostId(name), DomainName("d1"), name, 1)
                     host.view.hosts[HostId(name)] = member
                 host.view.configuration = quota_configuration(
