--- a/src/gooseberrydeal/_internal/operations/router/quotas/quota_admission.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/quota_admission.py
@@ -166,6 +166,8 @@
         now = self._clock()
         allocator = self._members.history.allocator(queue.share.account)
         if allocator is not None:
+            if self._silent_until.get(allocator, now) <= now:
+                self._log.silent(queue.share.account, allocator)
             self._silent_until[allocator] = now + _SILENCE_SECONDS
         return self._without_allocator(queue.share, size, now)
 
--- a/src/gooseberrydeal/_internal/operations/router/quotas/quota_log.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/quota_log.py
@@ -4,7 +4,7 @@
 import math
 from typing import Final
 
-from gooseberrydeal._internal.models.ids import AccountName, RequestId
+from gooseberrydeal._internal.models.ids import AccountName, HostId, RequestId
 from gooseberrydeal._internal.operations.router.quotas.quota_charge import QuotaRefusal
 
 logger = logging.getLogger(__name__)
@@ -41,6 +41,14 @@
             extra={"request_id": request_id, "reason": refusal.reason.value},
         )
 
+    def silent(self, account: AccountName, allocator: HostId) -> None:
+        """Log that a host has not answered; it is not waited for for a time then."""
+        logger.info(
+            "host %s has not granted tokens of account %s in time; using the reserve",
+            allocator,
+            account,
+        )
+
     def forget(self, account: AccountName) -> None:
         """Remove an account that sends no requests any more."""
         self._last.pop(account, None)
--- a/src/gooseberrydeal/_internal/operations/router/quotas/quota_members.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/quota_members.py
@@ -56,6 +56,11 @@
         """Return the other hosts that are listed."""
         return self.history.hosts - {self.own}
 
+    @property
+    def _has_accounts(self) -> bool:
+        configuration = self._view.configuration
+        return configuration is not None and configuration.accounts is not None
+
     def address(self, host: HostId) -> str | None:
         """Return where a host receives datagrams, ``None`` if it is not known."""
         found = self._view.hosts.get(host)
@@ -93,7 +98,8 @@
         now = self._clock()
         if not self._is_confirmed(FRESH_CONFIRMATION_SECONDS):
             self.history.restart(now)
-            logger.info("registered anew: no quotas are granted for 3 s")
+            if self._has_accounts:
+                logger.info("registered anew: no quotas are granted for 3 s")
 
     def _is_confirmed(self, within: float) -> bool:
         now = self._clock()
--- a/src/gooseberrydeal/_internal/policy/quotas/account_share.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/account_share.py
@@ -121,7 +121,10 @@
             expected = self._use.rate(now) * terms.lifetime
             target = expected * _AHEAD_FACTOR + self._use.size
         left = self._balance.available(now + terms.lifetime * _RENEWED_FRACTION)
-        is_due = left < target * _ASK_BELOW and now >= self._asked_at + self._ask_interval(now)
+        is_due = (
+            left < target * _ASK_BELOW
+            and now >= self._asked_at + self._ask_interval(now)
+        )
         if not waiting and (not is_due or self.is_denied(now)):
             return None
         self._asked_at = now
