--- a/tests/lib/router_process.py
+++ b/tests/lib/router_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 from types import TracebackType
@@ -13,24 +14,40 @@
 
 _STOP_SECONDS = 10.0
 _POLL_SECONDS = 0.1
+# Longer than the grace period of 8 s.
+_TERMINATION_SECONDS = 20.0
 
 
 class RouterProcess:
     """Start ``gooseberry-router`` with a settings file in a folder, and end it."""
 
-    def __init__(self, folder: Path, store_address: str) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        store_address: str,
+        memory_mb: int | None = None,
+        max_descriptors: int | None = None,
+        name: str = "host-0",
+    ) -> None:
         self.callers = free_address()
         self.readiness = free_address()
         self.peers = free_address()
+        # The port after that serves metrics.
+        free_address()
         port = self.peers.rsplit(":", 1)[1]
-        self._settings = folder / "boot.conf"
+        self._settings = folder / f"{name}.conf"
+        limits = ""
+        if memory_mb is not None:
+            limits += f"limits.memoryMb={memory_mb}\n"
+        if max_descriptors is not None:
+            limits += f"limits.maxFds={max_descriptors}\n"
         self._settings.write_text(
-            "nodeName=host-0\nzone=d1\nip=127.0.0.1\nbootstrap=true\n"
+            f"nodeName={name}\nzone=d1\nip=127.0.0.1\nbootstrap=true\n"
             f"portRange={port},{int(port) + 10}\n"
             f"listen.front={self.callers}\nlisten.ready={self.readiness}\n"
-            f"platform.address={store_address}\n"
+            f"platform.address={store_address}\n{limits}"
         )
-        self._log = folder / "router.log"
+        self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -42,6 +59,19 @@
         assert self._process is not None
         return float(psutil.Process(self._process.pid).memory_info().rss) / 1e6
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Return the largest resident memory that the process has had."""
+        assert self._process is not None
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
+    @property
+    def open_descriptors(self) -> int:
+        assert self._process is not None
+        return int(psutil.Process(self._process.pid).num_fds())
+
     @property
     def log(self) -> list[str]:
         return self._log.read_text().splitlines()
@@ -68,6 +98,12 @@
             self._process.kill()
             await asyncio.wait_for(self._process.wait(), _STOP_SECONDS)
 
+    async def terminate(self) -> int:
+        """Ask the process to end, and return its exit code."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self._process.wait(), _TERMINATION_SECONDS)
+
     async def wait_ready(self, seconds: float) -> bool:
         """Return whether the process says within a time that it is ready."""
         loop = asyncio.get_running_loop()
