Bound what a host holds for its clients by its memory and descriptors

Change: policy/host_memory derives a budget from memory_bytes and max_descriptors and chooses what to close beyond it; HostResources accounts for all connections. Bodies are merged, dropped as soon as they are refused, and written to servers in pieces. Without stated limits nothing is refused.

--- a/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_exchange.py
@@ -46,7 +46,9 @@
     Once the response has ended, further calls that write or end it have no effect.
     """
 
-    def __init__(self, head: RequestHead, body: bytes, channel: ReplyChannel) -> None:
+    def __init__(
+        self, head: RequestHead, body: bytes | bytearray, channel: ReplyChannel
+    ) -> None:
         self._head = head
         self._body = body
         self._channel = channel
@@ -66,7 +68,7 @@
         return self._head
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> bytes | bytearray:
         """Return the request's whole body."""
         return self._body
 
--- a/src/gooseberrydeal/_internal/network/http1/framing.py
+++ b/src/gooseberrydeal/_internal/network/http1/framing.py
@@ -53,15 +53,15 @@
     )
 
 
-def encode_request(
-    method: bytes, target: bytes, headers: Iterable[Header], body: bytes
+def encode_request_head(
+    method: bytes, target: bytes, headers: Iterable[Header], body: bytes | bytearray
 ) -> bytes:
-    """Return an encoded request; a Content-Length field is added if it needs one."""
+    """Return a request without its body; it has a Content-Length if it needs one."""
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in headers]
     if body or method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_response_head(
@@ -85,9 +85,11 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def encode_error(status: HTTPStatus, reason: str) -> bytes:
+def encode_error(
+    status: HTTPStatus, reason: str, fields: Iterable[Header] = ()
+) -> bytes:
     """Return a whole response with the reason as its body, the last on a connection."""
-    headers = [(b"Content-Type", b"text/plain"), (b"Connection", b"close")]
+    headers = [(b"Content-Type", b"text/plain"), (b"Connection", b"close"), *fields]
     body = reason.encode() + b"\n"
     phrase = status.phrase.encode()
     return encode_response_head(status, phrase, headers, len(body)) + body
--- a/src/gooseberrydeal/_internal/network/http1/json_client.py
+++ b/src/gooseberrydeal/_internal/network/http1/json_client.py
@@ -9,7 +9,7 @@
 from gooseberrydeal._internal.exceptions import ServerBrokenError
 from gooseberrydeal._internal.models.routing.http_heads import Header, ResponseHead
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
-from gooseberrydeal._internal.network.http1.framing import encode_request
+from gooseberrydeal._internal.network.http1.framing import encode_request_head
 from gooseberrydeal._internal.network.http1.response_sink import ResponseEnd
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
@@ -104,12 +104,12 @@
         request_headers: list[Header] = [(b"Host", self._address.encode()), *headers]
         if data:
             request_headers.append((b"Content-Type", b"application/json"))
-        message = encode_request(
+        message = encode_request_head(
             method.encode(), target.encode(), request_headers, data
         )
         connection = await self._pool.acquire()
         collector = _ResponseCollector(connection, self._max_body_bytes)
-        connection.send(message, collector, is_head_request=False)
+        connection.send(message, collector, is_head_request=False, body=data)
         try:
             async with asyncio.timeout(timeout_seconds):
                 end = await collector.end()
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -15,13 +15,13 @@
     DEFAULT_IDLE_TIMEOUT_SECONDS,
     parse_idle_timeout,
 )
-from gooseberrydeal._internal.network.http1.request_writer import RequestWriter
 from gooseberrydeal._internal.network.http1.response_budget import ResponseBudget
 from gooseberrydeal._internal.network.http1.response_sink import (
     ResponseEnd,
     ResponseSink,
 )
 from gooseberrydeal._internal.network.http1.server_process import ServerProcess
+from gooseberrydeal._internal.network.http1.server_protocol import ServerProtocol
 from gooseberrydeal._internal.network.http1.socket_options import (
     enable_dead_peer_detection,
 )
@@ -32,7 +32,7 @@
 _HEAD_PIECE_BYTES: Final = 4_096
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(ServerProtocol):
     """Send one request at a time; close on any bytes that are not its response.
 
     The connection is reused only if no bytes followed the end of the response, since
@@ -44,10 +44,10 @@
     def __init__(
         self, on_unsolicited: Callable[[], None], process: ServerProcess
     ) -> None:
+        super().__init__()
         self._on_unsolicited = on_unsolicited
         self._process = process
         self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._sink: ResponseSink | None = None
         self._is_head_request = False
@@ -67,12 +67,6 @@
         self._opened_at = 0.0
         self._running_since = math.inf
         self._was_paused = False
-        self._writer = RequestWriter()
-
-    @property
-    def is_first_request(self) -> bool:
-        """Return whether no more than one request was sent on the connection."""
-        return self._writer.count <= 1
 
     @property
     def running_since(self) -> float:
@@ -84,25 +78,27 @@
         latest = self._process.running_since(self._opened_at)
         return latest if latest == math.inf else min(latest, self._running_since)
 
-    @property
-    def is_open(self) -> bool:
-        """Return whether the connection is established and not closing."""
-        return self._transport is not None and not self._transport.is_closing()
-
     def is_reusable(self) -> bool:
         """Return whether another request may be sent now."""
         is_idle = self.is_open and self._sink is None
         return is_idle and self._loop.time() < self._idle_deadline
 
-    def send(self, data: bytes, sink: ResponseSink, *, is_head_request: bool) -> None:
-        """Send an encoded request and pass its response to the sink."""
+    def send(
+        self,
+        head: bytes,
+        sink: ResponseSink,
+        *,
+        is_head_request: bool,
+        body: bytes | bytearray = b"",
+    ) -> None:
+        """Send a request with an encoded head and pass its response to the sink."""
         assert self._transport is not None
         self._sink = sink
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._budget = ResponseBudget()
         self._reset_message()
-        self._writer.write(self._transport, data)
+        self._writer.write(self._transport, head, body)
 
     def pause(self) -> None:
         """Pause reading, which makes the server wait while the caller reads slowly."""
@@ -118,6 +114,7 @@
     def abort(self) -> None:
         """Close the connection at once; the sink is not notified."""
         self._sink = None
+        self._writer.drop()
         if self._transport is not None:
             self._transport.abort()
 
@@ -130,7 +127,7 @@
         self._idle_deadline = self._opened_at + self._idle_timeout
         enable_dead_peer_detection(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def bytes_received(self, data: memoryview) -> None:
         """Parse received bytes and pass the response on to the sink."""
         self._note_alive()
         sink = self._sink
@@ -139,7 +136,7 @@
             self.abort()
             self._on_unsolicited()
             return
-        problem = self._feed(self._parser, memoryview(data))
+        problem = self._feed(self._parser, data)
         if problem is not None:
             logger.info(
                 "closing a connection: server sent an invalid response: %s", problem
@@ -283,6 +280,7 @@
             and self._is_self_delimited
             and not self._is_head_request
             and not self._has_unexpected_data
+            and self._writer.is_done
         )
         if keeps_open:
             self._idle_deadline = self._loop.time() + self._idle_timeout
@@ -292,6 +290,7 @@
 
     def _end(self, end: ResponseEnd, *, keeps_open: bool = False) -> None:
         sink, self._sink = self._sink, None
+        self._writer.drop()
         if self._transport is not None and not keeps_open:
             self._transport.abort()
         if sink is not None:
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -57,6 +57,11 @@
             registry=self._registry,
             buckets=_BUCKET_BOUNDS_SECONDS,
         )
+        self._host_limits = Counter(
+            "gooseberry_router_host_limits_total",
+            "Connections affected by a limit of the host, by limit.",
+            registry=self._registry,
+        )
         self._state = Gauge(
             "gooseberry_router_state",
             "What the router believes: version, servers, hosts, engines owned.",
@@ -87,6 +92,10 @@
         """Count a crash of a backend server that had requests of this host."""
         self._crashes.inc({})
 
+    def count_host_limit(self, limit: str) -> None:
+        """Count a connection that was held back, refused or closed by a limit."""
+        self._host_limits.inc({"limit": limit})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
+from gooseberrydeal._internal.network.http1.host_resources import HostResources
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
@@ -25,6 +26,7 @@
         ownership: EngineOwnership,
         callers: CallerListener,
         metrics: RouterMetrics,
+        resources: HostResources,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._view = view
@@ -32,10 +34,14 @@
         self._ownership = ownership
         self._callers = callers
         self._metrics = metrics
+        self._resources = resources
         self._is_stopping = is_stopping
-        self._readiness = StatusEndpoint(settings.readiness, self._readiness_response)
+        limits = resources.budget.status_connections, resources.count_limit
+        self._readiness = StatusEndpoint(
+            settings.readiness, self._readiness_response, *limits
+        )
         self._metrics_endpoint = StatusEndpoint(
-            settings.metrics, self._metrics_response
+            settings.metrics, self._metrics_response, *limits
         )
 
     async def start(self) -> None:
@@ -70,4 +76,6 @@
         self._metrics.set_state("hosts", len(self._view.hosts))
         self._metrics.set_state("engines_owned", len(self._ownership.owners))
         self._metrics.set_state("callers_connected", self._callers.open_count)
+        for name, value in self._resources.state().items():
+            self._metrics.set_state(name, value)
         return HTTPStatus.OK, self._metrics.render()
--- a/src/gooseberrydeal/_internal/operations/router/peer_relay.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_relay.py
@@ -15,7 +15,7 @@
 from gooseberrydeal._internal.models.routing.peer_reply import PeerReply
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
-from gooseberrydeal._internal.network.http1.framing import encode_request
+from gooseberrydeal._internal.network.http1.framing import encode_request_head
 from gooseberrydeal._internal.network.http1.peer_fields import encode_peer_request
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
@@ -189,8 +189,12 @@
             *self._codec.peer_headers(head, request.deadline - self._clock()),
             *encode_peer_request(peer_request),
         ]
-        data = encode_request(head.method, head.target, headers, exchange.body)
-        connection.send(data, attempt, is_head_request=head.method == b"HEAD")
+        connection.send(
+            encode_request_head(head.method, head.target, headers, exchange.body),
+            attempt,
+            is_head_request=head.method == b"HEAD",
+            body=exchange.body,
+        )
 
     def _note_reply(
         self, peer: PeerHost, service: ServiceName, reply: PeerReply
--- a/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_forwarder.py
@@ -8,7 +8,7 @@
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
 from gooseberrydeal._internal.models.routing.forward_facts import ForwardAttributes
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
-from gooseberrydeal._internal.network.http1.framing import encode_request
+from gooseberrydeal._internal.network.http1.framing import encode_request_head
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
 from gooseberrydeal._internal.operations.router.assignment import Assignment
@@ -55,9 +55,10 @@
         if copy is not None and term.is_limited:
             self._log_limited(assignment.record.id, copy, term)
         connection.send(
-            self._encode(assignment, term),
+            self._encode_head(assignment, term),
             attempt,
             is_head_request=self._exchange.head.method == b"HEAD",
+            body=self._exchange.body,
         )
 
     def _log_limited(
@@ -77,7 +78,7 @@
             },
         )
 
-    def _encode(self, assignment: Assignment, term: VersionTerm) -> bytes:
+    def _encode_head(self, assignment: Assignment, term: VersionTerm) -> bytes:
         request, head = self._request, self._exchange.head
         copy = assignment.copy
         is_resuming = self._exchange.is_started
@@ -90,4 +91,6 @@
             forwards_last_event_id=request.route.is_resumable,
         )
         headers = self._codec.forward_headers(head, attributes)
-        return encode_request(head.method, head.target, headers, self._exchange.body)
+        return encode_request_head(
+            head.method, head.target, headers, self._exchange.body
+        )
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
@@ -13,6 +14,8 @@
     StreamQuery,
 )
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
+from gooseberrydeal._internal.network.http1.host_resources import HostResources
+from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
     MetadataDecoder,
@@ -63,6 +66,7 @@
 from gooseberrydeal._internal.operations.router.silence_watch import SilenceWatch
 from gooseberrydeal._internal.operations.router.stall_monitor import StallMonitor
 from gooseberrydeal._internal.operations.router.stream_versions import StreamVersions
+from gooseberrydeal._internal.policy.host_memory.host_budget import HostBudget
 from gooseberrydeal._internal.policy.lost_writes import LostWrites
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
@@ -93,6 +97,8 @@
             rng.getrandbits(48),
         )
         self._metrics = RouterMetrics()
+        budget = HostBudget.from_limits(settings.memory_bytes, settings.max_descriptors)
+        resources = HostResources(budget, self._metrics.count_host_limit)
         self._view = MetadataView(change_bound=settings.bounds.store_change)
         self._servers = ServerTable(now)
         signal = ChangeSignal()
@@ -224,9 +230,15 @@
             now,
             rng,
         )
-        self._caller_listener = CallerListener(settings.callers, self._handler)
+        self._caller_listener = CallerListener(
+            settings.callers, self._handler, resources, budget.caller_connections
+        )
         self._peer_listener = CallerListener(
-            settings.peers, PeerRequestHandler(self._handler, self._view)
+            settings.peers,
+            PeerRequestHandler(self._handler, self._view),
+            resources,
+            budget.peer_connections,
+            (refusal_field(RefusalReason.HOST_OVERLOADED),),
         )
         self._endpoints = HostEndpoints(
             settings,
@@ -235,6 +247,7 @@
             self._ownership,
             self._caller_listener,
             self._metrics,
+            resources,
             lambda: self._is_stopping,
         )
         self._stall_monitor = StallMonitor(clock.seconds_since_boot)
--- /dev/null
+++ b/src/gooseberrydeal/_internal/policy/host_memory/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how much a host may hold for its clients, and what to do beyond that."""
--- a/src/gooseberrydeal/_internal/policy/request_identity.py
+++ b/src/gooseberrydeal/_internal/policy/request_identity.py
@@ -24,7 +24,7 @@
         request_id: RequestId,
         path: str,
         caller: str,
-        body: bytes,
+        body: bytes | bytearray,
         prompt_parts: tuple[PromptPartId, ...] = (),
         query: str = "",
     ) -> None:
