--- a/src/gooseberrydeal/_internal/network/http1/caller_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/caller_connection.py
@@ -274,7 +274,7 @@
         if self._is_closing:
             return
         if status != HTTPStatus.SERVICE_UNAVAILABLE:
-            logger.info("request rejected with status %d: %s", status, reason)
+            self._resources.count_rejection(status, reason)
         self._is_closing = self._must_close = True
         self._timeout.cancel()
         self._intake.discard()
@@ -294,7 +294,6 @@
         if left > 0:
             self._timeout.start(left, self._on_timeout)
         elif self._intake.parser.is_receiving:
-            self._resources.count_limit("request_timeout")
             self._refuse(HTTPStatus.REQUEST_TIMEOUT, "the request did not arrive")
         else:
             self.close()
--- a/src/gooseberrydeal/_internal/network/http1/host_resources.py
+++ b/src/gooseberrydeal/_internal/network/http1/host_resources.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -147,22 +148,40 @@
     def count_limit(self, name: str) -> None:
         """Count a connection that a limit affects; log this from time to time."""
         self._on_limit(name)
+        count = self._due_count(name)
+        if count:
+            logger.warning(
+                "the host's room is short (%s): %d connections affected since the last"
+                " such message; %d bytes held, %d for long bodies, %d bodies wait",
+                name,
+                count,
+                self._other_bytes,
+                self._long_bytes,
+                len(self._waiting),
+            )
+
+    def count_rejection(self, status: int, reason: str) -> None:
+        """Count a request that breaks a limit; log this from time to time."""
+        name = f"rejected_{status}"
+        self._on_limit(name)
+        count = self._due_count(name)
+        if count:
+            logger.info(
+                "request rejected with status %d: %s; %d such since the last message",
+                status,
+                reason,
+                count,
+            )
+
+    def _due_count(self, name: str) -> int:
+        """Return how many connections to report now, zero if it is not yet time."""
         self._affected[name] = self._affected.get(name, 0) + 1
         now = asyncio.get_running_loop().time()
-        if now - self._logged_at.get(name, -_LOG_INTERVAL_SECONDS) < (
-            _LOG_INTERVAL_SECONDS
-        ):
-            return
+        is_due = now - self._logged_at.get(name, -math.inf) >= _LOG_INTERVAL_SECONDS
+        if not is_due:
+            return 0
         self._logged_at[name] = now
-        logger.warning(
-            "the host's room is short (%s): %d connections affected since the last"
-            " such message; %d bytes held, %d for long bodies, %d bodies wait",
-            name,
-            self._affected.pop(name),
-            self._other_bytes,
-            self._long_bytes,
-            len(self._waiting),
-        )
+        return self._affected.pop(name)
 
     def _fits(self, length: int) -> bool:
         """Return whether a long body fits; a single one always does."""
