Ask another host if one refuses a passed-on request for lack of room

Cause: a host that passes a request on did not know that host_overloaded means not run there and perhaps served elsewhere. Change: PeerAttempt treats it like the other refusals that another host may serve. Tests of refusals without room, with the field for other hosts, and of responses that are read slowly.

--- a/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
+++ b/src/gooseberrydeal/_internal/operations/router/peer_attempt.py
@@ -18,6 +18,7 @@
 # Another host may serve a request that a host refused for one of these reasons.
 _OTHERS_MAY_SERVE: Final = frozenset(
     {
+        RefusalReason.HOST_OVERLOADED,
         RefusalReason.NO_SERVER,
         RefusalReason.SERVERS_UNREACHABLE,
         RefusalReason.SERVER_BUSY,
--- a/tests/functional/test_host_room.py
+++ b/tests/functional/test_host_room.py
@@ -6,7 +6,13 @@
 
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.policy.host_memory.host_budget import HostBudget
-from tests.lib.room_world import MAX_BODY, ResponseRecorder, room_world
+from tests.lib.room_world import (
+    LARGE_BYTES,
+    MAX_BODY,
+    REFUSAL_FIELD,
+    ResponseRecorder,
+    room_world,
+)
 
 _ONE_LONG_BODY = HostBudget(long_bytes=MAX_BODY, other_bytes=10_000_000)
 
@@ -87,6 +93,50 @@
     _run(scenario)
 
 
+def test_requests_without_room_are_refused_until_others_end() -> None:
+    """Guards against taking in more than fits, and against dropping what is served."""
+
+    async def scenario() -> None:
+        # Four requests in service take 27 KB each.
+        async with room_world(HostBudget(other_bytes=100_000)) as world:
+            held = [await world.connect() for _ in range(4)]
+            for client in held:
+                client.send("/held", 4_000)
+            await asyncio.sleep(0.1)
+            refused = await world.connect()
+            refused.send("/refused", 10)
+            status, head, _ = await refused.response()
+            assert status == 503
+            assert b"%b: %b\r\n" % REFUSAL_FIELD in head
+            world.handler.may_answer.set()
+            for client in held:
+                assert (await client.response())[0] == 200
+            served = await world.connect()
+            served.send("/served", 10)
+            assert (await served.response())[0] == 200
+            assert b"/refused" not in world.handler.begun
+
+    _run(scenario)
+
+
+def test_without_room_only_a_response_that_nobody_reads_is_cut() -> None:
+    """Guards against cutting the responses of slow readers."""
+
+    async def scenario() -> None:
+        async with room_world(HostBudget(other_bytes=1_000_000)) as world:
+            unread, slow = await world.connect(), await world.connect()
+            for client in (unread, slow):
+                client.send("/large", 0)
+            for _ in range(28):
+                await asyncio.sleep(0.25)
+                assert await slow.read(100_000) == 100_000
+            assert await unread.read(LARGE_BYTES) < LARGE_BYTES
+            left = LARGE_BYTES - 28 * 100_000
+            assert await slow.read(left) == left
+
+    _run(scenario)
+
+
 def test_a_new_connection_replaces_a_silent_one_and_none_that_is_served() -> None:
     async def scenario() -> None:
         async with room_world(max_connections=2) as world:
--- a/tests/lib/room_world.py
+++ b/tests/lib/room_world.py
@@ -4,19 +4,28 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.http_heads import ResponseHead
 from gooseberrydeal._internal.models.routing.routing_configuration import CallerLimits
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.http1.host_resources import HostResources
+from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
 from gooseberrydeal._internal.network.http1.response_sink import ResponseEnd
 from gooseberrydeal._internal.policy.host_memory.host_budget import HostBudget
 
 MAX_BODY = 150_000
+# More than the kernel holds for a connection.
+LARGE_BYTES = 12_000_000
+# What the listener for other hosts adds to its refusals.
+REFUSAL_FIELD = refusal_field(RefusalReason.HOST_OVERLOADED)
 
 
 class EchoHandler:
-    """Answer each request with its body, those to ``/held`` once that is allowed."""
+    """Answer each request with its body, those to ``/held`` once that is allowed.
+
+    Those to ``/large`` get a large response.
+    """
 
     is_draining = False
 
@@ -30,7 +39,9 @@
         self.begun.append(exchange.head.target)
         if exchange.head.target == b"/held":
             await self.may_answer.wait()
-        exchange.respond(200, (), bytes(exchange.body))
+        is_large = exchange.head.target == b"/large"
+        body = bytes(LARGE_BYTES) if is_large else bytes(exchange.body)
+        exchange.respond(200, (), body)
 
 
 class ResponseRecorder:
@@ -75,6 +86,15 @@
         length = int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0])
         return int(head.split()[1]), head, await self._reader.readexactly(length)
 
+    async def read(self, length: int) -> int:
+        """Return how many bytes could be read until the connection's end."""
+        try:
+            return len(await self._reader.readexactly(length))
+        except asyncio.IncompleteReadError as error:
+            return len(error.partial)
+        except ConnectionError:
+            return 0
+
     def close(self) -> None:
         self._writer.close()
 
@@ -89,7 +109,11 @@
         self.limits: list[str] = []
         self.resources = HostResources(budget, self.limits.append)
         self.listener = CallerListener(
-            "127.0.0.1:0", self.handler, self.resources, max_connections
+            "127.0.0.1:0",
+            self.handler,
+            self.resources,
+            max_connections,
+            (REFUSAL_FIELD,),
         )
         self._clients: list[RoomClient] = []
 
