--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -83,6 +83,11 @@
             "Used part of an account's bucket of tokens, at its allocator.",
             registry=self._registry,
         )
+        self._host_limits = Counter(
+            "gooseberry_router_host_limits_total",
+            "Connections affected by a limit of the host, by limit.",
+            registry=self._registry,
+        )
         self._state = Gauge(
             "gooseberry_router_state",
             "What the router believes: version, servers, hosts, engines owned.",
@@ -138,6 +143,10 @@
         """Count a request that waited in the queue of a service, by its outcome."""
         self._waits.inc({"outcome": outcome})
 
+    def count_host_limit(self, limit: str) -> None:
+        """Count a connection that was held back, refused or closed by a limit."""
+        self._host_limits.inc({"limit": limit})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
+from gooseberrydeal._internal.network.http1.host_resources import HostResources
 from gooseberrydeal._internal.network.router_metrics import RouterMetrics
 from gooseberrydeal._internal.operations.router.accounts.account_gate import (
     AccountGate,
@@ -31,6 +32,7 @@
         ownership: EngineOwnership,
         callers: CallerListener,
         metrics: RouterMetrics,
+        resources: HostResources,
         is_stopping: Callable[[], bool],
         accounts: AccountGate,
         show_quotas: Callable[[], None],
@@ -40,12 +42,16 @@
         self._ownership = ownership
         self._callers = callers
         self._metrics = metrics
+        self._resources = resources
         self._is_stopping = is_stopping
         self._accounts = accounts
         self._show_quotas = show_quotas
-        self._readiness = StatusEndpoint(settings.readiness, self._readiness_response)
+        limits = resources.budget.status_connections, resources.count_limit
+        self._readiness = StatusEndpoint(
+            settings.readiness, self._readiness_response, *limits
+        )
         self._metrics_endpoint = StatusEndpoint(
-            settings.metrics, self._metrics_response
+            settings.metrics, self._metrics_response, *limits
         )
 
     async def start(self) -> None:
@@ -84,4 +90,6 @@
         self._accounts.publish()
         self._show_quotas()
         export_speeds(self._servers, self._metrics)
+        for name, value in self._resources.state().items():
+            self._metrics.set_state(name, value)
         return HTTPStatus.OK, self._metrics.render()
--- a/tests/functional/test_owner_change_refusals.py
+++ b/tests/functional/test_owner_change_refusals.py
@@ -78,7 +78,7 @@
         await cluster.start()
         try:
             store_address = await cluster.store_address("host-0")
-            async with RouterProcess(tmp_path, store_address, DOMAIN) as owner:
+            async with RouterProcess(tmp_path, store_address, domain=DOMAIN) as owner:
                 await _call_until_served(owner.callers)
                 await _start_other_hosts(cluster)
                 others = list(cluster.addresses.values())
