--- a/src/gooseberrydeal/_internal/operations/router/quotas/quota_directory.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/quota_directory.py
@@ -1,8 +1,10 @@
 """Look up the terms on which accounts' tokens are granted."""
 
 from gooseberrydeal._internal.models.ids import AccountName
-from gooseberrydeal._internal.models.routing.client_account import AccountQuota
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
+from gooseberrydeal._internal.models.routing.routing_configuration import (
+    RoutingConfiguration,
+)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.policy.quotas.quota_terms import QuotaTerms
 
@@ -13,7 +15,8 @@
     def __init__(self, view: MetadataView, bounds: RoutingBounds) -> None:
         self._view = view
         self._bounds = bounds
-        self._terms: dict[AccountName, tuple[AccountQuota, QuotaTerms]] = {}
+        self._configuration: RoutingConfiguration | None = None
+        self._terms: dict[AccountName, QuotaTerms] = {}
 
     @property
     def version(self) -> int:
@@ -31,12 +34,14 @@
         configuration = self._view.configuration
         if configuration is None or configuration.accounts is None:
             return None
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._terms.clear()
+        terms = self._terms.get(account)
+        if terms is not None:
+            return terms
         found = configuration.accounts.named(account)
         if found is None or found.quota is None or found.quota.per_second <= 0.0:
             return None
-        known = self._terms.get(account)
-        if known is not None and known[0] == found.quota:
-            return known[1]
-        terms = QuotaTerms.from_quota(found.quota, self._bounds)
-        self._terms[account] = (found.quota, terms)
+        terms = self._terms[account] = QuotaTerms.from_quota(found.quota, self._bounds)
         return terms
