Ask other hosts for their lists only when a read of the store is late

Cause: where hosts have 3 s to act on changes, the store is read every 1.8 s, and allocators of quotas asked all other hosts from an age of 1.4 s on, between any two reads.

--- a/src/gooseberrydeal/_internal/policy/quotas/allocator_standing.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/allocator_standing.py
@@ -11,8 +11,9 @@
 # A host that becomes allocator waits for longer than another one may still grant.
 TAKEOVER_SECONDS: Final = 3.0
 # With a list that is older, a host begins to ask the others. The store is read every
-# 1.2 s in large deployments.
-ASK_AFTER_SECONDS: Final = 1.4
+# 1.8 s where hosts have 3 s to act on its changes, so that a list between two reads is
+# newer than this.
+ASK_AFTER_SECONDS: Final = 1.9
 # A host that registered anew in the store goes on at once if all others confirmed the
 # list within this time: one that took over since then still waits.
 FRESH_CONFIRMATION_SECONDS: Final = 1.0
