--- a/src/gooseberrydeal/_internal/network/report_codec.py
+++ b/src/gooseberrydeal/_internal/network/report_codec.py
@@ -6,18 +6,13 @@
 
 from collections.abc import Callable
 from enum import IntEnum
-from functools import lru_cache
 from typing import Any, Final
 
 import cbor2
 
 from gooseberrydeal._internal.exceptions import PeerProtocolError
-from gooseberrydeal._internal.models.ids import FencingNumber, HostId, ServerId
-from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
-from gooseberrydeal._internal.models.routing.copy_state import CopyState
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.engine_status import (
-    CopyStatus,
     EngineStatus,
 )
 from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
@@ -33,9 +28,6 @@
     StreamQuery,
 )
 from gooseberrydeal._internal.models.routing.usage_report import (
-    CopyLoadRequest,
-    CopyUse,
-    EngineUsage,
     UsageReport,
 )
 from gooseberrydeal._internal.network.crash_codec import (
@@ -43,6 +35,12 @@
     crash_report_fields,
     parse_crash_report,
 )
+from gooseberrydeal._internal.network.engine_report_codec import (
+    parse_status,
+    parse_usage,
+    status_fields,
+    usage_fields,
+)
 from gooseberrydeal._internal.network.handover_codec import (
     handover_fields,
     parse_handover,
@@ -65,24 +63,12 @@
     quota_grant_fields,
     quota_request_fields,
 )
-from gooseberrydeal._internal.network.speed_codec import (
-    observation_fields,
-    parse_observations,
-    parse_speed,
-    speed_fields,
-)
 from gooseberrydeal._internal.network.stream_codec import (
     parse_stream_notice,
     parse_stream_query,
     stream_notice_fields,
     stream_query_fields,
 )
-from gooseberrydeal._internal.network.waiting_codec import (
-    parse_rank_counts,
-    parse_waiting_counts,
-    rank_count_fields,
-    waiting_count_fields,
-)
 
 Report = (
     UsageReport
@@ -99,11 +85,6 @@
 )
 
 PROTOCOL_VERSION: Final = 1
-# Copy states are encoded as their index in this list.
-_COPY_STATES: Final = (CopyState.READY, CopyState.LOADING, CopyState.UNLOADING)
-# Position of the warm copies in a status; hosts of earlier versions send fewer fields.
-_WARM_COPIES_INDEX: Final = 14
-_MAX_CACHED_COPIES: Final = 4_096
 
 
 class _ReportKind(IntEnum):
@@ -121,65 +102,13 @@
 
 def encode_usage(report: UsageReport) -> bytes:
     """Encode a host's usage report."""
-    engines = [
-        [
-            engine.server,
-            engine.requests,
-            engine.tokens,
-            engine.pending_prefill_tokens,
-            int(engine.slowdown * 100),
-            int(min(60.0, engine.slowdown_age) * 1000),
-            [[*use.key, use.in_flight, use.started] for use in engine.copy_uses],
-            [
-                [
-                    *load_request.key,
-                    load_request.waiting,
-                    int(load_request.slack * 1000),
-                    load_request.is_missing,
-                ]
-                for load_request in engine.load_requests
-            ],
-            *_observations(engine),
-        ]
-        for engine in report.engines
-    ]
-    fields = [report.host, report.incarnation, report.sequence, engines]
-    if report.waiting:
-        fields.append(waiting_count_fields(report.waiting))
+    fields = usage_fields(report)
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.USAGE), *fields])
 
 
-def _observations(engine: EngineUsage) -> list[Any]:
-    """Return the field of the observations, which is left out if there are none."""
-    return [observation_fields(engine.observations)] if engine.observations else []
-
-
 def encode_status(status: EngineStatus) -> bytes:
     """Encode the status of an engine."""
-    copies = [
-        [*copy.key, _COPY_STATES.index(copy.state), int(copy.ready_in * 1000)]
-        for copy in status.copies
-    ]
-    fields = [
-        status.owner,
-        status.server,
-        status.fencing_number,
-        status.sequence,
-        status.may_load,
-        status.spare_slots,
-        status.requests,
-        status.tokens,
-        status.pending_prefill_tokens,
-        int(status.slowdown * 100),
-        list(status.base_models),
-        copies,
-    ]
-    if status.speed is not None or status.waiting or status.warm_copies:
-        fields.append([] if status.speed is None else speed_fields(status.speed))
-    if status.waiting or status.warm_copies:
-        fields.append(rank_count_fields(status.waiting))
-    if status.warm_copies:
-        fields.append(status.warm_copies)
+    fields = status_fields(status)
     return cbor2.dumps([PROTOCOL_VERSION, int(_ReportKind.STATUS), *fields])
 
 
@@ -255,93 +184,9 @@
     return None
 
 
-def _parse_usage(fields: list[Any]) -> UsageReport:
-    host, incarnation, sequence, engines = fields[:4]
-    return UsageReport(
-        HostId(str(host)),
-        int(incarnation),
-        int(sequence),
-        tuple(map(_parse_engine_usage, engines)),
-        parse_waiting_counts(*fields[4:5]),
-    )
-
-
-def _parse_engine_usage(fields: list[Any]) -> EngineUsage:
-    (
-        server,
-        requests,
-        tokens,
-        pending_prefill_tokens,
-        slowdown,
-        slowdown_age,
-        copy_uses,
-        load_requests,
-    ) = fields[:8]
-    return EngineUsage(
-        ServerId(str(server)),
-        int(requests),
-        int(tokens),
-        int(pending_prefill_tokens),
-        int(slowdown) / 100,
-        int(slowdown_age) / 1000,
-        tuple(
-            CopyUse(_parse_key(item), int(item[3]), int(item[4])) for item in copy_uses
-        ),
-        tuple(
-            CopyLoadRequest(
-                _parse_key(item), int(item[3]), int(item[4]) / 1000, bool(item[5])
-            )
-            for item in load_requests
-        ),
-        parse_observations(fields[8:]),
-    )
-
-
-def _parse_status(fields: list[Any]) -> EngineStatus:
-    owner, server, fencing_number, sequence, may_load, spare_slots = fields[:6]
-    requests, tokens, pending_prefill_tokens, slowdown, base_models, copies = fields[
-        6:12
-    ]
-    return EngineStatus(
-        HostId(str(owner)),
-        ServerId(str(server)),
-        FencingNumber(int(fencing_number)),
-        int(sequence),
-        bool(may_load),
-        int(spare_slots),
-        int(requests),
-        int(tokens),
-        int(pending_prefill_tokens),
-        int(slowdown) / 100,
-        tuple(map(str, base_models)),
-        tuple(_copy_status(*item[:5]) for item in copies),
-        parse_speed(fields[12:]),
-        parse_rank_counts(*fields[13:14]),
-        bytes(fields[_WARM_COPIES_INDEX]) if len(fields) > _WARM_COPIES_INDEX else b"",
-    )
-
-
-def _parse_key(fields: list[Any]) -> AdapterCopyKey:
-    return _copy_key(*fields[:3])
-
-
-# Most copies in a status are those of the status before it.
-@lru_cache(maxsize=_MAX_CACHED_COPIES)
-def _copy_status(
-    model: str, adapter: str, version: int, state: int, ready_in_ms: int
-) -> CopyStatus:
-    key = _copy_key(model, adapter, version)
-    return CopyStatus(key, _COPY_STATES[state], int(ready_in_ms) / 1000)
-
-
-@lru_cache(maxsize=_MAX_CACHED_COPIES)
-def _copy_key(model: str, adapter: str, version: int) -> AdapterCopyKey:
-    return AdapterCopyKey(str(model), str(adapter), int(version))
-
-
 _PARSERS: Final[dict[int, Callable[[list[Any]], Report]]] = {
-    _ReportKind.USAGE: _parse_usage,
-    _ReportKind.STATUS: _parse_status,
+    _ReportKind.USAGE: parse_usage,
+    _ReportKind.STATUS: parse_status,
     _ReportKind.CRASHES: parse_crash_report,
     _ReportKind.LIMITS: parse_limit_report,
     _ReportKind.ISOLATION: parse_isolation_notice,
