Let parts register for the reports they receive, and group the tasks that follow the store

Change: crash protection, stream versions and the handover register their handlers themselves; HostMetadata runs the follower, the watch and the writer of what the store lost.

--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -16,6 +16,7 @@
 from gooseberrydeal._internal.operations.router.crash_guard import CrashGuard
 from gooseberrydeal._internal.operations.router.crash_records import CrashRecords
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.suspect_isolation import (
     SuspectIsolation,
@@ -91,6 +92,11 @@
         """Return the part that detects crashes."""
         return self._detector
 
+    def listen(self, reports: ReportExchange) -> None:
+        """Receive the reports about requests that may crash servers."""
+        reports.set_handler(CrashReport, self.report_received)
+        reports.set_handler(IsolationNotice, self.isolation_notice_received)
+
     def start(self) -> None:
         """Start sharing evidence with the other hosts."""
         self._tasks.start(self._gossip.run(), "crash gossip")
--- a/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
@@ -17,6 +17,7 @@
 from gooseberrydeal._internal.network.report_codec import encode_handover
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.ownership.handover import (
     should_offer,
@@ -63,6 +64,10 @@
         self._clock = clock
         self._tasks = TaskOwner()
 
+    def listen(self, reports: ReportExchange) -> None:
+        """Receive the messages of other hosts."""
+        reports.set_handler(OwnerHandover, self.message_received)
+
     async def run(self) -> None:
         """Offer engines when they have to be handed over, until cancelled."""
         while True:
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -4,16 +4,9 @@
 import random
 
 from gooseberrydeal._internal.models.refusal_reason import RefusalReason
-from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
-from gooseberrydeal._internal.models.routing.isolation_notice import IsolationNotice
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
-from gooseberrydeal._internal.models.routing.owner_handover import OwnerHandover
-from gooseberrydeal._internal.models.routing.stream_notice import (
-    StreamNotice,
-    StreamQuery,
-)
 from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
 from gooseberrydeal._internal.network.http1.host_resources import HostResources
 from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
@@ -29,9 +22,6 @@
 from gooseberrydeal._internal.operations.router.crash_protection import (
     CrashProtection,
 )
-from gooseberrydeal._internal.operations.router.declaration_watch import (
-    DeclarationWatch,
-)
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
 from gooseberrydeal._internal.operations.router.eligible_servers import (
     EligibleServers,
@@ -41,17 +31,12 @@
 from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
 from gooseberrydeal._internal.operations.router.graceful_stop import GracefulStop
 from gooseberrydeal._internal.operations.router.host_endpoints import HostEndpoints
-from gooseberrydeal._internal.operations.router.known_state_writer import (
-    KnownStateWriter,
-)
+from gooseberrydeal._internal.operations.router.host_metadata import HostMetadata
 from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
 from gooseberrydeal._internal.operations.router.limit_exchange import LimitExchange
 from gooseberrydeal._internal.operations.router.limited_engine_orders import (
     LimitedEngineOrders,
 )
-from gooseberrydeal._internal.operations.router.metadata_follower import (
-    MetadataFollower,
-)
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
     HandoverExchange,
@@ -75,7 +60,6 @@
     PlaceSharing,
 )
 from gooseberrydeal._internal.policy.host_memory.host_budget import HostBudget
-from gooseberrydeal._internal.policy.lost_writes import LostWrites
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -120,12 +104,7 @@
             now,
             rng,
         )
-        self._report_exchange.set_handler(
-            CrashReport, self._crash_protection.report_received
-        )
-        self._report_exchange.set_handler(
-            IsolationNotice, self._crash_protection.isolation_notice_received
-        )
+        self._crash_protection.listen(self._report_exchange)
         self._stream_versions = StreamVersions(
             membership,
             self._view,
@@ -135,12 +114,7 @@
             now,
             rng,
         )
-        self._report_exchange.set_handler(
-            StreamNotice, self._stream_versions.notice_received
-        )
-        self._report_exchange.set_handler(
-            StreamQuery, self._stream_versions.query_received
-        )
+        self._stream_versions.listen(self._report_exchange)
         limits = ServerLimits(
             self._servers, settings.host, lambda: self._view.hosts, now
         )
@@ -185,27 +159,18 @@
             self._report_exchange.send,
             now,
         )
-        self._report_exchange.set_handler(
-            OwnerHandover, self._handover.message_received
-        )
-        lost_writes = LostWrites()
-        self._known_state_writer = KnownStateWriter(
-            membership, store, self._view, lost_writes, now
-        )
-        self._follower = MetadataFollower(
+        self._handover.listen(self._report_exchange)
+        self._metadata = HostMetadata(
+            membership,
             store,
             decoder,
             self._view,
             self._servers,
-            lost_writes,
             now,
             self._on_metadata_change,
             self._crash_protection.record_read,
             is_first_start=settings.is_first_start,
         )
-        self._declaration_watch = DeclarationWatch(
-            store, self._view, decoder.declaration_prefix, self._follower, now
-        )
         exchange = self._report_exchange
         self._places = PlaceSharing(
             membership, self._view, self._servers, exchange, self._metrics, clock
@@ -298,15 +263,13 @@
         await self._endpoints.start()
         await self._peer_listener.start()
         await self._caller_listener.start()
-        self._tasks.start(self._follower.run(), "metadata follower")
-        self._tasks.start(self._declaration_watch.run(), "declaration watch")
+        self._metadata.start(self._tasks)
         self._tasks.start(self._lease_keeper.run(), "lease")
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
         self._tasks.start(self._ownership.run(), "ownership")
         self._tasks.start(self._handover.run(), "handover of engines")
         self._tasks.start(self._report_exchange.run(), "report exchange")
         self._tasks.start(self._limit_exchange.run(), "limit exchange")
-        self._tasks.start(self._known_state_writer.run(), "known state")
         self._crash_protection.start()
         self._stream_versions.start()
         self._quotas.start()
@@ -355,7 +318,7 @@
 
     def _on_metadata_change(self) -> None:
         self._ownership.metadata_changed()
-        self._known_state_writer.metadata_changed()
+        self._metadata.changed()
         self._handler.accounts.metadata_changed()
         self._quotas.metadata_changed()
 
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -24,6 +24,7 @@
     EntryReader,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.stream_origins import (
@@ -85,6 +86,11 @@
         self._queries: dict[int, tuple[asyncio.Future[StreamOrigin | None], int]] = {}
         self._tasks = TaskOwner()
 
+    def listen(self, reports: ReportExchange) -> None:
+        """Receive what hosts tell and ask about where streams began."""
+        reports.set_handler(StreamNotice, self.notice_received)
+        reports.set_handler(StreamQuery, self.query_received)
+
     def start(self) -> None:
         """Start to record the versions that are there."""
         self._tasks.start(self._note_versions(), "software versions")
