--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -3,13 +3,9 @@
 import logging
 import random
 
-from gooseberrydeal._internal.models.refusal_reason import RefusalReason
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.host_settings import HostSettings
 from gooseberrydeal._internal.models.routing.limit_report import LimitReport
-from gooseberrydeal._internal.network.http1.caller_listener import CallerListener
-from gooseberrydeal._internal.network.http1.host_resources import HostResources
-from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
 from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
     MetadataDecoder,
@@ -29,8 +25,8 @@
 from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.engine_scope import EngineScope
 from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
-from gooseberrydeal._internal.operations.router.graceful_stop import GracefulStop
 from gooseberrydeal._internal.operations.router.host_endpoints import HostEndpoints
+from gooseberrydeal._internal.operations.router.host_listeners import HostListeners
 from gooseberrydeal._internal.operations.router.host_metadata import HostMetadata
 from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
 from gooseberrydeal._internal.operations.router.limit_exchange import LimitExchange
@@ -42,9 +38,6 @@
     HandoverExchange,
 )
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
-from gooseberrydeal._internal.operations.router.peer_requests import (
-    PeerRequestHandler,
-)
 from gooseberrydeal._internal.operations.router.quotas.host_quotas import HostQuotas
 from gooseberrydeal._internal.operations.router.reachability import ReachabilityProber
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
@@ -59,7 +52,6 @@
 from gooseberrydeal._internal.operations.router.waiting.place_sharing import (
     PlaceSharing,
 )
-from gooseberrydeal._internal.policy.host_memory.host_budget import HostBudget
 from gooseberrydeal._internal.utils.clock import SystemClock
 from gooseberrydeal._internal.utils.tasks import TaskOwner
 
@@ -86,8 +78,6 @@
             settings.host, settings.domain, settings.peers, rng.getrandbits(48)
         )
         self._metrics = RouterMetrics()
-        budget = HostBudget.from_limits(settings.memory_bytes, settings.max_descriptors)
-        resources = HostResources(budget, self._metrics.count_host_limit)
         self._view = MetadataView.create(settings.bounds, clock)
         self._servers = ServerTable(now)
         signal = ChangeSignal()
@@ -175,22 +165,17 @@
         self._places = PlaceSharing(
             membership, self._view, self._servers, exchange, self._metrics, clock
         )
+        crashes = self._crash_protection
+        brittle = BrittleServers(
+            self._servers, settings.host, lambda: self._view.hosts, now
+        )
         self._dispatcher = Dispatcher(
             self._servers,
             self._view,
             EligibleServers(
-                self._servers,
-                limits,
-                notices,
-                BrittleServers(
-                    self._servers, settings.host, lambda: self._view.hosts, now
-                ),
-                self._crash_protection.turns,
-                now,
-            ),
-            EngineScope(
-                self._servers, self._view, signal, self._report_exchange.ask, now
+                self._servers, limits, notices, brittle, crashes.turns, now
             ),
+            EngineScope(self._servers, self._view, signal, exchange.ask, now),
             settings.domain,
             settings.bounds.adapter_version,
             signal,
@@ -207,7 +192,6 @@
             self._crash_protection.detector.probed,
             rng,
         )
-        brittle = self._dispatcher.eligible.brittle
         self._peers = PeerRelay(
             membership, self._view, codec, notices, brittle, self._metrics, now, rng
         )
@@ -232,24 +216,17 @@
             now,
             rng,
         )
-        self._caller_listener = CallerListener(
-            settings.callers, self._handler, resources, budget.caller_connections
-        )
-        self._peer_listener = CallerListener(
-            settings.peers,
-            PeerRequestHandler(self._handler, self._view),
-            resources,
-            budget.peer_connections,
-            (refusal_field(RefusalReason.HOST_OVERLOADED),),
+        self._listeners = HostListeners(
+            settings, self._handler, self._view, self._metrics.count_host_limit
         )
         self._endpoints = HostEndpoints(
             settings,
             self._view,
             self._servers,
             self._ownership,
-            self._caller_listener,
+            self._listeners.callers,
             self._metrics,
-            resources,
+            self._listeners.resources,
             lambda: self._is_stopping,
             self._handler.accounts,
             self._quotas.admission.show_used_shares,
@@ -261,8 +238,7 @@
         """Start all components; raise ``OSError`` if an address cannot be bound."""
         await self._report_exchange.open()
         await self._endpoints.start()
-        await self._peer_listener.start()
-        await self._caller_listener.start()
+        await self._listeners.start()
         self._metadata.start(self._tasks)
         self._tasks.start(self._lease_keeper.run(), "lease")
         self._tasks.start(self._stall_monitor.run(), "stall monitor")
@@ -291,17 +267,14 @@
         """
         logger.info("stopping", extra={"host": self._settings.host})
         self._is_stopping = True
-        aborted = await GracefulStop(
-            self._handler, self._caller_listener, self._peer_listener
-        ).drain(self._settings.bounds.grace)
+        aborted = await self._listeners.drain(self._settings.bounds.grace)
         await self.abort()
         logger.info("stopped; %d connections with unfinished requests closed", aborted)
         return aborted
 
     async def abort(self) -> None:
         """Shut down at once, without draining."""
-        self._caller_listener.abort()
-        self._peer_listener.abort()
+        self._listeners.abort()
         self._peers.close()
         self._places.stop()
         self._endpoints.stop()
--- a/tests/functional/test_slow_callers.py
+++ b/tests/functional/test_slow_callers.py
@@ -245,7 +245,7 @@
             bounds = replace(node._settings.bounds, grace=_GRACE_SECONDS)
             node.apply(replace(node._settings, bounds=bounds))
             address = cluster.address_of("host-0")
-            listening = node._caller_listener._server
+            listening = node._listeners.callers._server
             assert listening is not None
             # Accepted connections get the same buffer.
             sock = listening.sockets[0]
