--- a/src/gooseberrydeal/_internal/policy/engine_choice.py
+++ b/src/gooseberrydeal/_internal/policy/engine_choice.py
@@ -192,8 +192,9 @@
     first, load time included. For a new copy, engines with similar queues are taken in
     the adapter's rendezvous order, so that hosts that decide at the same time agree.
     ``expected_uses`` is the expected number of requests that an additional copy would
-    serve; the cost of its fetch is divided among them. With ``rng``, the better of two
-    random engines is chosen among those that are ready at about the lowest cost.
+    serve; the cost of its fetch is divided among them. With ``rng``, the best of two
+    random engines that are ready at about the lowest cost, and one of the same failure
+    domain, is chosen.
     """
     if not candidates:
         return EngineDecision(EngineAction.NO_ENGINE)
@@ -229,7 +230,10 @@
         for option in options
         if option.action is EngineAction.SEND and option.cost_seconds <= limit
     ]
-    return min(rng.sample(near, min(2, len(near))), key=_by_cost)
+    own = {item.server for item in available if item.is_local}
+    local = [option for option in near if option.server in own]
+    drawn = rng.sample(near, min(2, len(near))) + rng.sample(local, min(1, len(local)))
+    return min(drawn, key=_by_cost)
 
 
 def _by_cost(option: EngineDecision) -> tuple[float, str]:
