Parse declared bodies in whole reads

Cause: pieces of 4 KiB cost a body of 4 MB 6.7 to 6.9 ms of processor time before the bound on memory and 7.5 to 11.6 ms after it (two runs each, beside other load). Change: what belongs to a declared body for certain is parsed at once.

--- a/src/gooseberrydeal/_internal/network/http1/request_intake.py
+++ b/src/gooseberrydeal/_internal/network/http1/request_intake.py
@@ -122,10 +122,11 @@
             if self._waits_for_room or self._is_full:
                 self._unparsed = bytes(data)
                 break
-            rejection = self._parser.feed(data[:_PIECE_BYTES])
+            size = max(_PIECE_BYTES, self._parser.declared_left)
+            rejection = self._parser.feed(data[:size])
             if rejection is not None:
                 return rejection
-            data = data[_PIECE_BYTES:]
+            data = data[size:]
             if self._parser.is_in_body:
                 self._note_body()
         return None
--- a/src/gooseberrydeal/_internal/network/http1/request_parser.py
+++ b/src/gooseberrydeal/_internal/network/http1/request_parser.py
@@ -97,6 +97,13 @@
             return self._declared_bytes
         return self._limits().body_bytes
 
+    @property
+    def declared_left(self) -> int:
+        """Return how many bytes belong to the current body for certain."""
+        if not self.is_in_body or self._declared_bytes is None:
+            return 0
+        return max(0, self._declared_bytes - self._body_bytes)
+
     @property
     def head_bytes(self) -> int:
         """Return the memory that the current head takes, in bytes."""
