--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -172,7 +172,7 @@
                     return NoAssignment(reason, retry_after)
                 if proposed is not None:
                     pending_load = self._request_load(
-                        pending_load, proposed, _target_deadline(request), now
+                        pending_load, proposed, request.target_deadline, now
                     )
                 if pending_load is None or pending_load.is_overdue(now):
                     checks_without_load += 1
@@ -191,10 +191,10 @@
         now: float,
     ) -> None:
         """Wait for a change, or until the load that was requested is expected."""
-        seconds = _RECHECK_INTERVAL_SECONDS
-        if pending_load is not None:
-            ready_in = pending_load.record.ready_in(copy, now)
-            seconds = ready_in if ready_in > 0 else seconds
+        ready_in = (
+            0.0 if pending_load is None else pending_load.record.ready_in(copy, now)
+        )
+        seconds = ready_in or _RECHECK_INTERVAL_SECONDS
         await turn.wait(copy, seconds, is_loading=pending_load is not None)
 
     def _request_load(
@@ -254,7 +254,7 @@
             if older is None or request.needs_newest:
                 return None
             if load is not None:
-                self._rollout.request_load(load, _target_deadline(request))
+                self._rollout.request_load(load, request.target_deadline)
             copy = older
             records = self._rollout.admitting(
                 await self._in_scope(request, copy, 0), copy, request
@@ -302,8 +302,3 @@
         # With few hosts, statuses are recent and the least loaded engine is the best.
         rng = None if self._view.periods.reports_all else self._rng
         return choose_engine(copy, size, candidates, expected_uses, rng)
-
-
-def _target_deadline(request: RoutedRequest) -> float:
-    """Return when a request misses its target latency."""
-    return request.arrived_at + request.route.target_latency
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -102,6 +102,11 @@
             return self.account.rank
         return self.route.rank
 
+    @property
+    def target_deadline(self) -> float:
+        """Return when the request misses its target latency."""
+        return self.arrived_at + self.route.target_latency
+
     @property
     def tokens(self) -> int:
         """Return the most tokens that the request may occupy in an engine's memory."""
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -16,13 +16,13 @@
     ServerState,
 )
 from gooseberrydeal._internal.models.routing.usage_report import (
-    CopyLoadRequest,
     CopyUse,
     EngineUsage,
 )
 from gooseberrydeal._internal.network.http1.connection_pool import ConnectionPool
 from gooseberrydeal._internal.operations.router.copy_counts import CopyCounts
 from gooseberrydeal._internal.operations.router.engine_copies import EngineCopies
+from gooseberrydeal._internal.operations.router.load_waits import LoadWaits
 from gooseberrydeal._internal.operations.router.owner_view import OwnerView
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
 from gooseberrydeal._internal.policy.load_estimate import LoadEstimate
@@ -57,8 +57,7 @@
         self._owner = OwnerView()
         self._copies = EngineCopies()
         self._uses: dict[AdapterCopyKey, CopyCounts] = {}
-        self._load_requests: dict[AdapterCopyKey, int] = {}
-        self._target_deadlines: dict[AdapterCopyKey, float] = {}
+        self._load_waits = LoadWaits()
         self._use_entry_copies(0.0)
 
     @property
@@ -122,7 +121,7 @@
     @property
     def load_requests(self) -> Mapping[AdapterCopyKey, int]:
         """Return the number of waiting requests for each copy that they need."""
-        return self._load_requests
+        return self._load_waits.counts
 
     def update(
         self,
@@ -194,13 +193,13 @@
     @property
     def is_used(self) -> bool:
         """Return whether requests of this host run on the server or wait for a load."""
-        return self._load.own_requests > 0 or bool(self._load_requests)
+        return self._load.own_requests > 0 or bool(self._load_waits.counts)
 
     def can_load(self, now: float) -> bool:
         """Return whether the owner may send orders and has a slot for one more copy."""
         if not self._owner.accepts_load_orders(now):
             return False
-        pending = sum(key not in self._copies for key in self._load_requests)
+        pending = sum(key not in self._copies for key in self._load_waits.counts)
         return self._owner.spare_slots > pending
 
     def copy_state(self, key: AdapterCopyKey, now: float) -> CopyState | None:
@@ -249,20 +248,11 @@
 
         The request misses its target latency at ``target_deadline``.
         """
-        count = self._load_requests.get(key, 0)
-        latest = max(self._target_deadlines.get(key, 0.0), target_deadline)
-        self._target_deadlines[key] = latest
-        self._load_requests[key] = count + 1
-        return count == 0
+        return self._load_waits.add(key, target_deadline)
 
     def remove_load_request(self, key: AdapterCopyKey) -> None:
         """Remove one request that no longer waits for a copy."""
-        count = self._load_requests.get(key, 0) - 1
-        if count > 0:
-            self._load_requests[key] = count
-        else:
-            self._load_requests.pop(key, None)
-            self._target_deadlines.pop(key, None)
+        self._load_waits.remove(key)
 
     def note_missing(self, key: AdapterCopyKey, until: float) -> None:
         """Treat a copy that the engine denied having as loading until ``until``."""
@@ -283,15 +273,7 @@
         uses = tuple(
             CopyUse(key, use.in_flight, use.started) for key, use in self._uses.items()
         )
-        load_requests = tuple(
-            CopyLoadRequest(
-                key,
-                count,
-                self._target_deadlines.get(key, now) - now,
-                self._copies.is_missing(key),
-            )
-            for key, count in self._load_requests.items()
-        )
+        load_requests = self._load_waits.requests(self._copies.is_missing, now)
         load = self._load
         return EngineUsage(
             self.id,
