--- a/src/gooseberrydeal/_internal/policy/speeds/service_time.py
+++ b/src/gooseberrydeal/_internal/policy/speeds/service_time.py
@@ -6,6 +6,10 @@
 from gooseberrydeal._internal.policy.speeds.recent_median import RecentMedian
 
 _WINDOW_RESPONSES: Final = 61
+# Smaller differences are those of the way to the server and of the load of the moment.
+# Idle servers would be chosen by them alone, and most get no requests.
+_MIN_SECONDS: Final = 0.01
+_MIN_FRACTION: Final = 0.15
 # A server that seems this many times faster or slower than its service is taken for no
 # more: a few odd requests must neither attract nor divert all others.
 _MAX_RATIO: Final = 4.0
@@ -78,7 +82,10 @@
         usual = self._usual.seconds
         if usual is None:
             return 1.0
-        ratio = self._times.blend(usual, now) / usual
+        own = self._times.blend(usual, now)
+        if abs(own - usual) < max(_MIN_SECONDS, usual * _MIN_FRACTION):
+            return 1.0
+        ratio = own / usual
         return min(_MAX_RATIO, max(1.0 / _MAX_RATIO, ratio))
 
     def clear(self) -> None:
--- a/tests/unit/test_service_time.py
+++ b/tests/unit/test_service_time.py
@@ -68,3 +68,12 @@
     server = fleet(1)[1][0]
     now = observe(server, 0.0001, 20, 2, 30.0)
     assert server.relative(now) == 0.25
+
+
+def test_small_differences_do_not_keep_requests_from_idle_servers() -> None:
+    # With responses within a millisecond, one of six servers got all requests.
+    usual = UsualServiceTime()
+    servers = [ServiceTime(usual) for _ in range(4)]
+    for number, server in enumerate(servers):
+        observe(server, 0.001 * (1 + number), 40, number)
+    assert [server.relative(30.0) for server in servers] == [1.0] * 4
