Give the reserves of quotas what grants do not need

Change: where grants are valid for the longest time already, what they need no more of is added to the reserves. The sum stays within the bound.

--- a/src/gooseberrydeal/_internal/policy/quotas/quota_terms.py
+++ b/src/gooseberrydeal/_internal/policy/quotas/quota_terms.py
@@ -15,10 +15,13 @@
 ANSWER_SECONDS: Final = 0.15
 # Parts of what an account may exceed its quota by: for grants that are spent later than
 # they are made, and for the reserves of hosts whose allocator does not answer. The rest
-# is for buckets larger than the burst.
+# is for buckets larger than the burst. What grants need no more of, as they are valid
+# for the longest time already, goes to the reserves, which are all that is left for
+# some seconds when many hosts lose or regain the store.
 _LIFETIME_FRACTION: Final = 0.6
 _SETTLED_RESERVE_FRACTION: Final = 0.2
 _UNSETTLED_RESERVE_FRACTION: Final = 0.1
+_BUCKET_FRACTION: Final = 0.1
 # A host that does not know all hosts takes as small a reserve as if there were this
 # many, which is the largest deployment.
 _MAX_HOSTS: Final = 340
@@ -57,8 +60,12 @@
         lifetime = min(
             _MAX_LIFETIME_SECONDS, _LIFETIME_FRACTION * excess / quota.per_second
         )
-        reserves = _SETTLED_RESERVE_FRACTION + _UNSETTLED_RESERVE_FRACTION
-        granted = limit + (1.0 - reserves) * excess
+        unsettled = _UNSETTLED_RESERVE_FRACTION * excess
+        settled = max(
+            _SETTLED_RESERVE_FRACTION * excess,
+            (1.0 - _BUCKET_FRACTION) * excess - unsettled - quota.per_second * lifetime,
+        )
+        granted = limit + excess - settled - unsettled
         if lifetime > ANSWER_SECONDS:
             size, rate = _bucket(quota, bounds, granted, lifetime)
         if lifetime <= ANSWER_SECONDS or rate < quota.per_second:
@@ -71,8 +78,8 @@
             lifetime,
             lifetime <= ANSWER_SECONDS,
             bounds.quota_window,
-            _SETTLED_RESERVE_FRACTION * excess,
-            _UNSETTLED_RESERVE_FRACTION * excess / _MAX_HOSTS,
+            settled,
+            unsettled / _MAX_HOSTS,
         )
 
     def reserve(self, hosts: int | None) -> float:
