Share the places of plain servers only where the settings ask for it

Change: the setting sharePlainPlaces turns it on; it is off by default. Places at engines stay. Result: the tests of places pass.

--- a/src/gooseberrydeal/_internal/models/routing/host_settings.py
+++ b/src/gooseberrydeal/_internal/models/routing/host_settings.py
@@ -50,8 +50,9 @@
 
     The host listens for callers at ``callers``, for readiness probes at ``readiness``,
     for reports of other hosts at ``peers`` and for metrics scrapes at ``metrics``.
-    ``is_first_start`` is set for the first start of a new deployment. The host has
-    ``memory_bytes`` of memory, ``max_descriptors`` file descriptors and a link of
+    ``is_first_start`` is set for the first start of a new deployment. With
+    ``shares_plain_places``, hosts ask for places at contended plain servers. The host
+    has ``memory_bytes`` of memory, ``max_descriptors`` file descriptors and a link of
     ``link_bytes_per_second``, each ``None`` if that is not stated.
     """
 
@@ -63,6 +64,7 @@
     metrics: str
     store: StoreSettings
     is_first_start: bool = False
+    shares_plain_places: bool = False
     bounds: RoutingBounds = field(default_factory=RoutingBounds)
     memory_bytes: int | None = None
     max_descriptors: int | None = None
--- a/src/gooseberrydeal/_internal/operations/router/dispatcher.py
+++ b/src/gooseberrydeal/_internal/operations/router/dispatcher.py
@@ -77,6 +77,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         places: PlaceClient | None = None,
+        plain_places: PlaceClient | None = None,
         metrics: RouterMetrics | None = None,
     ) -> None:
         self._servers = servers
@@ -93,7 +94,7 @@
         self._on_load_requested = on_load_requested
         self._clock = clock
         self._rng = rng
-        self._plain = PlainAssignment(eligible, places, domain, clock, rng)
+        self._plain = PlainAssignment(eligible, plain_places, domain, clock, rng)
         self._eligible = eligible
         self._scope = scope
         self._limits = eligible.limits
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -183,6 +183,7 @@
             now,
             rng,
             self._places.client,
+            self._places.client if settings.shares_plain_places else None,
             self._metrics,
         )
         self._report_exchange.set_waiting(self._dispatcher.queues.waiting)
--- a/src/gooseberrydeal/_internal/platform/boot_file.py
+++ b/src/gooseberrydeal/_internal/platform/boot_file.py
@@ -61,6 +61,7 @@
             shortest_lease=float(values.get("platform.ttlMinMs") or 1000) / 1000,
         ),
         is_first_start=values.get("bootstrap") == "true",
+        shares_plain_places=values.get("sharePlainPlaces") == "true",
         bounds=_parse_bounds(values),
         memory_bytes=_parse_limit(values, "memoryMb", _BYTES_PER_MEGABYTE),
         max_descriptors=_parse_limit(values, "maxFds", 1),
