--- a/tests/lib/quota_cluster.py
+++ b/tests/lib/quota_cluster.py
@@ -5,20 +5,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from gooseberrydeal._internal.models.routing.account_directory import AccountDirectory
+from gooseberrydeal._internal.models.routing.account_directory import (
+    AccountDirectory,
+    key_digest,
+)
 from gooseberrydeal._internal.models.routing.client_account import ClientAccount
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     RoutingConfiguration,
 )
 from gooseberrydeal._internal.models.routing.store_item import StoreItem
-from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.interfaces.metadata_decoder import (
     MetadataDecoder,
 )
-from gooseberrydeal._internal.operations.router.quotas.quota_charge import QuotaCharge
-from gooseberrydeal._internal.operations.router.quotas.quota_gate import QuotaGate
-from gooseberrydeal._internal.operations.router.routed_request import RoutedRequest
 from gooseberrydeal._internal.platform.metadata_names import PlatformMetadataCodec
 from tests.lib.crash_cluster import CrashCluster
 
@@ -32,7 +31,7 @@
 
 
 class AccountEntries(PlatformMetadataCodec):
-    """Decode the configuration with accounts that it does not hold."""
+    """Add accounts to the configuration, whose keys are their names."""
 
     def __init__(self, accounts: Accounts) -> None:
         self._accounts = accounts
@@ -41,30 +40,12 @@
         found = super().configuration(item)
         if found is None:
             return None
-        directory = AccountDirectory(self._accounts.accounts, {})
+        accounts = self._accounts.accounts
+        keys = {key_digest(item.name.encode()): item for item in accounts}
+        directory = AccountDirectory(accounts, keys)
         return replace(found, version=self._accounts.version, accounts=directory)
 
 
-class NamedAccounts(QuotaGate):
-    """Take the account's name for the key."""
-
-    def __init__(self, gate: QuotaGate, cluster: "QuotaCluster") -> None:
-        self._gate = gate
-        self._cluster = cluster
-
-    async def enter(
-        self, request: RoutedRequest, exchange: CallerExchange
-    ) -> QuotaCharge | None:
-        name = request.attributes.caller.removeprefix("Bearer ")
-        for account in self._cluster.accounts.accounts:
-            if account.name == name:
-                request.account = account
-        return await self._gate.enter(request, exchange)
-
-    def leave(self, charge: QuotaCharge, exchange: CallerExchange) -> None:
-        self._gate.leave(charge, exchange)
-
-
 class QuotaCluster(CrashCluster):
     """Hold four hosts; datagrams from and to those in ``cut`` are lost."""
 
@@ -79,7 +60,6 @@
         await super().start_host(name)
         node = self.nodes[name]
         node.apply(replace(node._settings, bounds=self.bounds))
-        node._handler._quota_gate = NamedAccounts(node._quotas.gate, self)
         send = node._report_exchange._socket.send
 
         def send_if_connected(data: bytes, address: str) -> None:
