Wait with a key until the hosts of quota tests serve

Cause: the test cluster waited for an answer to a request without a key, which hosts with accounts refuse. Change: the cluster of quotas asks with its first account's key.

--- a/tests/lib/crash_cluster.py
+++ b/tests/lib/crash_cluster.py
@@ -105,12 +105,16 @@
         for name in self.host_names:
             await self.start_host(name)
         for name in self.host_names:
-            while (await self.call(name, b"ready?"))[0] != 200:
+            while not await self._serves(name):
                 await asyncio.sleep(0.05)
         while any(len(n._view.hosts) < len(self.nodes) for n in self.nodes.values()):
             await asyncio.sleep(0.05)
         return self
 
+    async def _serves(self, name: str) -> bool:
+        """Return whether a host serves requests."""
+        return (await self.call(name, b"ready?"))[0] == 200
+
     async def __aexit__(self, *exc: object) -> None:
         for name in list(self.nodes):
             await self.kill_host(name)
--- a/tests/lib/quota_cluster.py
+++ b/tests/lib/quota_cluster.py
@@ -69,6 +69,10 @@
 
         node._report_exchange._socket.send = send_if_connected  # type: ignore[method-assign]
 
+    async def _serves(self, name: str) -> bool:
+        account = self.accounts.accounts[0].name
+        return await self._status(account, name) == 200
+
     async def _decoder(self, host: str) -> MetadataDecoder:
         return AccountEntries(self.accounts)
 
