--- a/tests/unit/test_warm_copies.py
+++ b/tests/unit/test_warm_copies.py
@@ -46,7 +46,7 @@
         times.begin(key, 60)
         times.note_used(key)
     raised = times.expected_seconds(copy_key("x"), 60)
-    assert raised < 0.7 * slow
+    assert raised < 0.5 * slow
     for number in range(40):
         key = copy_key(f"b{number}")
         times.begin(key, 60)
