--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -45,12 +45,12 @@
             },
         )
 
-    async def start_routers(self, count: int, zone: str = "z1") -> None:
+    async def start_routers(self, count: int, **bounds: object) -> None:
         """Start routers as at the first start of a deployment."""
         for number in range(1, count + 1):
             port = free_port()
             await self.store.listen(f"edge-{number}", "127.0.0.1", port)
-            router = Router(f"edge-{number}", zone, self._folder, port)
+            router = Router(f"edge-{number}", "z1", self._folder, port, bounds)
             self.routers.append(router)
         for router in self.routers:
             await router.start(is_first=True)
--- a/review/stand_ins_2/engines.py
+++ b/review/stand_ins_2/engines.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import itertools
+import json
 import time
-from collections.abc import Callable
 
 from .messages import Message, encode, encode_json, serve
 from .routers import free_port
@@ -111,33 +111,42 @@
         self.places = places
         self.sequence = 0
         self.adapters: dict[str, float] = {}
+        self.leaving: set[str] = set()
         self.running: dict[str, int] = {}
         self.orders: list[tuple[float, str, int, str, int]] = []
-        self.on_order: Callable[[], None] = lambda: None
-        self.peak_adapters = 0
 
     def entry(self) -> dict:
         ready = [f"{k}@1" for k, at in self.adapters.items() if at <= time.monotonic()]
-        models = [{"name": self.model, "version": 1, "adapters": sorted(ready)}]
-        return super().entry() | {"sequence": self.sequence, "models": models}
+        return super().entry() | {
+            "sequence": self.sequence,
+            "models": self._models(sorted(ready)),
+        }
+
+    def _models(self, adapters: list[str]) -> list[dict]:
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
 
     async def answer(self, request: Message, writer: asyncio.StreamWriter) -> bool:
-        if request.path == "/-/report":
-            writer.write(encode_json(200, self._report()))
-        elif request.path == "/-/order":
-            writer.write(encode_json(self._order(request), {}))
-        else:
+        if request.path not in ("/-/report", "/-/order"):
             return await self.run(request, writer)
+        writer.write(self.control(request))
         await writer.drain()
         return True
 
+    def control(self, request: Message) -> bytes:
+        """Return the answer to an order, or the report; it echoes the request's id."""
+        request_id = request.fields.get("x-request-id")
+        fields = {"X-Request-Id": request_id} if request_id else {}
+        if request.path == "/-/report":
+            return encode_json(200, self._report(), fields)
+        return encode_json(self._order(request), {}, fields)
+
     def _report(self) -> dict:
         now = time.monotonic()
         ready = [f"{name}@1" for name, at in self.adapters.items() if at <= now]
         coming = [f"{self.model}/{k}@1" for k, at in self.adapters.items() if at > now]
         return {
             "stage": "colocated",
-            "models": [{"name": self.model, "version": 1, "adapters": ready}],
+            "models": self._models(ready),
             "busy": False,
             "sequence": self.sequence,
             "waiting": 0,
@@ -150,32 +159,33 @@
         }
 
     def _order(self, request: Message) -> int:
-        import json
-
         body = json.loads(request.body)
         status = self._carry_out(body)
         detail = f"{body['operation']} {body.get('adapter', '')}"
         self.orders.append(
             (time.monotonic(), body["holder"], body["fencingToken"], detail, status)
         )
-        self.on_order()
         return status
 
     def _carry_out(self, body: dict) -> int:
         if body.get("precondition", self.sequence) != self.sequence:
             return 409
         adapter = body.get("adapter")
-        if body["model"] != self.model or not adapter:
+        if body["model"] != self.model:
             return 400
+        if not adapter:
+            return 200
+        if adapter in self.leaving:
+            return 409
         if body["operation"] == "load":
             if adapter in self.adapters:
                 return 200
             self.sequence += 1
             self.adapters[adapter] = time.monotonic() + self.load_seconds
-            self.peak_adapters = max(self.peak_adapters, len(self.adapters))
             return 202
         self.sequence += 1
         if self.running.get(adapter):
+            self.leaving.add(adapter)
             return 202
         self.adapters.pop(adapter, None)
         return 200
@@ -185,6 +195,9 @@
         adapter = request.fields.get("x-model", "").partition("/")[2]
         load = f"{sum(self.running.values())},0,{self.slots},100"
         fields = {"X-Request-Id": request_id, "X-Instance-Load": load}
+        if adapter in self.leaving:
+            writer.write(encode(503, b"", fields | {"X-Not-Executed": "1"}))
+            return True
         if adapter and self.adapters.get(adapter, 1e18) > time.monotonic():
             writer.write(encode(421, b"", fields | {"X-Not-Executed": "1"}))
             return True
@@ -194,6 +207,9 @@
             await self.stream(request_id, fields, writer)
         finally:
             self.running[adapter] -= 1
+            if not self.running[adapter] and adapter in self.leaving:
+                self.leaving.discard(adapter)
+                self.adapters.pop(adapter, None)
         return True
 
     async def stream(
--- a/review/stand_ins_2/routers.py
+++ b/review/stand_ins_2/routers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import tomllib
@@ -40,37 +41,52 @@
 MEMORY_MB = 300
 MAX_FDS = 4100
 READY_SECONDS = 20.0
+PORTS = (15_000, 30_000)
+_taken: set[int] = set()
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def free_port(host: str = "127.0.0.1", count: int = 1) -> int:
+    """Return the first of some ports in a row that are free for TCP and UDP.
 
-
-def free_range(host: str = "127.0.0.1") -> int:
-    """Return the first of two ports in a row that are free for TCP and UDP."""
+    They lie below the ports that the kernel gives to outgoing connections, so that
+    none of these takes them before they are used.
+    """
     while True:
-        first = free_port(host)
-        try:
-            for port in (first, first + 1):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as sock:
-                        sock.bind((host, port))
-        except OSError:
-            continue
-        return first
+        first = random.randrange(*PORTS)
+        if _taken.isdisjoint(range(first, first + count)) and all(
+            _is_free(host, port) for port in range(first, first + count)
+        ):
+            _taken.update(range(first, first + count))
+            return first
+
+
+def _is_free(host: str, port: int) -> bool:
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind((host, port))
+    except OSError:
+        return False
+    return True
 
 
 class Router:
     """Run one router process, with settings like those of a small deployment."""
 
-    def __init__(self, name: str, zone: str, folder: Path, store_port: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        folder: Path,
+        store_port: int,
+        bounds: dict[str, object],
+    ) -> None:
+        self._bounds = BOUNDS | bounds
         self.name = name
         self.zone = zone
         self.front = free_port()
         self.ready = free_port()
-        self.peers = free_range()
+        self.peers = free_port(count=2)
         self._store_port = store_port
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
@@ -192,6 +208,6 @@
             "platform.historyS": "20",
             "platform.valueBytes": "1048576",
             "platform.ttlMinMs": "1000",
-            **{f"bounds.{name}": str(value) for name, value in BOUNDS.items()},
+            **{f"bounds.{name}": str(value) for name, value in self._bounds.items()},
         }
         return "".join(f"{name}={value}\n" for name, value in values.items())
