--- a/review/stand_ins_2/engines.py
+++ b/review/stand_ins_2/engines.py
@@ -201,6 +201,9 @@
         if adapter and self.adapters.get(adapter, 1e18) > time.monotonic():
             writer.write(encode(421, b"", fields | {"X-Not-Executed": "1"}))
             return True
+        if sum(self.running.values()) >= self.slots:
+            writer.write(encode(503, b"", fields | {"X-Not-Executed": "1"}))
+            return True
         self.note_run(request)
         self.running[adapter] = self.running.get(adapter, 0) + 1
         try:
