--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # compiles them to find what this Python can't read.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q stand_ins_2 [6-9]/*.py
+python3 -m compileall -q stand_ins_2 [6-8]/*.py
