--- a/src/gooseberrydeal/_internal/models/routing/reply_facts.py
+++ b/src/gooseberrydeal/_internal/models/routing/reply_facts.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from gooseberrydeal._internal.models.routing.slowdown import NORMAL_SLOWDOWN
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
@@ -14,7 +16,7 @@
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
+    slowdown: float = NORMAL_SLOWDOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +26,8 @@
     ``is_not_run`` is set if the server states that it did not start the request.
     ``request_limit`` is the number of requests per second that it takes from all hosts
     together, ``None`` if it states none; ``has_invalid_limit`` is set if it states one
-    that cannot be read. ``is_leaving`` is set if the server states that it leaves.
+    that cannot be read, and ``has_invalid_load`` if that is so of its load.
+    ``is_leaving`` is set if the server states that it leaves.
     ``wait_seconds`` is for how long it wants no requests from this host, ``None`` if it
     does not ask for a wait. ``is_brittle`` is set if the server states that it falls
     over when it turns requests away.
@@ -39,3 +42,4 @@
     is_leaving: bool = False
     wait_seconds: float | None = None
     is_brittle: bool = False
+    has_invalid_load: bool = False
--- a/src/gooseberrydeal/_internal/network/router_metrics.py
+++ b/src/gooseberrydeal/_internal/network/router_metrics.py
@@ -88,6 +88,11 @@
             "Connections affected by a limit of the host, by limit.",
             registry=self._registry,
         )
+        self._ignored = Counter(
+            "gooseberry_router_ignored_total",
+            "Invalid statements of other processes that were ignored, by kind.",
+            registry=self._registry,
+        )
         self._state = Gauge(
             "gooseberry_router_state",
             "What the router believes: version, servers, hosts, engines owned.",
@@ -147,6 +152,10 @@
         """Count a connection that was held back, refused or closed by a limit."""
         self._host_limits.inc({"limit": limit})
 
+    def count_ignored(self, kind: str) -> None:
+        """Count an invalid statement of another process that was ignored."""
+        self._ignored.inc({"kind": kind})
+
     def observe_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first attempt."""
         self._wait_time.add({}, seconds)
--- a/src/gooseberrydeal/_internal/operations/router/head_notes.py
+++ b/src/gooseberrydeal/_internal/operations/router/head_notes.py
@@ -1,8 +1,10 @@
 """Record what responses say of requests and servers."""
 
+import logging
 from collections.abc import Callable
 
 from gooseberrydeal._internal.models.routing.reply_facts import ResponseAttributes
+from gooseberrydeal._internal.models.routing.slowdown import NORMAL_SLOWDOWN
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.peer_fields import notice_fields
 from gooseberrydeal._internal.network.http1.server_connection import ServerConnection
@@ -26,6 +28,8 @@
     StreamContinuation,
 )
 
+logger = logging.getLogger(__name__)
+
 
 class HeadNotes:
     """Pass the head and the timing of each response on to all that depend on them."""
@@ -77,7 +81,14 @@
         times.head_at = self._clock()
         if self._timer is not None:
             load = attributes.load
-            self._timer.head_received(status, 1.0 if load is None else load.slowdown)
+            slowdown = NORMAL_SLOWDOWN if load is None else load.slowdown
+            self._timer.head_received(status, slowdown)
+        if attributes.has_invalid_load:
+            self._metrics.count_ignored("server_load")
+            logger.info(
+                "ignoring the server's load: it is malformed or out of range",
+                extra={"request_id": attributes.request_id, "server": record.id},
+            )
         for field in notice_fields(record.id, record.entry.started_at, attributes):
             self._exchange.add_peer_field(field)
         self._continuation.note_response(status, record, connection)
--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -18,6 +18,10 @@
     ResponseAttributes,
 )
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
+from gooseberrydeal._internal.models.routing.slowdown import (
+    NORMAL_SLOWDOWN,
+    is_plausible_slowdown,
+)
 from gooseberrydeal._internal.network.http1.framing import end_to_end_headers
 from gooseberrydeal._internal.platform import header_names
 
@@ -33,7 +37,10 @@
 # A load field holds the numbers of running and waiting requests and of slots, and
 # optionally the time that work takes, in percent of the normal time.
 _MIN_LOAD_FIELDS: Final = 3
+_MAX_LOAD_FIELDS: Final = 4
 _NORMAL_LATENCY_PERCENT: Final = 100.0
+# Servers accept some hundred connections, and each holds one request at a time.
+_MAX_LOAD_COUNT: Final = 1_000_000
 # Priorities range from 0, the most urgent, to this number.
 _MAX_PRIORITY_NUMBER: Final = 9
 
@@ -137,12 +144,15 @@
         request_id = fields.get(header_names.REQUEST_ID)
         stated_limit = fields.get(header_names.SERVER_LIMIT)
         request_limit = _parse_decimal(stated_limit)
+        stated_load = fields.get(header_names.INSTANCE_LOAD)
+        load = _parse_load(stated_load)
         return ResponseAttributes(
             request_id=None if request_id is None else _decode_text(request_id),
             is_not_run=fields.get(header_names.NOT_EXECUTED, b"").strip() == _TRUE_VALUE
             or head.status == HTTPStatus.MISDIRECTED_REQUEST,
             is_event_stream=_is_event_stream(fields.get(b"content-type", b"")),
-            load=_parse_load(fields.get(header_names.INSTANCE_LOAD)),
+            load=load,
+            has_invalid_load=stated_load is not None and load is None,
             request_limit=request_limit,
             has_invalid_limit=stated_limit is not None and request_limit is None,
             is_leaving=fields.get(header_names.SERVER_LEAVING, b"").strip()
@@ -227,16 +237,18 @@
 
 
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
+    """Return a load, ``None`` unless each of its figures is within its range."""
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) < _MIN_LOAD_FIELDS:
+    parts = value.split(b",")[:_MAX_LOAD_FIELDS]
+    figures = [_parse_decimal(part) for part in parts]
+    numbers = [number for number in figures if number is not None]
+    if len(numbers) < max(_MIN_LOAD_FIELDS, len(parts)):
         return None
-    try:
-        running, waiting, slots, *rest = [float(part) for part in parts]
-    except ValueError:
+    running, waiting, slots, *latency = numbers
+    if max(running, waiting, slots) > _MAX_LOAD_COUNT:
         return None
-    if not all(math.isfinite(n) and n >= 0 for n in (running, waiting, slots, *rest)):
+    slowdown = latency[0] / _NORMAL_LATENCY_PERCENT if latency else NORMAL_SLOWDOWN
+    if not is_plausible_slowdown(slowdown):
         return None
-    slowdown = rest[0] / _NORMAL_LATENCY_PERCENT if rest else 1.0
     return ReportedLoad(int(running), int(waiting), int(slots), slowdown)
--- /dev/null
+++ b/tests/lib/odd_values.py
@@ -0,0 +1,37 @@
+"""Build values that other processes may send by mistake."""
+
+from typing import Final
+
+from hypothesis import strategies as st
+
+# Loads that no server can have, or that are none.
+INVALID_LOADS: Final = (
+    "3,0,16,0",
+    "3,0,16,00",
+    "3,0,16,0.0",
+    "3,0,16,1",
+    "3,0,16,-100",
+    "3,0,16,1e306",
+    "3,0,16,nan",
+    "3,0,16,inf",
+    "3,0,16,99999999",
+    "3,0,16,",
+    "3,0,16,0x64",
+    "3,,16,100",
+    "-3,0,16,100",
+    "3,0,1_6,100",
+    f"{'9' * 308},{'9' * 308},16,100",
+    f"3,{'9' * 400},16,100",
+    "3,0",
+    "",
+)
+
+_FIGURES = st.one_of(
+    st.integers(-10, 2_000_000).map(str),
+    st.floats().map(str),
+    st.floats(0, 1e4).map(str),
+    st.sampled_from(["", "0", "00", " 7 ", "+1", "1e400", "9" * 400, "٣", "1_0"]),
+    st.text("0123456789.,eE+-_ ", max_size=8),
+)
+# Values of a load field, most of them with a plausible number of figures.
+LOADS = st.lists(_FIGURES, max_size=6).map(",".join)
