--- a/src/gooseberrydeal/_internal/platform/engine_client.py
+++ b/src/gooseberrydeal/_internal/platform/engine_client.py
@@ -26,7 +26,7 @@
 # by then is sent again; the engine accepts only the first of the two to arrive.
 _CALL_TIMEOUT_SECONDS: Final = 0.3
 _MAX_CONNECTIONS_PER_ENGINE: Final = 2
-_OUTCOME_BY_STATUS: Final = {
+_OUTCOME_BY_STATUS: Final[dict[int, OrderOutcome]] = {
     HTTPStatus.OK: OrderOutcome.DONE,
     HTTPStatus.ACCEPTED: OrderOutcome.ACCEPTED,
     HTTPStatus.CONFLICT: OrderOutcome.CONFLICT,
@@ -95,7 +95,7 @@
                 error,
             )
             return OrderOutcome.UNKNOWN
-        outcome = _OUTCOME_BY_STATUS.get(HTTPStatus(status), OrderOutcome.REJECTED)
+        outcome = _OUTCOME_BY_STATUS.get(status, OrderOutcome.REJECTED)
         if outcome in (OrderOutcome.REJECTED, OrderOutcome.CONFLICT):
             logger.info(
                 "order to engine %s failed with status %d: %s",
--- a/tests/lib/odd_values.py
+++ b/tests/lib/odd_values.py
@@ -35,3 +35,24 @@
 )
 # Values of a load field, most of them with a plausible number of figures.
 LOADS = st.lists(_FIGURES, max_size=6).map(",".join)
+
+# Bodies that are no report of an engine.
+INVALID_REPORTS: Final = (
+    b"",
+    b"null",
+    b"[]",
+    b'"report"',
+    b"{}",
+    b"\xff",
+    b'{"sequence":1}',
+    b'{"sequence":true,"models":[]}',
+    b'{"sequence":"1","models":[]}',
+    b'{"sequence":1.5,"models":[]}',
+    b'{"sequence":1,"models":7}',
+    b'{"sequence":1,"models":["m"]}',
+    b'{"sequence":1,"models":[{"name":"m","version":null}]}',
+    b'{"sequence":1,"models":[{"name":"m","adapters":7}]}',
+    b'{"sequence":1,"models":[{"name":"m","adapters":["a1@x"]}]}',
+    b'{"sequence":1,"models":[],"coming":[7]}',
+    b'{"sequence":1,"models":[],"coming":7}',
+)
