--- a/src/gooseberrydeal/_internal/network/http1/json_client.py
+++ b/src/gooseberrydeal/_internal/network/http1/json_client.py
@@ -62,8 +62,10 @@
             return "no response"
         return f"only {len(self._body)} bytes of a response"
 
-    def response(self) -> JsonResponse:
-        assert self._head is not None
+    def response(self) -> JsonResponse | None:
+        """Return what was received, ``None`` before the head."""
+        if self._head is None:
+            return None
         return JsonResponse(self._head, _decode_object(bytes(self._body)))
 
     def head_received(self, head: ResponseHead) -> None:
@@ -162,12 +164,13 @@
             self._pool.discard(connection)
             raise
         self._pool.release(connection)
-        if not end.is_whole:
+        response = collector.response() if end.is_whole else None
+        if response is None:
             raise ServerBrokenError(
                 f"{method} {target.partition('?')[0]} at {self._address} ended with"
                 f" a {end.value} response"
             )
-        return collector.response()
+        return response
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/src/gooseberrydeal/_internal/network/http1/server_connection.py
+++ b/src/gooseberrydeal/_internal/network/http1/server_connection.py
@@ -219,7 +219,7 @@
 
     def on_message_complete(self) -> None:
         """Note the end of the final response; interim (1xx) responses are skipped."""
-        if self._status >= HTTPStatus.OK:
+        if self._invalid_status is None and self._status >= HTTPStatus.OK:
             self._is_response_complete = True
             # The parser's answer is valid only within this callback.
             self._allows_keep_alive = self._parser is not None and (
--- a/tests/functional/test_engine_client.py
+++ b/tests/functional/test_engine_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from itertools import product
 
 import pytest
 
@@ -72,7 +73,7 @@
     assert report.order_count == 2
 
 
-@pytest.mark.parametrize("status", [222, 299, 420, 499, 599])
+@pytest.mark.parametrize("status", [0, 99, 222, 299, 420, 499, 599, 600, 902, 999])
 def test_a_status_without_a_name_costs_no_more_than_the_answer(status: int) -> None:
     # Starved: the owner of an engine ended for good by a status of 222.
     texts = [response(_REPORT, f"{status:03d} Odd")]
@@ -85,3 +86,14 @@
 def test_an_invalid_report_costs_no_more_than_the_answer(body: bytes) -> None:
     ((_, report),) = _call_all([response(body)])
     assert isinstance(report, ServerError)
+
+
+@pytest.mark.parametrize("byte", [b"", b"\x00", b" ", b"9", b"\r", b"\xff", b"-"])
+def test_one_wrong_byte_costs_no_more_than_the_answer(byte: bytes) -> None:
+    texts = [
+        text[:place] + byte + text[place + 1 :]
+        for text, place in product((_ACCEPTED,), range(len(_ACCEPTED)))
+    ]
+    for outcome, report in _call_all(texts):
+        assert isinstance(outcome, OrderOutcome)
+        assert isinstance(report, EngineReport | ServerError)
