--- a/src/gooseberrydeal/_internal/cli/router.py
+++ b/src/gooseberrydeal/_internal/cli/router.py
@@ -56,7 +56,7 @@
     # Objects that exist after start-up mostly live as long as the process. Freezing
     # excludes them from all later garbage collections.
     gc.freeze()
-    tasks.start(follower.run(), "settings")
+    tasks.keep_running(follower.run, "settings")
     await stop_requested.wait()
     await tasks.stop()
     cut_count = await node.stop()
--- a/src/gooseberrydeal/_internal/operations/router/crash_protection.py
+++ b/src/gooseberrydeal/_internal/operations/router/crash_protection.py
@@ -99,9 +99,9 @@
 
     def start(self) -> None:
         """Start sharing evidence with the other hosts."""
-        self._tasks.start(self._gossip.run(), "crash gossip")
-        self._tasks.start(self._records.run(), "crash records")
-        self._tasks.start(self._isolation.run(), "suspect isolation")
+        self._tasks.keep_running(self._gossip.run, "crash gossip")
+        self._tasks.keep_running(self._records.run, "crash records")
+        self._tasks.keep_running(self._isolation.run, "suspect isolation")
 
     async def stop(self) -> None:
         """Stop sharing evidence."""
--- a/src/gooseberrydeal/_internal/operations/router/engine_owner.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_owner.py
@@ -152,6 +152,9 @@
 
     async def run(self) -> None:
         """Send orders and publish the status until cancelled."""
+        # A run that has failed may have sent an order whose outcome is not known.
+        self._sequence.invalidate_count()
+        self._reader.schedule(self._clock())
         try:
             await self._run()
         finally:
--- a/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_ownership.py
@@ -279,8 +279,8 @@
             self._clock,
         )
         self._owners[record.id] = owner
-        self._running[record.id] = self._tasks.start(
-            owner.run(), f"owner of {record.id}"
+        self._running[record.id] = self._tasks.keep_running(
+            owner.run, f"owner of {record.id}"
         )
 
     def _stop_owner(self, server: ServerId, reason: str) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/host_metadata.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_metadata.py
@@ -60,9 +60,9 @@
 
     def start(self, tasks: TaskOwner) -> None:
         """Start the tasks, which run until ``tasks`` are stopped."""
-        tasks.start(self._follower.run(), "metadata follower")
-        tasks.start(self._declaration_watch.run(), "declaration watch")
-        tasks.start(self._known_state_writer.run(), "known state")
+        tasks.keep_running(self._follower.run, "metadata follower")
+        tasks.keep_running(self._declaration_watch.run, "declaration watch")
+        tasks.keep_running(self._known_state_writer.run, "known state")
 
     def changed(self) -> None:
         """Compare what the store holds with what was read, after a change."""
--- a/src/gooseberrydeal/_internal/operations/router/order_sequence.py
+++ b/src/gooseberrydeal/_internal/operations/router/order_sequence.py
@@ -104,7 +104,7 @@
                 outcome = await self._orders.order(self._record.entry, order)
         finally:
             self._is_sending = False
-        self._last_sent_at = self._clock()
+            self._last_sent_at = self._clock()
         logger.info(
             "order after %d accepted orders: %s, outcome %s",
             order.expected_order_count,
--- a/src/gooseberrydeal/_internal/operations/router/quotas/host_quotas.py
+++ b/src/gooseberrydeal/_internal/operations/router/quotas/host_quotas.py
@@ -82,7 +82,7 @@
 
     def start(self) -> None:
         """Start to ask ahead of demand."""
-        self._tasks.start(self.admission.run(), "quotas")
+        self._tasks.keep_running(self.admission.run, "quotas")
 
     async def stop(self) -> None:
         """Stop asking."""
--- a/src/gooseberrydeal/_internal/operations/router/stream_versions.py
+++ b/src/gooseberrydeal/_internal/operations/router/stream_versions.py
@@ -93,7 +93,7 @@
 
     def start(self) -> None:
         """Start to record the versions that are there."""
-        self._tasks.start(self._note_versions(), "software versions")
+        self._tasks.keep_running(self._note_versions, "software versions")
 
     async def stop(self) -> None:
         """Stop recording."""
