--- a/src/gooseberrydeal/_internal/models/http_status.py
+++ b/src/gooseberrydeal/_internal/models/http_status.py
@@ -45,4 +45,5 @@
     RefusalReason.CONFIGURATION_DIFFERS: 503,
     RefusalReason.QUOTA_UNAVAILABLE: 503,
     RefusalReason.HOST_OVERLOADED: 503,
+    RefusalReason.INTERNAL_ERROR: 503,
 }
--- a/src/gooseberrydeal/_internal/models/refusal_reason.py
+++ b/src/gooseberrydeal/_internal/models/refusal_reason.py
@@ -46,3 +46,4 @@
     QUOTA_UNAVAILABLE = "quota_unavailable"
     HOST_OVERLOADED = "host_overloaded"
     CONFIGURATION_DIFFERS = "configuration_differs"
+    INTERNAL_ERROR = "internal_error"
--- a/src/gooseberrydeal/_internal/operations/router/failed_reply.py
+++ b/src/gooseberrydeal/_internal/operations/router/failed_reply.py
@@ -53,6 +53,17 @@
         """Report that a server failed and may have run the request."""
         self._end(RefusalReason.SERVER_FAILED, None)
 
+    def internal_error(self) -> None:
+        """Report the exception that is being handled, an error of this host.
+
+        The caller learns whether the request may have run.
+        """
+        self._log.failed()
+        if self._request.may_have_run:
+            self.server_failed()
+        else:
+            self._end(RefusalReason.INTERNAL_ERROR, RETRY_AFTER_SECONDS)
+
     def deadline_exceeded(self) -> None:
         """Report that the request was not served in time."""
         self._log.ended_at_deadline()
--- a/src/gooseberrydeal/_internal/operations/router/head_notes.py
+++ b/src/gooseberrydeal/_internal/operations/router/head_notes.py
@@ -56,6 +56,8 @@
     def sent(self, assignment: Assignment, request: RoutedRequest) -> None:
         """Record that the request is sent to a server now."""
         self._times.note_sent(self._clock(), assignment.load_wait)
+        if request.send_count == 1:
+            self._metrics.observe_wait(self._times.sent_at - request.arrived_at)
         if assignment.record.service.engine is None:
             self._timer = PlainTimer(assignment, self._clock)
         else:
--- a/src/gooseberrydeal/_internal/operations/router/refusals.py
+++ b/src/gooseberrydeal/_internal/operations/router/refusals.py
@@ -1,5 +1,6 @@
 """Answer rejected requests."""
 
+import logging
 from http import HTTPStatus
 
 from gooseberrydeal._internal.models.http_status import HTTP_STATUS
@@ -10,6 +11,10 @@
 from gooseberrydeal._internal.network.http1.caller_exchange import CallerExchange
 from gooseberrydeal._internal.network.http1.peer_fields import refusal_field
 from gooseberrydeal._internal.network.interfaces.relay_codec import RelayCodec
+from gooseberrydeal._internal.network.router_metrics import RouterMetrics
+from gooseberrydeal._internal.policy.request_identity import RequestIdentity
+
+logger = logging.getLogger(__name__)
 
 
 def refuse(
@@ -41,3 +46,22 @@
     if cause.is_shared:
         return HTTPStatus.BAD_GATEWAY
     return codec.final_refusal_status(is_repeatable=route.is_repeatable)
+
+
+def refuse_crashing(
+    exchange: CallerExchange,
+    codec: RelayCodec,
+    metrics: RouterMetrics,
+    identity: RequestIdentity,
+    route: Route,
+    cause: RequestFeature,
+) -> None:
+    """Refuse a request for good, since servers crashed while ``cause`` was there."""
+    reason = RefusalReason.CRASH_SUSPECT
+    metrics.count_refusal(reason)
+    logger.info(
+        "%s refused: servers crashed while it was there",
+        cause,
+        extra={"request_id": identity.request_id, "reason": reason.value},
+    )
+    refuse(exchange, reason, None, final_refusal_status(codec, route, cause))
--- a/src/gooseberrydeal/_internal/operations/router/request_handler.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_handler.py
@@ -12,7 +12,6 @@
 from gooseberrydeal._internal.models.routing.host_settings import RoutingBounds
 from gooseberrydeal._internal.models.routing.peer_request import PeerRequest
 from gooseberrydeal._internal.models.routing.request_facts import RequestAttributes
-from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
 from gooseberrydeal._internal.models.routing.route import Route
 from gooseberrydeal._internal.models.routing.routing_configuration import (
     CallerLimits,
@@ -29,6 +28,7 @@
     CrashProtection,
 )
 from gooseberrydeal._internal.operations.router.dispatcher import Dispatcher
+from gooseberrydeal._internal.operations.router.error_answers import answer_errors
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
 from gooseberrydeal._internal.operations.router.passing_on.route_agreement import (
     RouteAgreement,
@@ -36,8 +36,8 @@
 from gooseberrydeal._internal.operations.router.peer_relay import PeerRelay
 from gooseberrydeal._internal.operations.router.quotas.quota_gate import QuotaGate
 from gooseberrydeal._internal.operations.router.refusals import (
-    final_refusal_status,
     refuse,
+    refuse_crashing,
 )
 from gooseberrydeal._internal.operations.router.request_run import RequestRun
 from gooseberrydeal._internal.operations.router.retry_windows import RetryWindows
@@ -138,13 +138,13 @@
 
     async def handle(self, exchange: CallerExchange) -> None:
         """Serve one request of a caller, or refuse it if no route applies."""
-        await self._handle(exchange, None)
+        await answer_errors(self._handle(exchange, None), exchange)
 
     async def handle_for_peer(
         self, exchange: CallerExchange, peer: PeerRequest
     ) -> None:
         """Serve one request that another host has passed on, or refuse it."""
-        await self._handle(exchange, peer)
+        await answer_errors(self._handle(exchange, peer), exchange)
 
     async def _handle(self, exchange: CallerExchange, peer: PeerRequest | None) -> None:
         if self._is_refusing:
@@ -173,7 +173,9 @@
         )
         cause = self._crash_protection.guard.final_cause(identity)
         if cause is not None:
-            self._refuse_crashing(exchange, identity, route, cause)
+            refuse_crashing(
+                exchange, self._codec, self._metrics, identity, route, cause
+            )
             return
         time_limit = route.timeout
         if attributes.time_limit is not None:
@@ -270,23 +272,6 @@
         )
         return None
 
-    def _refuse_crashing(
-        self,
-        exchange: CallerExchange,
-        identity: RequestIdentity,
-        route: Route,
-        cause: RequestFeature,
-    ) -> None:
-        reason = RefusalReason.CRASH_SUSPECT
-        self._metrics.count_refusal(reason)
-        logger.info(
-            "%s refused: servers crashed while it was there",
-            cause,
-            extra={"request_id": identity.request_id, "reason": reason.value},
-        )
-        status = final_refusal_status(self._codec, route, cause)
-        refuse(exchange, reason, None, status)
-
     def _refresh_routes(self) -> None:
         configuration = self._view.configuration
         if configuration is not self._configuration and configuration is not None:
--- a/src/gooseberrydeal/_internal/operations/router/request_log.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_log.py
@@ -50,6 +50,14 @@
             "request given up: %s", reason.value, extra=self._context(None, reason)
         )
 
+    def failed(self) -> None:
+        """Log and count the exception by which this host failed the request."""
+        reason = RefusalReason.INTERNAL_ERROR
+        self._metrics.count_refusal(reason)
+        logger.exception(
+            "request given up: %s", reason.value, extra=self._context(None, reason)
+        )
+
     def ended_at_deadline(self) -> None:
         """Log and count that the deadline passed before the request was served."""
         self._metrics.count_refusal(RefusalReason.DEADLINE)
--- a/src/gooseberrydeal/_internal/operations/router/request_run.py
+++ b/src/gooseberrydeal/_internal/operations/router/request_run.py
@@ -182,6 +182,8 @@
                 return
             self._log.cancelled(self._clock() - self._request.arrived_at, self._server)
             raise
+        except Exception:
+            self._failure.internal_error()
         finally:
             self._screening.end_isolation()
             self._request.release_place()
@@ -247,8 +249,6 @@
             return None
         request.send_count += 1
         self._heads.sent(assignment, request)
-        if request.send_count == 1:
-            self._metrics.observe_wait(self._times.sent_at - request.arrived_at)
 
         def on_head(status: int, attributes: ResponseAttributes) -> None:
             use.response_started(has_begun=status < HTTPStatus.BAD_REQUEST)
--- a/src/gooseberrydeal/_internal/operations/router/routed_request.py
+++ b/src/gooseberrydeal/_internal/operations/router/routed_request.py
@@ -80,6 +80,11 @@
         self.refused_on.append(connection)
         self.release_place(was_rejected=True)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether it was sent without a statement that it did not run."""
+        return self.send_count > len(self.refused_on)
+
     def can_run_again(self, pending: int = 0) -> bool:
         """Return whether a server may run the request besides ``pending`` others."""
         return self.route.is_repeatable and pending < self.servers_left
