--- a/src/gooseberrydeal/_internal/platform/relay_codec.py
+++ b/src/gooseberrydeal/_internal/platform/relay_codec.py
@@ -41,6 +41,8 @@
 _NORMAL_LATENCY_PERCENT: Final = 100.0
 # Servers accept some hundred connections, and each holds one request at a time.
 _MAX_LOAD_COUNT: Final = 1_000_000
+# A server that takes more requests per second has no limit that matters.
+_MAX_REQUEST_LIMIT: Final = 1e9
 # Priorities range from 0, the most urgent, to this number.
 _MAX_PRIORITY_NUMBER: Final = 9
 
@@ -143,7 +145,7 @@
         fields = {name.lower(): value for name, value in head.headers}
         request_id = fields.get(header_names.REQUEST_ID)
         stated_limit = fields.get(header_names.SERVER_LIMIT)
-        request_limit = _parse_decimal(stated_limit)
+        request_limit = _parse_limit(stated_limit)
         stated_load = fields.get(header_names.INSTANCE_LOAD)
         load = _parse_load(stated_load)
         return ResponseAttributes(
@@ -228,6 +230,11 @@
     return number if math.isfinite(number) else None
 
 
+def _parse_limit(value: bytes | None) -> float | None:
+    limit = _parse_decimal(value)
+    return limit if limit is not None and limit <= _MAX_REQUEST_LIMIT else None
+
+
 def _parse_wait(status: int, value: bytes | None) -> float | None:
     """Return the wait that a server asks for; a date or zero asks for none."""
     if status != HTTPStatus.SERVICE_UNAVAILABLE:
--- a/tests/lib/odd_values.py
+++ b/tests/lib/odd_values.py
@@ -26,7 +26,8 @@
     "",
 )
 
-_FIGURES = st.one_of(
+# Texts of a decimal number, or of none.
+DECIMALS: Final = st.one_of(
     st.integers(-10, 2_000_000).map(str),
     st.floats().map(str),
     st.floats(0, 1e4).map(str),
@@ -34,7 +35,7 @@
     st.text("0123456789.,eE+-_ ", max_size=8),
 )
 # Values of a load field, most of them with a plausible number of figures.
-LOADS = st.lists(_FIGURES, max_size=6).map(",".join)
+LOADS: Final = st.lists(DECIMALS, max_size=6).map(",".join)
 
 # Bodies that are no report of an engine.
 INVALID_REPORTS: Final = (
@@ -56,3 +57,16 @@
     b'{"sequence":1,"models":[],"coming":[7]}',
     b'{"sequence":1,"models":[],"coming":7}',
 )
+
+# Values that a field of a message between hosts can have, few of them valid.
+FIELD_VALUES: Final = st.one_of(
+    st.integers(),
+    st.sampled_from([0, -1, 10**400, -(10**400), 2**63, 10**18]),
+    st.floats(),
+    st.none(),
+    st.booleans(),
+    st.text(max_size=4),
+    st.binary(max_size=4),
+    st.lists(st.integers() | st.text(max_size=2), max_size=3),
+    st.dictionaries(st.text(max_size=2), st.integers(), max_size=2),
+)
