--- a/src/gooseberrydeal/_internal/network/crash_codec.py
+++ b/src/gooseberrydeal/_internal/network/crash_codec.py
@@ -11,6 +11,7 @@
 from gooseberrydeal._internal.models.routing.crash_id import CrashId
 from gooseberrydeal._internal.models.routing.crash_report import CrashReport
 from gooseberrydeal._internal.models.routing.request_feature import RequestFeature
+from gooseberrydeal._internal.network import field_range
 
 DECODE_ERRORS = (cbor2.CBORError, ValueError, TypeError, IndexError, OverflowError)
 
@@ -54,7 +55,7 @@
         CrashEvidence(
             RequestFeature(bytes(outline), bytes(body)),
             _parse_crashes(crashes),
-            int(milliseconds_ago) / 1000,
+            field_range.seconds(milliseconds_ago),
         )
         for outline, body, milliseconds_ago, crashes, *_ in items
     )
--- a/src/gooseberrydeal/_internal/network/engine_report_codec.py
+++ b/src/gooseberrydeal/_internal/network/engine_report_codec.py
@@ -20,6 +20,7 @@
     EngineUsage,
     UsageReport,
 )
+from gooseberrydeal._internal.network import field_range
 from gooseberrydeal._internal.network.speed_codec import (
     observation_fields,
     parse_observations,
@@ -129,17 +130,23 @@
     ) = fields[:8]
     return EngineUsage(
         ServerId(str(server)),
-        int(requests),
-        int(tokens),
-        int(pending_prefill_tokens),
-        int(slowdown) / 100,
-        int(slowdown_age) / 1000,
+        field_range.count(requests),
+        field_range.count(tokens),
+        field_range.count(pending_prefill_tokens),
+        field_range.slowdown(slowdown),
+        field_range.seconds(slowdown_age),
         tuple(
-            CopyUse(_parse_key(item), int(item[3]), int(item[4])) for item in copy_uses
+            CopyUse(
+                _parse_key(item), field_range.count(item[3]), field_range.count(item[4])
+            )
+            for item in copy_uses
         ),
         tuple(
             CopyLoadRequest(
-                _parse_key(item), int(item[3]), int(item[4]) / 1000, bool(item[5])
+                _parse_key(item),
+                field_range.count(item[3]),
+                field_range.signed_seconds(item[4]),
+                bool(item[5]),
             )
             for item in load_requests
         ),
@@ -159,11 +166,11 @@
         FencingNumber(int(fencing_number)),
         int(sequence),
         bool(may_load),
-        int(spare_slots),
-        int(requests),
-        int(tokens),
-        int(pending_prefill_tokens),
-        int(slowdown) / 100,
+        field_range.count(spare_slots),
+        field_range.count(requests),
+        field_range.count(tokens),
+        field_range.count(pending_prefill_tokens),
+        field_range.slowdown(slowdown),
         tuple(map(str, base_models)),
         tuple(_copy_status(*item[:5]) for item in copies),
         parse_speed(fields[12:]),
@@ -186,7 +193,7 @@
     model: str, adapter: str, version: int, state: int, ready_in_ms: int
 ) -> CopyStatus:
     key = _copy_key(model, adapter, version)
-    return CopyStatus(key, _COPY_STATES[state], int(ready_in_ms) / 1000)
+    return CopyStatus(key, _COPY_STATES[state], field_range.seconds(ready_in_ms))
 
 
 @lru_cache(maxsize=_MAX_CACHED_COPIES)
--- a/src/gooseberrydeal/_internal/network/handover_codec.py
+++ b/src/gooseberrydeal/_internal/network/handover_codec.py
@@ -8,6 +8,7 @@
     HandoverStep,
     OwnerHandover,
 )
+from gooseberrydeal._internal.network import field_range
 
 
 def handover_fields(handover: OwnerHandover) -> list[Any]:
@@ -31,7 +32,7 @@
         HandoverStep(int(step)),
         tuple(
             HandoverEngine(
-                ServerId(str(server)), int(revision), max(0, int(milliseconds)) / 1000
+                ServerId(str(server)), int(revision), field_range.seconds(milliseconds)
             )
             for server, revision, milliseconds, *_ in engines
         ),
--- a/src/gooseberrydeal/_internal/network/limit_codec.py
+++ b/src/gooseberrydeal/_internal/network/limit_codec.py
@@ -7,6 +7,7 @@
     LimitReport,
     LimitStatement,
 )
+from gooseberrydeal._internal.network import field_range
 
 
 def limit_report_fields(report: LimitReport) -> list[Any]:
@@ -35,15 +36,15 @@
     return LimitReport(
         HostId(str(host)),
         {
-            ServiceName(str(service)): max(0, int(demand)) / 1000
+            ServiceName(str(service)): field_range.count(demand) / 1000
             for service, demand, *_ in demands
         },
         tuple(
             LimitStatement(
                 ServerId(str(server)),
                 int(started_at),
-                None if limit is None else max(0, int(limit)) / 1000,
-                max(0, int(milliseconds_ago)) / 1000,
+                None if limit is None else field_range.count(limit) / 1000,
+                field_range.seconds(milliseconds_ago),
             )
             for server, started_at, limit, milliseconds_ago, *_ in statements
         ),
--- a/src/gooseberrydeal/_internal/network/place_codec.py
+++ b/src/gooseberrydeal/_internal/network/place_codec.py
@@ -12,8 +12,9 @@
     PlaceRelease,
     PlaceRequest,
 )
+from gooseberrydeal._internal.network import field_range
 
-# A longer time is of no use to a decision; it also bounds what other hosts can state.
+# A longer time is of no use to a decision.
 _MAX_SECONDS: Final = 3_600.0
 
 
@@ -56,10 +57,10 @@
         int(number),
         ServerId(str(server)),
         int(rank),
-        _to_seconds(late_in),
-        _to_seconds(useless_in),
+        field_range.signed_seconds(late_in),
+        field_range.signed_seconds(useless_in),
         AccountName(str(account)),
-        max(0, int(tokens)),
+        field_range.count(tokens),
         bool(is_in_use),
     )
 
@@ -84,7 +85,7 @@
         int(number),
         ServerId(str(server)),
         PlaceOutcome(int(outcome)),
-        _to_seconds(seconds),
+        field_range.signed_seconds(seconds),
         bool(is_contended),
     )
 
@@ -108,7 +109,7 @@
         int(number),
         ServerId(str(server)),
         bool(was_rejected),
-        None if load is None else int(load),
+        None if load is None else field_range.count(load),
     )
 
 
@@ -116,10 +117,6 @@
     return int(max(-_MAX_SECONDS, min(_MAX_SECONDS, seconds)) * 1000)
 
 
-def _to_seconds(milliseconds: int) -> float:
-    return int(milliseconds) / 1000
-
-
 # The parsers raise one of ``DECODE_ERRORS`` of the crash codec if fields are not valid.
 PLACE_PARSERS: Final[dict[int, Callable[[list[Any]], PlaceMessage]]] = {
     _PlaceKind.REQUEST: _parse_request,
--- a/src/gooseberrydeal/_internal/network/waiting_codec.py
+++ b/src/gooseberrydeal/_internal/network/waiting_codec.py
@@ -5,6 +5,7 @@
 
 from gooseberrydeal._internal.models.ids import ServiceName
 from gooseberrydeal._internal.models.routing.usage_report import WaitingCount
+from gooseberrydeal._internal.network import field_range
 
 
 def waiting_count_fields(counts: Iterable[WaitingCount]) -> list[Any]:
@@ -20,7 +21,7 @@
     if not isinstance(fields, list):
         return ()
     return tuple(
-        WaitingCount(ServiceName(str(service)), int(rank), max(0, int(count)))
+        WaitingCount(ServiceName(str(service)), int(rank), field_range.count(count))
         for service, rank, count, *_ in fields
     )
 
@@ -37,4 +38,4 @@
     """
     if not isinstance(fields, list):
         return ()
-    return tuple((int(rank), max(0, int(count))) for rank, count, *_ in fields)
+    return tuple((int(rank), field_range.count(count)) for rank, count, *_ in fields)
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -180,7 +180,7 @@
             max(0, status.requests - self._load.own_requests),
             max(0, status.tokens - self._load.own_tokens),
             max(0, status.pending_prefill_tokens - self._load.own_pending_prefill),
-            max(0.1, status.slowdown),
+            status.slowdown,
             now,
         )
         return True
--- a/src/gooseberrydeal/_internal/operations/router/speeds/plain_timer.py
+++ b/src/gooseberrydeal/_internal/operations/router/speeds/plain_timer.py
@@ -27,7 +27,7 @@
             now - self._sent_at,
             self._requests,
             self._record.entry.slots,
-            max(0.1, slowdown),
+            slowdown,
             now,
         )
 
--- a/src/gooseberrydeal/_internal/operations/router/speeds/response_timer.py
+++ b/src/gooseberrydeal/_internal/operations/router/speeds/response_timer.py
@@ -53,7 +53,7 @@
 
     def head_received(self, status: int, slowdown: float) -> None:
         """Note the slowdown that the response states, which is divided out."""
-        self._slowdown = max(0.1, slowdown)
+        self._slowdown = slowdown
 
     def events_received(self, count: int) -> None:
         """Record that ``count`` events were completed now."""
