--- a/src/gooseberrydeal/_internal/platform/server_codec.py
+++ b/src/gooseberrydeal/_internal/platform/server_codec.py
@@ -19,9 +19,13 @@
 )
 from gooseberrydeal._internal.utils.ip_address import split_ip_and_port
 from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS, JsonObject
+from gooseberrydeal._internal.utils.number_range import integer_in
 
 # Longer texts are no version; those of all streams are sent between hosts.
 _MAX_VERSION_LENGTH: Final = 64
+_MAX_SLOTS: Final = 1_000_000
+# Starts and versions may be times, in nanoseconds.
+_MAX_NUMBER: Final = 2**63 - 1
 _SERVER_STATES: Final = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -41,10 +45,10 @@
             service=ServiceName(service),
             address=address,
             domain=DomainName(domain),
-            slots=_require_integer(data["slots"]),
+            slots=integer_in(data["slots"], 0, _MAX_SLOTS),
             state=_SERVER_STATES[data["state"]],
-            started_at=_require_integer(data.get("born", 0)),
-            order_count=_require_integer(data.get("sequence", 0)),
+            started_at=_number(data.get("born", 0)),
+            order_count=_number(data.get("sequence", 0)),
             held=_decode_held_models(data["models"]) if "models" in data else None,
             software_version=_decode_version(data.get("version")),
         )
@@ -61,8 +65,8 @@
     """
     try:
         return EngineReport(
-            started_at=_require_integer(data.get("born", 0)),
-            order_count=_require_integer(data["sequence"]),
+            started_at=_number(data.get("born", 0)),
+            order_count=_number(data["sequence"]),
             is_busy=bool(data.get("busy")),
             held=_decode_held_models(data["models"]),
             loading=tuple(
@@ -75,7 +79,7 @@
 
 def _decode_held_models(models: list[JsonObject]) -> HeldModels:
     base = tuple(
-        (str(item["name"]), _require_integer(item.get("version", 0))) for item in models
+        (str(item["name"]), _number(item.get("version", 0))) for item in models
     )
     adapters = tuple(
         _decode_adapter_copy(f"{item['name']}/{adapter}")
@@ -89,7 +93,7 @@
     """Return an adapter copy from ``MODEL/ADAPTER`` or ``MODEL/ADAPTER@VERSION``."""
     name, _, version = text.partition("@")
     model, _, adapter = name.partition("/")
-    return AdapterCopyKey(model, adapter, int(version) if version else 0)
+    return AdapterCopyKey(model, adapter, _number(int(version or 0)))
 
 
 def _decode_version(value: object) -> SoftwareVersion | None:
@@ -98,7 +102,5 @@
     return SoftwareVersion(str(value)) if is_valid else None
 
 
-def _require_integer(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r} is not an integer")
-    return value
+def _number(value: object) -> int:
+    return integer_in(value, 0, _MAX_NUMBER)
--- a/tests/lib/engine_decisions.py
+++ b/tests/lib/engine_decisions.py
@@ -4,6 +4,7 @@
 import random
 
 from gooseberrydeal._internal.models.ids import DomainName
+from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.operations.router.engine_candidate import (
     engine_candidate,
     engine_load,
@@ -15,12 +16,17 @@
     choose_plain_server,
 )
 from gooseberrydeal._internal.policy.speeds.prefill_limit import PrefillLimit
-from tests.lib.routing_builders import copy_key
+from tests.lib.routing_builders import copy_key, service
 
 _DOMAIN = DomainName("d1")
 _LIMIT = PrefillLimit(longest_pause=0.4, target_latency=0.8, prompt_tokens=600)
 
 
+def record_of(entry: ServerEntry) -> ServerRecord:
+    """Return the record of an engine that has just registered."""
+    return ServerRecord(entry, service(), 100)
+
+
 def check_decisions(record: ServerRecord, now: float) -> None:
     """Check that all that is decided on a server's load can be compared."""
     item = engine_candidate(record, copy_key(), _DOMAIN, _LIMIT, now)
--- a/tests/lib/odd_values.py
+++ b/tests/lib/odd_values.py
@@ -37,8 +37,14 @@
 # Values of a load field, most of them with a plausible number of figures.
 LOADS: Final = st.lists(DECIMALS, max_size=6).map(",".join)
 
+_LONG_NUMBER: Final = b"9" * 400
 # Bodies that are no report of an engine.
 INVALID_REPORTS: Final = (
+    b'{"sequence":-1,"models":[]}',
+    b'{"sequence":%b,"models":[]}' % _LONG_NUMBER,
+    b'{"sequence":1,"born":%b,"models":[]}' % _LONG_NUMBER,
+    b'{"sequence":1,"models":[{"name":"m","adapters":["a1@-1"]}]}',
+    b'{"sequence":1,"models":[{"name":"m","adapters":["a1@%b"]}]}' % _LONG_NUMBER,
     b"",
     b"null",
     b"[]",
@@ -70,3 +76,17 @@
     st.lists(st.integers() | st.text(max_size=2), max_size=3),
     st.dictionaries(st.text(max_size=2), st.integers(), max_size=2),
 )
+
+# Numbers that are no count of anything.
+INVALID_INTEGERS: Final[tuple[object, ...]] = (
+    -1,
+    10**400,
+    -(10**400),
+    2**63,
+    1.5,
+    1e300,
+    True,
+    None,
+    "1",
+    [],
+)
--- a/tests/unit/test_invalid_loads.py
+++ b/tests/unit/test_invalid_loads.py
@@ -5,11 +5,10 @@
 
 from gooseberrydeal._internal.models.routing.http_heads import ResponseHead
 from gooseberrydeal._internal.models.routing.reply_facts import ReportedLoad
-from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.platform.relay_codec import PlatformRelayCodec
-from tests.lib.engine_decisions import check_decisions
+from tests.lib.engine_decisions import check_decisions, record_of
 from tests.lib.odd_values import LOADS
-from tests.lib.routing_builders import server_entry, service
+from tests.lib.routing_builders import server_entry
 
 
 def decode(value: str) -> ReportedLoad | None:
@@ -25,7 +24,7 @@
     value: str, age: float, pending: int
 ) -> None:
     # LOST: a last figure of zero ended each request that weighed the engine.
-    record = ServerRecord(server_entry(), service(), 100)
+    record = record_of(server_entry())
     record.load.report_others(3, 900, pending, 1.0, 5.0)
     stated = decode(value)
     if stated is not None:
--- a/tests/unit/test_invalid_messages.py
+++ b/tests/unit/test_invalid_messages.py
@@ -17,12 +17,11 @@
     encode_usage,
 )
 from gooseberrydeal._internal.operations.router.engine_demand import EngineDemand
-from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.policy.exchange_periods import ExchangePeriods
-from tests.lib.engine_decisions import check_decisions
+from tests.lib.engine_decisions import check_decisions, record_of
 from tests.lib.odd_messages import PLACES, decode_or_none, replace_value
 from tests.lib.odd_values import FIELD_VALUES
-from tests.lib.routing_builders import copy_key, engine_status, server_entry, service
+from tests.lib.routing_builders import copy_key, engine_status, server_entry
 
 _HOST = HostId("h2")
 _SERVER = ServerId("i-1")
@@ -53,7 +52,7 @@
 ) -> None:
     # LOST: hosts passed a slowdown of zero on to one another.
     sent = engine_status(_SERVER, pending_prefill_tokens=600)
-    record = ServerRecord(server_entry(), service(), 100)
+    record = record_of(server_entry())
     status = decode_or_none(replace_value(encode_status(sent), place, value))
     if isinstance(status, EngineStatus):
         record.apply_status(status, 10.0, ExchangePeriods())
