--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -27,6 +27,7 @@
     JsonObject,
     parse_integer,
 )
+from gooseberrydeal._internal.utils.number_range import integer_in, number_in
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +40,11 @@
 _STALL_TIMEOUT_TARGET_LATENCY_FACTOR: Final = 4.0
 _STALL_TIMEOUT_LONGEST_PAUSE_FACTOR: Final = 8.0
 
+# Numbers beyond these are mistakes: decisions could not be computed with them.
+_MAX_MILLISECONDS: Final = 1e12
+_MAX_INTEGER: Final = 2**53
+_MAX_WEIGHT: Final = 1e12
+
 _REQUEST_KINDS: Final = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE,
@@ -54,7 +60,7 @@
     """
     try:
         data = json.loads(value, parse_int=parse_integer)
-        version = int(data["version"])
+        version = _integer(data["version"])
         routes = _decode_each(data.get("routes", ()), _decode_route, "route")
         services = _decode_each(data.get("services", ()), _decode_service, "service")
         limits = _decode_limits(data.get("limits") or {})
@@ -78,7 +84,7 @@
     try:
         data = json.loads(value)
         adapter = data.get("adapter") or ""
-        return AdapterKey(str(data["model"]), str(adapter)), int(data["version"])
+        return AdapterKey(str(data["model"]), str(adapter)), _integer(data["version"])
     except DECODE_ERRORS as error:
         raise DeclarationError([f"invalid adapter version: {error!r}"]) from error
 
@@ -99,26 +105,31 @@
 
 def _decode_route(data: JsonObject) -> Route:
     weighted = [
-        WeightedService(ServiceName(item["service"]), float(item["weight"]))
+        WeightedService(
+            _service_name(item["service"]),
+            number_in(float(item["weight"]), 0.0, _MAX_WEIGHT),
+        )
         for item in data.get("weightedServices") or ()
     ]
     if not weighted:
-        weighted = [WeightedService(ServiceName(data["service"]), 1.0)]
+        weighted = [WeightedService(_service_name(data["service"]), 1.0)]
+    if not any(item.weight for item in weighted):
+        raise ValueError("none of its services has a weight")
     kind = _REQUEST_KINDS[data["kind"]]
-    target_latency = float(data["targetLatencyMs"]) / 1000
-    longest_pause = float(data.get("gapAimMs") or 1000) / 1000
+    target_latency = _seconds(data["targetLatencyMs"])
+    longest_pause = _seconds(data.get("gapAimMs") or 1000)
     return Route(
         name=str(data["name"]),
         host=str(data["host"]).lower(),
         path_prefix=str(data["pathPrefix"]),
         kind=kind,
-        timeout=float(data["timeoutMs"]) / 1000,
+        timeout=_seconds(data["timeoutMs"]),
         target_latency=target_latency,
         services=tuple(weighted),
         # Despite its name, ``maxAttempts`` limits how many servers may run a request,
         # not how often it is sent: a server may refuse it without running it.
-        max_servers=int(data.get("maxAttempts") or 1),
-        rank=int(data.get("priority") or 0),
+        max_servers=_integer(data.get("maxAttempts") or 1),
+        rank=_integer(data.get("priority") or 0),
         is_resumable=bool(data.get("resumable")),
         longest_pause=longest_pause,
         caller_idle_timeout=_stall_timeout(kind, target_latency, longest_pause),
@@ -141,8 +152,8 @@
 def _decode_service(data: JsonObject) -> ServiceConfiguration:
     engine = data.get("engine")
     return ServiceConfiguration(
-        name=ServiceName(data["name"]),
-        max_connections=int(data.get("maxConnections") or 100),
+        name=_service_name(data["name"]),
+        max_connections=_integer(data.get("maxConnections") or 100),
         engine=None if not engine else _decode_engine(engine),
     )
 
@@ -151,25 +162,39 @@
     models = {
         str(item["name"]): BaseModel(
             str(item["name"]),
-            float(item["weightsMb"]),
-            float(item.get("loadS") or 0.0),
+            number_in(float(item["weightsMb"]), 0.0, _MAX_WEIGHT),
+            _seconds(float(item.get("loadS") or 0.0) * 1000),
         )
         for item in data.get("models") or ()
     }
     return EngineCapacity(
         models=models,
-        adapter_slots=int(data.get("adapterSlots") or 0),
-        token_capacity=int(data.get("kvCapacity") or 0),
+        adapter_slots=_integer(data.get("adapterSlots") or 0),
+        token_capacity=_integer(data.get("kvCapacity") or 0),
         # The stride is the number of tokens in each event of a stream.
-        event_tokens=int(data.get("stride") or 1),
+        event_tokens=_integer(data.get("stride") or 1),
     )
 
 
 def _decode_limits(data: JsonObject) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        header_bytes=int(data.get("maxHeaderBytes") or defaults.header_bytes),
-        body_bytes=int(data.get("maxBodyBytes") or defaults.body_bytes),
-        header_timeout=float(data.get("headerTimeoutMs") or 3000) / 1000,
-        idle_timeout=float(data.get("idleTimeoutMs") or 15000) / 1000,
+        header_bytes=_integer(data.get("maxHeaderBytes") or defaults.header_bytes),
+        body_bytes=_integer(data.get("maxBodyBytes") or defaults.body_bytes),
+        header_timeout=_seconds(data.get("headerTimeoutMs") or 3000),
+        idle_timeout=_seconds(data.get("idleTimeoutMs") or 15000),
     )
+
+
+def _service_name(value: object) -> ServiceName:
+    if not isinstance(value, str):
+        raise TypeError(f"{type(value).__name__} is not the name of a service")
+    return ServiceName(value)
+
+
+def _integer(value: float | str) -> int:
+    return integer_in(int(value), 0, _MAX_INTEGER)
+
+
+def _seconds(milliseconds: float | str) -> float:
+    return number_in(float(milliseconds), 0.0, _MAX_MILLISECONDS) / 1000
