--- a/src/gooseberrydeal/_internal/platform/boot_file.py
+++ b/src/gooseberrydeal/_internal/platform/boot_file.py
@@ -14,6 +14,7 @@
     RoutingBounds,
     StoreSettings,
 )
+from gooseberrydeal._internal.utils.number_range import number_in
 
 SETTINGS_PATH_VARIABLE: Final = "GOOSEBERRYDEAL_CONFIG"
 # ``portRange`` holds the ports reserved for this host: the first one receives the
@@ -21,6 +22,8 @@
 _METRICS_PORT_OFFSET: Final = 1
 _BYTES_PER_MEGABYTE: Final = 1024 * 1024
 _BYTES_PER_MEGABIT: Final = 1_000_000 // 8
+# A bound beyond this, in its own unit, is a mistake.
+_MAX_BOUND: Final = 1e12
 
 
 def read_boot_file(path: Path) -> HostSettings:
@@ -78,13 +81,16 @@
 def _parse_bounds(values: dict[str, str]) -> RoutingBounds:
     defaults = RoutingBounds()
 
+    def bound(value: str) -> float:
+        return number_in(float(value), 0.0, _MAX_BOUND)
+
     def from_milliseconds(name: str, default: float) -> float:
         value = values.get(f"bounds.{name}")
-        return float(value) / 1000 if value else default
+        return bound(value) / 1000 if value else default
 
     def number(name: str, default: float) -> float:
         value = values.get(f"bounds.{name}")
-        return float(value) if value else default
+        return bound(value) if value else default
 
     return RoutingBounds(
         grace=number("graceS", defaults.grace),
