--- a/src/gooseberrydeal/_internal/operations/router/engine_candidate.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_candidate.py
@@ -16,7 +16,7 @@
         pending_prefill_tokens=record.load.pending_prefill_tokens(
             now, speed.prompt_tokens_per_second
         ),
-        slowdown=record.load.slowdown,
+        slowdown=record.load.slowdown(now),
         observed_wait=record.waits.predicted_seconds(now),
         speed=speed,
     )
@@ -33,7 +33,7 @@
     size = record.service.engine
     event_tokens = size.event_tokens if size is not None else 1
     speed = record.speed.current(now)
-    slowdown = max(record.load.slowdown, record.speed.recent_slowdown(now))
+    slowdown = max(record.load.slowdown(now), record.speed.recent_slowdown(now))
     return EngineCandidate(
         server=record.id,
         requests=record.load.requests(now),
--- a/src/gooseberrydeal/_internal/operations/router/engine_demand.py
+++ b/src/gooseberrydeal/_internal/operations/router/engine_demand.py
@@ -1,16 +1,17 @@
 """Aggregate the usage of one engine that all hosts report."""
 
-import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
 from typing import Final
 
 from gooseberrydeal._internal.models.ids import HostId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
+from gooseberrydeal._internal.models.routing.slowdown import NORMAL_SLOWDOWN
 from gooseberrydeal._internal.models.routing.usage_report import (
     CopyLoadRequest,
     EngineUsage,
 )
+from gooseberrydeal._internal.policy.stated_slowdown import StatedSlowdown
 
 # Counts of hosts that have not reported for the longest time are dropped beyond this.
 _MAX_START_COUNTS: Final = 8_192
@@ -23,8 +24,7 @@
         self._usages: dict[HostId, tuple[float, EngineUsage]] = {}
         self._started: OrderedDict[tuple[HostId, AdapterCopyKey], int] = OrderedDict()
         self._pending_prefill_tokens = 0
-        self._slowdown = 1.0
-        self._slowdown_seen_at = -math.inf
+        self._slowdown = StatedSlowdown()
 
     @property
     def hosts(self) -> Collection[HostId]:
@@ -38,9 +38,8 @@
         self._forget_prefill(host)
         self._usages[host] = (now, usage)
         self._pending_prefill_tokens += usage.pending_prefill_tokens
-        if now - usage.slowdown_age >= self._slowdown_seen_at:
-            self._slowdown_seen_at = now - usage.slowdown_age
-            self._slowdown = usage.slowdown
+        if now - usage.slowdown_age >= self._slowdown.stated_at:
+            self._slowdown.state(usage.slowdown, now - usage.slowdown_age)
         new_starts = []
         for use in usage.copy_uses:
             previous = self._started.get((host, use.key), 0)
@@ -97,9 +96,9 @@
         """Return the total number of tokens of the requests in flight."""
         return sum(usage.tokens for usage in self._latest())
 
-    def slowdown(self) -> float:
+    def slowdown(self, now: float) -> float:
         """Return the newest reported slowdown (1.0 is normal, more is slower)."""
-        return self._slowdown if self._usages else 1.0
+        return self._slowdown.current(now) if self._usages else NORMAL_SLOWDOWN
 
     def pending_prefill_tokens(self) -> int:
         """Return the prompt tokens of requests whose response has not started."""
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -136,7 +136,7 @@
         reported = self._reported_pending_prefill.get(record.id, 0)
         slowdown_changed = has_slowdown_changed(
             self._reported_slowdown.get(record.id, 1.0),
-            record.load.slowdown,
+            record.load.slowdown(self._clock()),
             reports_all=self._view.periods.reports_all,
         )
         pending_prefill_changed = (
--- a/src/gooseberrydeal/_internal/operations/router/server_record.py
+++ b/src/gooseberrydeal/_internal/operations/router/server_record.py
@@ -280,7 +280,7 @@
             load.own_requests,
             load.own_tokens,
             load.own_pending_prefill,
-            load.slowdown,
+            load.slowdown(now),
             load.slowdown_age(now),
             uses,
             load_requests,
--- a/src/gooseberrydeal/_internal/operations/router/status_publisher.py
+++ b/src/gooseberrydeal/_internal/operations/router/status_publisher.py
@@ -78,7 +78,9 @@
         )
         periods = self._periods()
         if change > _PUBLISH_THRESHOLD_TOKENS or has_slowdown_changed(
-            self._slowdown, self._demand.slowdown(), reports_all=periods.reports_all
+            self._slowdown,
+            self._demand.slowdown(self._clock()),
+            reports_all=periods.reports_all,
         ):
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(periods.collect, self.publish)
@@ -102,7 +104,7 @@
     def _next_status(self, *, with_warm_copies: bool) -> EngineStatus:
         now = self._clock()
         self._pending_prefill_tokens = self._demand.pending_prefill_tokens()
-        self._slowdown = self._demand.slowdown()
+        self._slowdown = self._demand.slowdown(now)
         self._sequence += 1
         self._slots.loading(now)
         copies = tuple(
--- a/src/gooseberrydeal/_internal/operations/router/waiting/plain_assignment.py
+++ b/src/gooseberrydeal/_internal/operations/router/waiting/plain_assignment.py
@@ -121,7 +121,7 @@
                 server=record.id,
                 requests=record.load.requests(now),
                 slots=record.entry.slots,
-                slowdown=record.load.slowdown * record.service_time.relative(now),
+                slowdown=record.load.slowdown(now) * record.service_time.relative(now),
                 is_local=record.entry.domain == self._domain,
                 failure_rate=record.health.failure_rate(now),
                 is_avoided=not record.is_reachable,
--- a/src/gooseberrydeal/_internal/policy/load_estimate.py
+++ b/src/gooseberrydeal/_internal/policy/load_estimate.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from gooseberrydeal._internal.policy.stated_slowdown import StatedSlowdown
+
 # Half-life of the reported load of other hosts, whose requests end after the report.
 _REPORT_HALF_LIFE_SECONDS: Final = 1.0
 # A slowdown that the server itself reported to this host within this time is newer than
@@ -27,7 +29,7 @@
         self._others_tokens = 0.0
         self._others_pending_prefill = 0.0
         self._reported_at = 0.0
-        self._slowdown = 1.0
+        self._slowdown = StatedSlowdown()
         self._slowdown_at = -60.0
 
     @property
@@ -40,16 +42,15 @@
         """Return the KV cache tokens of this host's requests in flight."""
         return self._own_tokens
 
-    @property
-    def slowdown(self) -> float:
-        """Return the processing time relative to the usual one (1.0 is normal)."""
-        return self._slowdown
-
     @property
     def own_pending_prefill(self) -> int:
         """Return the prompt tokens of this host's requests without a response yet."""
         return self._own_pending_prefill
 
+    def slowdown(self, now: float) -> float:
+        """Return the processing time relative to the usual one (1.0 is normal)."""
+        return self._slowdown.current(now)
+
     def slowdown_age(self, now: float) -> float:
         """Return the seconds since the server itself reported its slowdown."""
         return now - self._slowdown_at
@@ -73,7 +74,7 @@
         """Apply a server's report of its running and waiting requests."""
         self._others = max(0.0, float(total - self._own))
         self._reported_at = now
-        self._slowdown = slowdown
+        self._slowdown.state(slowdown, now)
         self._slowdown_at = now
 
     def report_others(
@@ -86,7 +87,7 @@
     ) -> None:
         """Apply counts of the other hosts' requests and the slowdown they observed."""
         if self.slowdown_age(now) > _DIRECT_SLOWDOWN_SECONDS:
-            self._slowdown = slowdown
+            self._slowdown.state(slowdown, now)
         self._others = float(requests)
         self._others_tokens = float(tokens)
         self._others_pending_prefill = float(pending_prefill_tokens)
@@ -106,9 +107,8 @@
         Prompts of other hosts are assumed to have been prefilled at
         ``tokens_per_second``, divided by the slowdown, since they were reported.
         """
-        prefilled = (
-            max(0.0, now - self._reported_at) * tokens_per_second / self._slowdown
-        )
+        elapsed = max(0.0, now - self._reported_at)
+        prefilled = elapsed * tokens_per_second / self.slowdown(now)
         return self._own_pending_prefill + max(
             0.0, self._others_pending_prefill - prefilled
         )
--- a/tests/unit/test_invalid_messages.py
+++ b/tests/unit/test_invalid_messages.py
@@ -73,7 +73,7 @@
         requests=demand.requests(),
         tokens=demand.tokens(),
         pending_prefill_tokens=demand.pending_prefill_tokens(),
-        slowdown=demand.slowdown(),
+        slowdown=demand.slowdown(10.0),
     )
     found = decode_report(encode_status(status))
     assert isinstance(found, EngineStatus)
@@ -81,7 +81,7 @@
     # A report after it counts again.
     for usage in _USAGE.engines:
         demand.apply(_HOST, usage, 12.0)
-    assert demand.slowdown() == pytest.approx(1.5)
+    assert demand.slowdown(12.0) == pytest.approx(1.5)
 
 
 def test_an_invalid_slowdown_counts_as_the_usual_one() -> None:
