--- a/src/gooseberrydeal/_internal/platform/store_client.py
+++ b/src/gooseberrydeal/_internal/platform/store_client.py
@@ -32,6 +32,7 @@
     restorations,
 )
 from gooseberrydeal._internal.utils.json_value import DECODE_ERRORS
+from gooseberrydeal._internal.utils.number_range import integer_in
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
 _MAX_CONNECTIONS: Final = 4
 # A page has up to 1 MB of items; a watch that fell behind returns more.
 _MAX_RESPONSE_BYTES: Final = 33_554_432
+_MAX_LEASE_NUMBER: Final = 2**63 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +206,8 @@
             "POST", "/-/kv-lease", {"ttlMs": int(seconds * 1000)}
         )
         with _decoding("a grant of a lease"):
-            return LeaseId(f"{response.epoch}/{int(response.body['lease'])}")
+            number = integer_in(int(response.body["lease"]), 0, _MAX_LEASE_NUMBER)
+            return LeaseId(f"{response.epoch}/{number}")
 
     async def renew_lease(self, lease: LeaseId) -> bool:
         """Renew a lease; return ``False`` if it has already ended."""
--- a/src/gooseberrydeal/_internal/platform/store_codec.py
+++ b/src/gooseberrydeal/_internal/platform/store_codec.py
@@ -13,6 +13,7 @@
 
 # Rises by one each time the store is restored from a copy.
 _EPOCH_HEADER: Final = b"store-era"
+_MAX_EPOCH_DIGITS: Final = 9
 
 
 def precondition(key: str, revision: int | None) -> list[dict[str, Any]]:
@@ -24,8 +25,9 @@
 
 def restorations(head: ResponseHead) -> int | None:
     """Return how often the store was restored, ``None`` if it does not say."""
-    value = head.first(_EPOCH_HEADER)
-    return int(value) if value is not None and value.strip().isdigit() else None
+    value = (head.first(_EPOCH_HEADER) or b"").strip()
+    is_valid = value.isdigit() and len(value) <= _MAX_EPOCH_DIGITS
+    return int(value) if is_valid else None
 
 
 def decode_item(data: JsonObject, epoch: int) -> StoreItem:
--- a/tests/functional/test_store_client.py
+++ b/tests/functional/test_store_client.py
@@ -46,6 +46,11 @@
     b'{"items": [], "events": [], "storeRevision": null, "revision": null}',
     b'{"items": [], "events": [], "storeRevision": 1e400, "revision": 1e400}',
     b'{"a": ' + b"[" * 100_000,
+    *(
+        b'{"items": [], "events": [], "storeRevision": %b, "revision": %b, "lease": %b}'
+        % (number, number, number)
+        for number in (b"-1", b"9" * 400, b"9" * 5_000)
+    ),
 ]
 
 
@@ -68,6 +73,20 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("epoch", ["9" * 10, "9" * 5_000, "-1", "x"])
+def test_an_impossible_epoch_is_ignored(epoch: str) -> None:
+    # Each later response would count as one from before the store was restored.
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(response(b'{"lease": 7}', "200 OK", f"Store-Era: {epoch}"))
+
+    async def scenario() -> None:
+        server = await ScriptedServer(answer).start()
+        assert await PlatformStore(server.address).grant_lease(3.0) == "0/7"
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("is_stalled", [False, True])
 def test_a_response_is_read_to_its_end_unless_it_stalls(is_stalled: bool) -> None:
     body = b'{"items": [], "truncated": false, "storeRevision": 7}' + b" " * 9_000
