--- a/src/gooseberrydeal/_internal/lab/router/router_cluster.py
+++ b/src/gooseberrydeal/_internal/lab/router/router_cluster.py
@@ -45,6 +45,7 @@
             f"i-{number}": AdapterEngineApp(f"i-{number}", MODEL, slots)
             for number in range(engines)
         }
+        self._engine_addresses: dict[str, str] = {}
         self._servers: list[HttpServer] = []
         self._nodes: dict[str, RouterNode] = {}
         self._caller_addresses: dict[str, str] = {}
@@ -61,6 +62,11 @@
         """Return the engine stand-ins by server id."""
         return self._engines
 
+    @property
+    def engine_addresses(self) -> dict[str, str]:
+        """Return the address (``IP:port``) of each engine stand-in by server id."""
+        return self._engine_addresses
+
     @property
     def addresses(self) -> dict[str, str]:
         """Return the caller address (``IP:port``) of each running host."""
@@ -75,7 +81,7 @@
         """Start the metadata store, the engines and the routers."""
         self._store.put("op/config", self._configuration())
         for name, engine in self._engines.items():
-            address = free_address()
+            address = self._engine_addresses[name] = free_address()
             await self._serve(address, engine.app())
             entry = engine.entry(SERVICE, address, DOMAIN)
             self._store.put(f"servers/{name}", entry)
--- a/tests/lib/link_proxy.py
+++ b/tests/lib/link_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import socket
+from collections.abc import Callable
 from enum import Enum
 
 from gooseberrydeal._internal.lab.free_port import free_address
@@ -13,6 +14,10 @@
 _FILLER_CONNECTIONS = 2
 
 
+def _unchanged(data: bytes) -> bytes:
+    return data
+
+
 class LinkState(Enum):
     """List what becomes of a link's connections."""
 
@@ -26,11 +31,18 @@
 class LinkProxy:
     """Forward connections to one server, as long as the link is open.
 
-    All of them share ``bytes_per_second``.
+    All of them share ``bytes_per_second``. What the server sends is passed through
+    ``change``.
     """
 
-    def __init__(self, target: str, bytes_per_second: float = math.inf) -> None:
+    def __init__(
+        self,
+        target: str,
+        bytes_per_second: float = math.inf,
+        change: Callable[[bytes], bytes] = _unchanged,
+    ) -> None:
         self._target = target
+        self._change = change
         self._bytes_per_second = bytes_per_second
         self._is_free = asyncio.Lock()
         self.address = free_address()
@@ -114,7 +126,8 @@
         self._writers.add(server[1])
         try:
             await asyncio.gather(
-                self._pump(reader, server[1]), self._pump(server[0], writer)
+                self._pump(reader, server[1], _unchanged),
+                self._pump(server[0], writer, self._change),
             )
         finally:
             for item in (writer, server[1]):
@@ -122,14 +135,17 @@
                 item.close()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        change: Callable[[bytes], bytes],
     ) -> None:
         try:
             while data := await reader.read(_CHUNK_BYTES):
                 async with self._is_free:
                     await asyncio.sleep(len(data) / self._bytes_per_second)
                 await self._is_flowing.wait()
-                writer.write(data)
+                writer.write(change(data))
                 await writer.drain()
             await self._is_flowing.wait()
             writer.close()
