--- a/src/gooseberrydeal/_internal/platform/server_codec.py
+++ b/src/gooseberrydeal/_internal/platform/server_codec.py
@@ -68,7 +68,8 @@
             started_at=_number(data.get("born", 0)),
             order_count=_number(data["sequence"]),
             is_busy=bool(data.get("busy")),
-            held=_decode_held_models(data["models"]),
+            # Orders go by the report: without its list, all slots would seem free.
+            held=_decode_held_models(data["models"], requires_adapters=True),
             loading=tuple(
                 _decode_adapter_copy(item) for item in data.get("coming") or ()
             ),
@@ -77,18 +78,24 @@
         raise DeclarationError([f"invalid engine report: {error!r}"]) from error
 
 
-def _decode_held_models(models: list[JsonObject]) -> HeldModels:
+def _decode_held_models(
+    models: list[JsonObject], *, requires_adapters: bool = False
+) -> HeldModels:
     base = tuple(
         (str(item["name"]), _number(item.get("version", 0))) for item in models
     )
     adapters = tuple(
         _decode_adapter_copy(f"{item['name']}/{adapter}")
         for item in models
-        for adapter in item.get("adapters") or ()
+        for adapter in _adapters_of(item, is_required=requires_adapters)
     )
     return HeldModels(base, adapters)
 
 
+def _adapters_of(model: JsonObject, *, is_required: bool) -> list[str]:
+    return (model["adapters"] if is_required else model.get("adapters")) or []
+
+
 def _decode_adapter_copy(text: str) -> AdapterCopyKey:
     """Return an adapter copy from ``MODEL/ADAPTER`` or ``MODEL/ADAPTER@VERSION``."""
     name, _, version = text.partition("@")
--- a/tests/functional/test_spoiled_soak.py
+++ b/tests/functional/test_spoiled_soak.py
@@ -25,5 +25,7 @@
     assert play.statuses.count(200) > len(play.statuses) / 2
     assert play.statuses.count(0) == 0
     assert play.never_served == set()
+    engines = play.cluster.engines.values()
+    assert sum(engine.excess_loads for engine in engines) == 0
     errors = [item for item in caplog.records if item.levelno >= logging.ERROR]
     assert [item.getMessage() for item in errors] == []
--- a/tests/lib/odd_values.py
+++ b/tests/lib/odd_values.py
@@ -57,6 +57,7 @@
     b'{"sequence":1.5,"models":[]}',
     b'{"sequence":1,"models":7}',
     b'{"sequence":1,"models":["m"]}',
+    b'{"sequence":1,"models":[{"name":"m","version":1}]}',
     b'{"sequence":1,"models":[{"name":"m","version":null}]}',
     b'{"sequence":1,"models":[{"name":"m","adapters":7}]}',
     b'{"sequence":1,"models":[{"name":"m","adapters":["a1@x"]}]}',
