--- a/src/gooseberrydeal/_internal/platform/configuration_codec.py
+++ b/src/gooseberrydeal/_internal/platform/configuration_codec.py
@@ -41,9 +41,8 @@
 _STALL_TIMEOUT_LONGEST_PAUSE_FACTOR: Final = 8.0
 
 # Numbers beyond these are mistakes: decisions could not be computed with them.
-_MAX_MILLISECONDS: Final = 1e12
+_MAX_NUMBER: Final = 1e12
 _MAX_INTEGER: Final = 2**53
-_MAX_WEIGHT: Final = 1e12
 
 _REQUEST_KINDS: Final = {
     "safe": RequestKind.IDEMPOTENT,
@@ -105,10 +104,7 @@
 
 def _decode_route(data: JsonObject) -> Route:
     weighted = [
-        WeightedService(
-            _service_name(item["service"]),
-            number_in(float(item["weight"]), 0.0, _MAX_WEIGHT),
-        )
+        WeightedService(_service_name(item["service"]), _number(item["weight"]))
         for item in data.get("weightedServices") or ()
     ]
     if not weighted:
@@ -162,8 +158,8 @@
     models = {
         str(item["name"]): BaseModel(
             str(item["name"]),
-            number_in(float(item["weightsMb"]), 0.0, _MAX_WEIGHT),
-            _seconds(float(item.get("loadS") or 0.0) * 1000),
+            _number(item["weightsMb"]),
+            _number(item.get("loadS") or 0.0),
         )
         for item in data.get("models") or ()
     }
@@ -196,5 +192,9 @@
     return integer_in(int(value), 0, _MAX_INTEGER)
 
 
+def _number(value: float | str) -> float:
+    return number_in(float(value), 0.0, _MAX_NUMBER)
+
+
 def _seconds(milliseconds: float | str) -> float:
-    return number_in(float(milliseconds), 0.0, _MAX_MILLISECONDS) / 1000
+    return _number(milliseconds) / 1000
