--- /dev/null
+++ b/review/stand_ins_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, its engines and its clients in the cases of review 3."""
