--- a/review/stand_ins_3/store.py
+++ b/review/stand_ins_3/store.py
@@ -71,10 +71,12 @@
     def restore(self, saved: tuple) -> None:
         """Come back from a copy: what the system wrote since is gone, and all leases.
 
-        What the operator and the engines wrote is written again.
+        Items of a lease go with it. What the operator and the engines wrote is written
+        again.
         """
         theirs = {k: v["value"] for k, v in self._items.items() if _is_theirs(k)}
-        self._items, self._revision, self._next_lease = copy.deepcopy(saved)
+        items, self._revision, self._next_lease = copy.deepcopy(saved)
+        self._items = {key: item for key, item in items.items() if not item["lease"]}
         self._leases.clear()
         self._changes.clear()
         self._era += 1
