--- a/tests/functional/test_store_restored.py
+++ b/tests/functional/test_store_restored.py
@@ -18,7 +18,6 @@
 from gooseberrydeal._internal.network.http_server import HttpServer
 from gooseberrydeal._internal.platform.store_client import PlatformStore
 from tests.lib.fake_engine_orders import FakeAdapterEngine
-from tests.lib.fake_metadata_store import StoreData
 from tests.lib.owner_world import (
     SERVER,
     OwnerHost,
@@ -26,6 +25,7 @@
     new_engine,
     new_store_data,
     report_demand,
+    write_platform_entries,
 )
 from tests.lib.virtual_loop import run_virtual
 
@@ -41,11 +41,6 @@
 _SEEDS = range(int(os.environ.get("RESTORE_SEEDS", "8")))
 
 
-def _write_platform_entries(data: StoreData, engine: FakeAdapterEngine) -> None:
-    data.write("configuration", b"1", None)
-    data.write(f"servers/{SERVER}", b"%d" % engine.started_at, None)
-
-
 def _loads_after(engine: FakeAdapterEngine, time: float) -> list[float]:
     return [at for at, _ in engine.log if at > time]
 
@@ -63,7 +58,7 @@
         restored_at = asyncio.get_running_loop().time()
         data.restore(saved)
         await asyncio.sleep(_REWRITE_SECONDS)
-        _write_platform_entries(data, engine)
+        write_platform_entries(data, engine)
         await report_demand(hosts, 10.0, first=50)
         assert _loads_after(engine, restored_at)[0] < restored_at + _RECOVERY_SECONDS
         check_orders(engine)
@@ -84,7 +79,7 @@
         assert later_owner.is_owner
         first_owner.store.is_cut = False
         data.restore(saved)
-        _write_platform_entries(data, engine)
+        write_platform_entries(data, engine)
         restored_at = asyncio.get_running_loop().time()
         await report_demand(hosts, _TAKEOVER_SECONDS, first=300)
         assert _loads_after(engine, restored_at)
@@ -108,7 +103,7 @@
         await later_owner.kill()
         now = asyncio.get_running_loop().time()
         data.restore(saved, leases_until=now + _LEASE_SECONDS)
-        _write_platform_entries(data, engine)
+        write_platform_entries(data, engine)
         await report_demand([first_owner], 40.0, first=400)
         assert engine.log[-1][1].holder == first_owner.name
         check_orders(engine)
@@ -130,7 +125,7 @@
                 now = asyncio.get_running_loop().time()
                 data.restore(saved, now + rng.choice([0.0, _LEASE_SECONDS]))
                 await asyncio.sleep(rng.uniform(0.0, _REWRITE_SECONDS))
-                _write_platform_entries(data, engine)
+                write_platform_entries(data, engine)
             elif action < 0.7:
                 saved = data.copy()
             else:
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -207,6 +207,12 @@
     return data
 
 
+def write_platform_entries(data: StoreData, engine: FakeAdapterEngine) -> None:
+    """Write again what the platform wrote, as it does after a restoration."""
+    data.write("configuration", b"1", None)
+    data.write(f"servers/{SERVER}", b"%d" % engine.started_at, None)
+
+
 def new_engine(slots: int = 4) -> FakeAdapterEngine:
     """Return an engine with its base model loaded."""
     return FakeAdapterEngine(slots, base_models={MODEL})
