--- a/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
+++ b/src/gooseberrydeal/_internal/operations/router/host_endpoints.py
@@ -11,8 +11,10 @@
 from gooseberrydeal._internal.operations.router.accounts.account_gate import (
     AccountGate,
 )
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.speeds.speed_gauges import (
     export_speeds,
--- a/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
@@ -15,8 +15,10 @@
     OwnerHandover,
 )
 from gooseberrydeal._internal.network.report_codec import encode_handover
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.ownership.handover import (
--- a/src/gooseberrydeal/_internal/operations/router/report_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/report_exchange.py
@@ -20,9 +20,11 @@
     encode_usage,
 )
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.lapsed_hosts import LapsedHosts
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.policy.load_change import has_slowdown_changed
--- a/src/gooseberrydeal/_internal/operations/router/router_node.py
+++ b/src/gooseberrydeal/_internal/operations/router/router_node.py
@@ -22,7 +22,6 @@
 from gooseberrydeal._internal.operations.router.eligible_servers import (
     EligibleServers,
 )
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.engine_scope import EngineScope
 from gooseberrydeal._internal.operations.router.entry_reader import EntryReader
 from gooseberrydeal._internal.operations.router.host_endpoints import HostEndpoints
@@ -34,6 +33,9 @@
     LimitedEngineOrders,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
     HandoverExchange,
 )
--- a/tests/functional/test_failed_tasks.py
+++ b/tests/functional/test_failed_tasks.py
@@ -14,7 +14,6 @@
     DeclarationWatch,
 )
 from gooseberrydeal._internal.operations.router.engine_owner import EngineOwner
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
 )
@@ -23,6 +22,9 @@
 from gooseberrydeal._internal.operations.router.metadata_follower import (
     MetadataFollower,
 )
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
     HandoverExchange,
 )
--- a/tests/lib/owner_change_world.py
+++ b/tests/lib/owner_change_world.py
@@ -14,7 +14,9 @@
 from gooseberrydeal._internal.models.routing.server_entry import ServerEntry
 from gooseberrydeal._internal.network.report_codec import decode_report
 from gooseberrydeal._internal.operations.router.change_signal import ChangeSignal
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.report_exchange import ReportExchange
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from tests.lib.fake_engine_orders import FakeAdapterEngine, FakeEngineOrders
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -19,7 +19,6 @@
     EngineUsage,
 )
 from gooseberrydeal._internal.network.report_codec import decode_report
-from gooseberrydeal._internal.operations.router.engine_ownership import EngineOwnership
 from gooseberrydeal._internal.operations.router.known_state_writer import (
     KnownStateWriter,
 )
@@ -28,6 +27,9 @@
     MetadataFollower,
 )
 from gooseberrydeal._internal.operations.router.metadata_view import MetadataView
+from gooseberrydeal._internal.operations.router.ownership.engine_ownership import (
+    EngineOwnership,
+)
 from gooseberrydeal._internal.operations.router.ownership.handover_exchange import (
     HandoverExchange,
 )
