Log why a host claims an engine

A claim with a delay of 0.0 s had three possible reasons after a restored store, which the log did not tell apart: owner until the restoration, new engine, own record of an earlier start. `engine claimed` has the reason now.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/claim_writer.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/claim_writer.py
@@ -6,6 +6,7 @@
 
 from gooseberrydeal._internal.exceptions import LeaseLostError
 from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.claim_reason import ClaimReason
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
 from gooseberrydeal._internal.models.routing.store_revision import epoch_of
@@ -42,7 +43,7 @@
         return self._first_order_at.get(server, 0.0)
 
     async def claim(
-        self, server: ServerId, revision: int, delay: float
+        self, server: ServerId, revision: int, delay: float, reason: ClaimReason
     ) -> OwnerClaim | None:
         """Replace the owner record of a revision; return the claim if that succeeds.
 
@@ -81,6 +82,6 @@
         logger.info(
             "engine claimed; first order allowed in %.1f s",
             delay,
-            extra={"server": server, "epoch": new_revision},
+            extra={"server": server, "epoch": new_revision, "reason": reason.value},
         )
         return claim
--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -8,6 +8,7 @@
 
 from gooseberrydeal._internal.exceptions import StoreError
 from gooseberrydeal._internal.models.ids import FencingNumber, ServerId
+from gooseberrydeal._internal.models.routing.claim_reason import ClaimReason
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
 from gooseberrydeal._internal.network.interfaces.engine_orders import EngineOrders
@@ -164,7 +165,8 @@
             revision = 0 if claim is None else claim.revision
             if record.id in self._owned_before:
                 # The engine's orders still come from the same holder.
-                await self._claim_engine(record, revision, 0.0)
+                reason = ClaimReason.OWNER_UNTIL_RESTORATION
+                await self._claim_engine(record, revision, 0.0, reason)
                 return
             if self._clock() - self._epoch_began_at < _RECLAIM_SECONDS:
                 return
@@ -173,14 +175,16 @@
             if preferred == self._membership.host:
                 is_new = record.id in self._view.never_owned
                 delay = 0.0 if is_new else self._takeover_seconds()
-                await self._claim_engine(record, revision, delay)
+                reason = ClaimReason.NEW_ENGINE if is_new else ClaimReason.NO_OWNER
+                await self._claim_engine(record, revision, delay, reason)
         elif claim.owner == self._membership.host:
             if self._is_released(claim):
                 await self._claim_if_in_touch(record, claim)
             elif self._is_own_claim(claim):
                 self._start_owner(record, claim)
             else:
-                await self._claim_engine(record, claim.revision, 0.0)
+                reason = ClaimReason.OWN_RECORD
+                await self._claim_engine(record, claim.revision, 0.0, reason)
 
     def _is_released(self, claim: OwnerClaim) -> bool:
         return claim.revision in self._released
@@ -194,7 +198,8 @@
         if may_claim_again(
             self._lease.seconds_since_renewal, has_lease=self._lease.is_valid
         ):
-            await self._claim_engine(record, claim.revision, 0.0)
+            reason = ClaimReason.OWN_RELEASE
+            await self._claim_engine(record, claim.revision, 0.0, reason)
 
     def release(self, server: ServerId, revision: int) -> float | None:
         """Give an engine up for good under a claim; return the age of its last order.
@@ -227,7 +232,8 @@
         is_known = claim is not None and claim.revision == revision
         if record is not None and is_known and self._lease.is_valid:
             delay = first_order_delay(self._handover_gap_seconds, last_order_age)
-            await self._claim_engine(record, revision, delay)
+            reason = ClaimReason.HANDED_OVER
+            await self._claim_engine(record, revision, delay, reason)
 
     def _begin_epoch(self) -> None:
         """Give up all leases and claims if the store was restored from a copy."""
@@ -251,9 +257,9 @@
         )
 
     async def _claim_engine(
-        self, record: ServerRecord, revision: int, delay: float
+        self, record: ServerRecord, revision: int, delay: float, reason: ClaimReason
     ) -> None:
-        claim = await self._claims.claim(record.id, revision, delay)
+        claim = await self._claims.claim(record.id, revision, delay, reason)
         if claim is not None:
             self._owned_before.discard(record.id)
             self._start_owner(record, claim)
