Move this host's claims to engines into a class of their own

One difference: a claim that takes effect without an answer from the store, and is then read there, also ends the right to claim the engine as its owner until a restoration.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -22,6 +22,7 @@
 from gooseberrydeal._internal.operations.router.ownership.claim_writer import (
     ClaimWriter,
 )
+from gooseberrydeal._internal.operations.router.ownership.own_claims import OwnClaims
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
@@ -77,11 +78,8 @@
         self._running: dict[ServerId, asyncio.Task[None]] = {}
         self._epoch: int | None = None
         self._epoch_began_at = -math.inf
-        self._own_claims: dict[ServerId, OwnerClaim] = {}
-        # Revisions of own claims under which another host may give orders.
-        self._released: set[int] = set()
-        self._owned_before: set[ServerId] = set()
-        self._claims = ClaimWriter(membership, store, view, lease, clock)
+        self._own_claims = OwnClaims(lease)
+        self._writer = ClaimWriter(membership, store, view, lease, clock)
         self._started_at: dict[ServerId, float] = {}
         self._load_times: dict[ServerId, LoadTime] = {}
         self._tasks = TaskOwner()
@@ -95,7 +93,8 @@
     @property
     def own_claims(self) -> Mapping[ServerId, OwnerClaim]:
         """Return the claims under which this host gives orders."""
-        return {server: self._own_claims[server] for server in self._owners}
+        claims = {server: self._own_claims.get(server) for server in self._owners}
+        return {server: claim for server, claim in claims.items() if claim is not None}
 
     @property
     def owners(self) -> Mapping[ServerId, EngineOwner]:
@@ -143,8 +142,7 @@
         }
         if self._view.store_epoch != self._epoch:
             self._begin_epoch()
-        for server in self._own_claims.keys() - engines.keys():
-            del self._own_claims[server]
+        self._own_claims.retain(engines)
         for server in list(self._owners):
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
@@ -163,7 +161,7 @@
             return
         if claim is None or claim.is_stale:
             revision = 0 if claim is None else claim.revision
-            if record.id in self._owned_before:
+            if self._own_claims.owned_until_restoration(record.id):
                 # The engine's orders still come from the same holder.
                 reason = ClaimReason.OWNER_UNTIL_RESTORATION
                 await self._claim_engine(record, revision, 0.0, reason)
@@ -178,7 +176,7 @@
                 reason = ClaimReason.NEW_ENGINE if is_new else ClaimReason.NO_OWNER
                 await self._claim_engine(record, revision, delay, reason)
         elif claim.owner == self._membership.host:
-            if self._is_released(claim):
+            if self._own_claims.is_released(claim):
                 await self._claim_if_in_touch(record, claim)
             elif self._is_own_claim(claim):
                 self._start_owner(record, claim)
@@ -186,9 +184,6 @@
                 reason = ClaimReason.OWN_RECORD
                 await self._claim_engine(record, claim.revision, 0.0, reason)
 
-    def _is_released(self, claim: OwnerClaim) -> bool:
-        return claim.revision in self._released
-
     async def _claim_if_in_touch(self, record: ServerRecord, claim: OwnerClaim) -> None:
         """Claim an engine again that no other host took over.
 
@@ -211,13 +206,13 @@
         if claim is None or claim.revision != revision or owner is None:
             return None
         now = self._clock()
-        if now < self._claims.first_order_at(server):
+        if now < self._writer.first_order_at(server):
             # The owner before this one may still give orders.
             return None
         # The orders of an earlier start of the owner are not known here.
         last_order_at = max(owner.sequence.last_sent_at, self._started_at[server])
         age = 0.0 if owner.sequence.is_sending else now - last_order_at
-        self._released.add(revision)
+        self._own_claims.release(server)
         self._stop_owner(server, "handed over to a host that reaches the store")
         return age
 
@@ -238,13 +233,7 @@
     def _begin_epoch(self) -> None:
         """Give up all leases and claims if the store was restored from a copy."""
         if self._epoch is not None:
-            self._owned_before = {
-                server
-                for server, claim in self._own_claims.items()
-                if self._lease.was_valid(claim.lease)
-            }
-            self._own_claims.clear()
-            self._released.clear()
+            self._own_claims.begin_epoch()
             self._epoch_began_at = self._clock()
             self._lease.discard()
         self._epoch = self._view.store_epoch
@@ -259,15 +248,14 @@
     async def _claim_engine(
         self, record: ServerRecord, revision: int, delay: float, reason: ClaimReason
     ) -> None:
-        claim = await self._claims.claim(record.id, revision, delay, reason)
+        claim = await self._writer.claim(record.id, revision, delay, reason)
         if claim is not None:
-            self._owned_before.discard(record.id)
             self._start_owner(record, claim)
 
     def _start_owner(self, record: ServerRecord, claim: OwnerClaim) -> None:
-        self._own_claims[record.id] = claim
+        self._own_claims.add(record.id, claim)
         self._started_at[record.id] = self._clock()
-        first_order_at = self._claims.first_order_at(record.id)
+        first_order_at = self._writer.first_order_at(record.id)
         owner = EngineOwner(
             record,
             self._orders,
--- /dev/null
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -0,0 +1,58 @@
+"""Keep the claims under which this host gives orders to engines."""
+
+from collections.abc import Collection
+
+from gooseberrydeal._internal.models.ids import ServerId
+from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
+from gooseberrydeal._internal.operations.router.lease_keeper import LeaseKeeper
+
+
+class OwnClaims:
+    """Keep this host's claims, and those that a restoration of the store ended.
+
+    Owner records no longer count after a restoration. The host that owned an engine
+    until then may claim it again without a delay.
+    """
+
+    def __init__(self, lease: LeaseKeeper) -> None:
+        self._lease = lease
+        self._claims: dict[ServerId, OwnerClaim] = {}
+        self._owned_before: set[ServerId] = set()
+        # Revisions of own claims under which another host may give orders.
+        self._released: set[int] = set()
+
+    def get(self, server: ServerId) -> OwnerClaim | None:
+        """Return the last claim to an engine, ``None`` if there is none."""
+        return self._claims.get(server)
+
+    def add(self, server: ServerId, claim: OwnerClaim) -> None:
+        """Add a claim under which this host gives orders from now on."""
+        self._claims[server] = claim
+        self._owned_before.discard(server)
+
+    def release(self, server: ServerId) -> None:
+        """Leave an engine to another host, which may give orders under the claim."""
+        self._released.add(self._claims[server].revision)
+
+    def is_released(self, claim: OwnerClaim) -> bool:
+        """Return whether another host may give orders under a claim of this host."""
+        return claim.revision in self._released
+
+    def retain(self, engines: Collection[ServerId]) -> None:
+        """Forget the claims to all other engines."""
+        for server in [known for known in self._claims if known not in engines]:
+            del self._claims[server]
+
+    def begin_epoch(self) -> None:
+        """End all claims, as the store was restored from a copy."""
+        self._owned_before = {
+            server
+            for server, claim in self._claims.items()
+            if self._lease.was_valid(claim.lease)
+        }
+        self._claims.clear()
+        self._released.clear()
+
+    def owned_until_restoration(self, server: ServerId) -> bool:
+        """Return whether only this host gave orders until the last restoration."""
+        return server in self._owned_before
