Forget the claim to an engine when it is handed over

Cause: a host kept its claim after it had released the engine to another host. Its lease went on, so when the store came back from a copy it took itself for the owner until then and claimed the engine with a delay of 0. The true owner, which the store turned away at that moment, ordered too, under a claim of the epoch before.

Change: a released claim is forgotten. Only the successor, which holds a claim of its own, may be the owner until a restoration, so that every other host waits for the takeover delay. A claim whose lease has ended is kept, as before: an owner may notice that first, and only then the restoration. The second new test guards this; it fails if all claims are forgotten when their owner ends.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -32,7 +32,7 @@
 
     def release(self, server: ServerId) -> None:
         """Leave an engine to another host, which may give orders under the claim."""
-        self._released.add(self._claims[server].revision)
+        self._released.add(self._claims.pop(server).revision)
 
     def is_released(self, claim: OwnerClaim) -> bool:
         """Return whether another host may give orders under a claim of this host."""
--- /dev/null
+++ b/tests/functional/test_former_owners.py
@@ -0,0 +1,73 @@
+"""Check which hosts claim an engine without a delay after the store was restored."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.handover_world import SETTLE_SECONDS, HandoverWorld
+from tests.lib.owner_world import check_orders
+from tests.lib.virtual_loop import run_virtual
+
+_LEASE_SECONDS = 9.0
+_CUT_SECONDS = 2.5
+_OBSERVED_SECONDS = 16.0
+# Other hosts may claim an engine from then on.
+_RECLAIM_SECONDS = 2.0
+_STEP_SECONDS = 0.01
+
+
+@pytest.mark.parametrize("handovers", [1, 2])
+@pytest.mark.parametrize("names_former_owner", [False, True])
+@pytest.mark.parametrize("restorations", [1, 2])
+def test_a_host_that_handed_an_engine_over_does_not_order_after_a_restoration(
+    handovers: int, names_former_owner: bool, restorations: int
+) -> None:
+    """Guards against orders of a former owner beside those of one that is cut off."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        saved = world.data.copy()
+        for _ in range(handovers):
+            await world.hand_over()
+        if not names_former_owner:
+            saved = world.data.copy()
+        await world.run(2.0)
+        world.owner.store.is_cut = True
+        for _ in range(restorations):
+            world.restore(saved, leases_for=_LEASE_SECONDS)
+            await world.run(_CUT_SECONDS)
+        for host in world.hosts:
+            host.store.is_cut = False
+        await world.run(_OBSERVED_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
+
+
+def test_an_owner_whose_lease_ends_before_it_reads_the_restoration_goes_on() -> None:
+    """Guards against engines without loads for the takeover delay."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        owner, saved = world.owner, world.data.copy()
+        lease = owner.lease.lease
+        while owner.lease.seconds_since_renewal < 1.0:
+            await asyncio.sleep(_STEP_SECONDS)
+        owner.store.rejects_reads = True
+        world.restore(saved, leases_for=_LEASE_SECONDS)
+        while owner.is_owner:
+            await asyncio.sleep(_STEP_SECONDS)
+        assert owner.lease.lease != lease
+        assert owner.view.store_epoch < world.data.epoch
+        owner.store.rejects_reads = False
+        read_at = asyncio.get_running_loop().time()
+        await world.run(_RECLAIM_SECONDS)
+        assert world.owner is owner
+        assert world.orders_after(read_at) > 0
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
--- a/tests/lib/fake_metadata_store.py
+++ b/tests/lib/fake_metadata_store.py
@@ -115,8 +115,9 @@
     """Replace the platform's client of the metadata store, for one host.
 
     Calls fail while ``is_cut`` is set and hang while ``is_silent`` is set. ``put``
-    writes the key but raises an error while ``loses_answers`` is set. A call takes
-    twice ``answer_seconds``.
+    writes the key but raises an error while ``loses_answers`` is set. Reads of items
+    fail while ``rejects_reads`` is set, other calls while ``rejects_writes`` is. A call
+    takes twice ``answer_seconds``.
     """
 
     def __init__(self, data: StoreData) -> None:
@@ -124,18 +125,20 @@
         self.is_cut = False
         self.is_silent = False
         self.loses_answers = False
+        self.rejects_reads = False
+        self.rejects_writes = False
         self.answer_seconds = _ANSWER_SECONDS
         self._lease_seconds: dict[LeaseId, float] = {}
 
     async def list(self, prefix: str) -> StorePage:
-        await self._pass_network()
+        await self._pass_read()
         found = [i for k, i in sorted(self.data.items.items()) if k.startswith(prefix)]
         return self._page(found)
 
     async def get(self, key: str) -> StorePage:
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_SECONDS):
-                await self._pass_network()
+                await self._pass_read()
         except TimeoutError as error:
             raise StoreUnansweredError("no answer from the store") from error
         found = self.data.items.get(key)
@@ -156,7 +159,7 @@
             raise StoreUnansweredError("no answer from the store") from error
 
     async def _changes(self, prefix: str, after: int, wait: float) -> StorePage:
-        await self._pass_network()
+        await self._pass_read()
         epoch, after = epoch_of(after), number_of(after)
         if after < self.data.oldest_revision:
             raise StoreHistoryError("revision is compacted")
@@ -178,13 +181,13 @@
             remaining = until - asyncio.get_running_loop().time()
             if events or (remaining <= 0 and not self.data.hides_changes):
                 page = self._page(events)
-                await self._pass_network()
+                await self._pass_read()
                 return page
             try:
                 async with asyncio.timeout(min(max(remaining, 0.05), 0.2)):
                     await self.data.changed.wait()
             except TimeoutError:
-                await self._pass_network()
+                await self._pass_read()
 
     async def put(
         self,
@@ -194,7 +197,7 @@
         if_revision: int | None = None,
         lease: LeaseId | None = None,
     ) -> int | None:
-        await self._pass_network()
+        await self._pass_write()
         known = self.data.items.get(key)
         number = None if if_revision is None else number_of(if_revision)
         if number is not None and number != (known.revision if known else 0):
@@ -207,7 +210,7 @@
         return ordered_revision(self.data.epoch, revision)
 
     async def remove(self, key: str, *, if_revision: int) -> bool:
-        await self._pass_network()
+        await self._pass_write()
         known = self.data.items.get(key)
         if known is None or known.revision != number_of(if_revision):
             return False
@@ -215,7 +218,7 @@
         return True
 
     async def grant_lease(self, seconds: float) -> LeaseId:
-        await self._pass_network()
+        await self._pass_write()
         self.data.last_lease_number += 1
         lease = LeaseId(f"{self.data.epoch}/{self.data.last_lease_number}")
         self._lease_seconds[lease] = seconds
@@ -223,7 +226,7 @@
         return lease
 
     async def renew_lease(self, lease: LeaseId) -> bool:
-        await self._pass_network()
+        await self._pass_write()
         if not self._holds_lease(lease):
             return False
         until = asyncio.get_running_loop().time() + self._lease_seconds[lease]
@@ -231,7 +234,7 @@
         return True
 
     async def end_lease(self, lease: LeaseId) -> None:
-        await self._pass_network()
+        await self._pass_write()
         self.data.revoke_lease(lease)
 
     def _holds_lease(self, lease: LeaseId) -> bool:
@@ -242,6 +245,16 @@
         ordered = tuple(map(self.data.ordered, items))
         return StorePage(ordered, ordered_revision(self.data.epoch, self.data.revision))
 
+    async def _pass_read(self) -> None:
+        await self._pass_network()
+        if self.rejects_reads:
+            raise StoreUnavailableError("store rejects reads")
+
+    async def _pass_write(self) -> None:
+        await self._pass_network()
+        if self.rejects_writes:
+            raise StoreUnavailableError("store rejects writes")
+
     async def _pass_network(self) -> None:
         """Simulate the network: a delay, then a hang or an error if a fault is set."""
         await asyncio.sleep(self.answer_seconds)
