Give up the right to claim an engine at once when another host claims it

What callers saw: nothing directly; a second host ordered 1.8 s after the owner (3 s are required), found by reading and by the new test.

Cause: a host that owned an engine until the store was restored may claim it again with no delay. That right ended only with its own claim. If another host had claimed the engine first (the owner could read the store, but not write to it) and that claim ended much later, the former owner claimed at once, though the other host's lease counts for 7.5 s after its last renewal and leaves the store after 9 s.

Change: the first claim of any host in the new epoch ends the right.

Result: test_an_owner_that_another_host_replaced_after_a_restoration_waits failed before (orders of host-2 until 31.5 s, of host-1 from 33.3 s) and passes.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -142,7 +142,7 @@
         }
         if self._view.store_epoch != self._epoch:
             self._begin_epoch()
-        self._own_claims.retain(engines)
+        self._own_claims.update(self._view.owners, engines)
         for server in list(self._owners):
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -1,6 +1,6 @@
 """Keep the claims under which this host gives orders to engines."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
@@ -38,10 +38,20 @@
         """Return whether another host may give orders under a claim of this host."""
         return claim.revision in self._released
 
-    def retain(self, engines: Collection[ServerId]) -> None:
-        """Forget the claims to all other engines."""
+    def update(
+        self, records: Mapping[ServerId, OwnerClaim], engines: Collection[ServerId]
+    ) -> None:
+        """Forget claims to other engines, and those that the store's records replaced.
+
+        Once another host has claimed an engine, its claim may end at any time, also
+        unseen by this host, while it still gives orders.
+        """
         for server in [known for known in self._claims if known not in engines]:
             del self._claims[server]
+        for server in list(self._owned_before):
+            record = records.get(server)
+            if record is not None and not record.is_stale:
+                self._owned_before.remove(server)
 
     def begin_epoch(self) -> None:
         """End all claims, as the store was restored from a copy."""
--- a/tests/functional/test_former_owners.py
+++ b/tests/functional/test_former_owners.py
@@ -5,12 +5,15 @@
 import pytest
 
 from tests.lib.handover_world import SETTLE_SECONDS, HandoverWorld
-from tests.lib.owner_world import check_orders
+from tests.lib.owner_world import OwnerHost, check_orders
 from tests.lib.virtual_loop import run_virtual
 
 _LEASE_SECONDS = 9.0
 _CUT_SECONDS = 2.5
 _OBSERVED_SECONDS = 16.0
+_TAKEOVER_SECONDS = 11.0
+# Another host has claimed the engine of a host without a lease by then.
+_REPLACED_SECONDS = 4.0
 # Other hosts may claim an engine from then on.
 _RECLAIM_SECONDS = 2.0
 _STEP_SECONDS = 0.01
@@ -71,3 +74,43 @@
         await world.stop()
 
     run_virtual(scenario())
+
+
+async def _wait_for_renewal(host: OwnerHost) -> None:
+    while host.lease.seconds_since_renewal > 2 * _STEP_SECONDS:
+        await asyncio.sleep(_STEP_SECONDS)
+
+
+async def _cut_off_at_renewal(host: OwnerHost) -> None:
+    """Cut a host off from the store and the other hosts."""
+    await _wait_for_renewal(host)
+    host.store.is_cut = host.is_cut_from_hosts = True
+
+
+async def _read_restoration(world: HandoverWorld, host: OwnerHost) -> None:
+    """Restore the store, and wait until a host that can't write has read that."""
+    host.store.rejects_writes = True
+    world.restore(world.data.copy(), leases_for=_LEASE_SECONDS)
+    while host.view.store_epoch < world.data.epoch:
+        await asyncio.sleep(_STEP_SECONDS)
+
+
+def test_an_owner_that_another_host_replaced_after_a_restoration_waits() -> None:
+    """Guards against a right to claim at once that outlasts another host's claim."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        later = await world.hand_over()
+        former = world.owner
+        await _read_restoration(world, former)
+        await world.run(_REPLACED_SECONDS)
+        former.store.rejects_writes = False
+        await world.run(_TAKEOVER_SECONDS)
+        assert world.owner is later
+        await _cut_off_at_renewal(later)
+        await world.run(_OBSERVED_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
