Forget a claim once the store has ended or replaced it

What callers saw: nothing directly; two hosts ordered in turn within 0.2 s, found by reading and by the new test.

Cause: a host kept its claim although it had read that the store had ended it with its lease, and that another host had claimed the engine. If the store was restored within 7.5 s of the host's last renewal, it took itself for the owner until then and claimed at once. The other host, cut off at that moment, did not know, and ordered when its takeover delay of 11 s was over.

Change: a claim counts only as long as the store's record is that claim, as far as this host has read. A host that finds its lease ended before it reads that the store was restored still has the record of the epoch before, and goes on at once.

Result: test_an_owner_that_another_host_replaced_before_a_restoration_waits failed before (from 11.25 s to 13.25 s after the claim orders of host-0 and host-2 in turn, five times) and passes.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -142,12 +142,12 @@
         }
         if self._view.store_epoch != self._epoch:
             self._begin_epoch()
-        self._own_claims.update(self._view.owners, engines)
         for server in list(self._owners):
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
             if server not in engines or not is_ours:
                 self._stop_owner(server, "claim lost or engine removed")
+        self._own_claims.update(self._view.owners, engines, self._owners.keys())
         for record in engines.values():
             await self._check_engine(record)
 
--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -39,15 +39,24 @@
         return claim.revision in self._released
 
     def update(
-        self, records: Mapping[ServerId, OwnerClaim], engines: Collection[ServerId]
+        self,
+        records: Mapping[ServerId, OwnerClaim],
+        engines: Collection[ServerId],
+        owned: Collection[ServerId],
     ) -> None:
         """Forget claims to other engines, and those that the store's records replaced.
 
-        Once another host has claimed an engine, its claim may end at any time, also
-        unseen by this host, while it still gives orders.
+        Those to ``owned`` engines are kept. A claim that the store has ended is
+        forgotten as well, since another host may claim the engine from then on, also
+        unseen by this one.
         """
-        for server in [known for known in self._claims if known not in engines]:
-            del self._claims[server]
+        for server in self._claims.keys() - owned:
+            record = records.get(server)
+            is_held = (
+                record is not None and record.revision == self._claims[server].revision
+            )
+            if server not in engines or not is_held:
+                del self._claims[server]
         for server in list(self._owned_before):
             record = records.get(server)
             if record is not None and not record.is_stale:
--- a/tests/functional/test_former_owners.py
+++ b/tests/functional/test_former_owners.py
@@ -114,3 +114,25 @@
         await world.stop()
 
     run_virtual(scenario())
+
+
+def test_an_owner_that_another_host_replaced_before_a_restoration_waits() -> None:
+    """Guards against a claim that still counts after the store has ended it."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        former, saved = world.owner, world.data.copy()
+        await _wait_for_renewal(former)
+        assert former.lease.lease is not None
+        former.store.rejects_writes = True
+        world.data.revoke_lease(former.lease.lease)
+        await world.run(_REPLACED_SECONDS)
+        await _cut_off_at_renewal(world.owner)
+        world.restore(saved, leases_for=_LEASE_SECONDS)
+        former.store.rejects_writes = False
+        await world.run(_OBSERVED_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
