Let the right to claim an engine at once end with the former lease

What callers saw: nothing directly; a second host ordered 2.2 s after the owner (3 s are required), found by reading and by the new test.

Cause: a host that owned an engine until the store was restored could claim it with no delay at any later time. If it was cut off just after it had read the restoration, it missed that another host claimed the engine, gave orders and lost its lease, and claimed at once when it was back.

Change: the right is checked with each claim, against the time until which the former lease would have been valid, 7.5 s from its last renewal. Another host that claimed after the restoration waits for 11 s from then. The lease keeper remembers each lost lease for that time, as the next one may be lost too.

--- a/src/gooseberrydeal/_internal/operations/router/lease_keeper.py
+++ b/src/gooseberrydeal/_internal/operations/router/lease_keeper.py
@@ -43,8 +43,8 @@
         self._on_new_lease = on_new_lease
         self._lease: LeaseId | None = None
         self._valid_until = 0.0
-        self._lost: LeaseId | None = None
-        self._lost_valid_until = 0.0
+        # Leases that were lost while they would still have been valid, and until when.
+        self._lost: dict[LeaseId, float] = {}
         self._discarded = asyncio.Event()
 
     @property
@@ -71,7 +71,7 @@
         """
         if lease == self._lease:
             return self.is_valid
-        return lease == self._lost and self._elapsed() < self._lost_valid_until
+        return self._elapsed() < self._lost.get(lease, 0.0)
 
     async def run(self) -> None:
         """Obtain a lease and renew it until cancelled."""
@@ -100,8 +100,12 @@
         self._discarded.set()
 
     def _forget(self) -> None:
+        now = self._elapsed()
+        self._lost = {
+            lease: until for lease, until in self._lost.items() if until > now
+        }
         if self._lease is not None:
-            self._lost, self._lost_valid_until = self._lease, self._valid_until
+            self._lost[self._lease] = self._valid_until
         self._lease = None
         self._valid_until = 0.0
 
--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -161,7 +161,7 @@
             return
         if claim is None or claim.is_stale:
             revision = 0 if claim is None else claim.revision
-            if self._own_claims.owned_until_restoration(record.id):
+            if self._own_claims.may_resume(record.id):
                 # The engine's orders still come from the same holder.
                 reason = ClaimReason.OWNER_UNTIL_RESTORATION
                 await self._claim_engine(record, revision, 0.0, reason)
--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -17,7 +17,8 @@
     def __init__(self, lease: LeaseKeeper) -> None:
         self._lease = lease
         self._claims: dict[ServerId, OwnerClaim] = {}
-        self._owned_before: set[ServerId] = set()
+        # Claims that the last restoration ended.
+        self._ended: dict[ServerId, OwnerClaim] = {}
         # Revisions of own claims under which another host may give orders.
         self._released: set[int] = set()
 
@@ -28,7 +29,7 @@
     def add(self, server: ServerId, claim: OwnerClaim) -> None:
         """Add a claim under which this host gives orders from now on."""
         self._claims[server] = claim
-        self._owned_before.discard(server)
+        self._ended.pop(server, None)
 
     def release(self, server: ServerId) -> None:
         """Leave an engine to another host, which may give orders under the claim."""
@@ -57,21 +58,21 @@
             )
             if server not in engines or not is_held:
                 del self._claims[server]
-        for server in list(self._owned_before):
+        for server in list(self._ended):
             record = records.get(server)
             if record is not None and not record.is_stale:
-                self._owned_before.remove(server)
+                del self._ended[server]
 
     def begin_epoch(self) -> None:
         """End all claims, as the store was restored from a copy."""
-        self._owned_before = {
-            server
-            for server, claim in self._claims.items()
-            if self._lease.was_valid(claim.lease)
-        }
-        self._claims.clear()
+        self._ended, self._claims = self._claims, {}
         self._released.clear()
 
-    def owned_until_restoration(self, server: ServerId) -> bool:
-        """Return whether only this host gave orders until the last restoration."""
-        return server in self._owned_before
+    def may_resume(self, server: ServerId) -> bool:
+        """Return whether no other host can have given orders since this one did.
+
+        Other hosts may have claimed the engine unseen, but wait before their first
+        order for longer than the lease of this host would have been valid.
+        """
+        claim = self._ended.get(server)
+        return claim is not None and self._lease.was_valid(claim.lease)
--- a/tests/functional/test_former_owners.py
+++ b/tests/functional/test_former_owners.py
@@ -116,6 +116,30 @@
     run_virtual(scenario())
 
 
+def test_an_owner_that_was_away_since_a_restoration_waits() -> None:
+    """Guards against a right to claim at once that has no end."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        later = await world.hand_over()
+        former = world.owner
+        await _read_restoration(world, former)
+        former.store.rejects_reads = True
+        await world.run(_REPLACED_SECONDS + _TAKEOVER_SECONDS)
+        assert world.owner is later
+        await _cut_off_at_renewal(later)
+        for host in world.others(former):
+            host.store.is_cut = True
+        await world.run(_LEASE_SECONDS)
+        former.store.rejects_reads = former.store.rejects_writes = False
+        await world.run(_OBSERVED_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
+
+
 def test_an_owner_that_another_host_replaced_before_a_restoration_waits() -> None:
     """Guards against a claim that still counts after the store has ended it."""
 
