Wait for the takeover delay after a restoration that was missed

What callers saw: nothing directly; two hosts ordered in turn within 0.2 s, found by reading and by the new test.

Cause: a host that was cut off while the store was restored twice took itself for the owner until then, as its lease would still have been valid. Another host had claimed the engine after the first restoration; the second one erased that claim. That host, cut off during the second restoration, ordered when its takeover delay was over, beside the former owner.

Change: a host claims engines at once only if it read the epoch just before the current one.

Result: test_an_owner_that_missed_a_restoration_waits_after_the_next failed before (orders of host-0, of host-2 at 24.13 s and of host-0 again at 24.33 s on the clock of the test) and passes.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -233,7 +233,7 @@
     def _begin_epoch(self) -> None:
         """Give up all leases and claims if the store was restored from a copy."""
         if self._epoch is not None:
-            self._own_claims.begin_epoch()
+            self._own_claims.begin_epoch(self._view.store_epoch - self._epoch)
             self._epoch_began_at = self._clock()
             self._lease.discard()
         self._epoch = self._view.store_epoch
--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -63,9 +63,14 @@
             if record is not None and not record.is_stale:
                 del self._ended[server]
 
-    def begin_epoch(self) -> None:
-        """End all claims, as the store was restored from a copy."""
-        self._ended, self._claims = self._claims, {}
+    def begin_epoch(self, restorations: int) -> None:
+        """End all claims, as the store was restored from a copy.
+
+        If it was restored more than once since this host read it, another host may have
+        claimed an engine in between, and still wait to give orders.
+        """
+        self._ended = self._claims if restorations == 1 else {}
+        self._claims = {}
         self._released.clear()
 
     def may_resume(self, server: ServerId) -> bool:
--- a/tests/functional/test_former_owners.py
+++ b/tests/functional/test_former_owners.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from gooseberrydeal._internal.operations.router.lease_keeper import (
+    LOCAL_VALIDITY_SECONDS,
+)
 from tests.lib.handover_world import SETTLE_SECONDS, HandoverWorld
 from tests.lib.owner_world import OwnerHost, check_orders
 from tests.lib.virtual_loop import run_virtual
@@ -17,6 +20,7 @@
 # Other hosts may claim an engine from then on.
 _RECLAIM_SECONDS = 2.0
 _STEP_SECONDS = 0.01
+_DEMAND_SECONDS = 0.2
 
 
 @pytest.mark.parametrize("handovers", [1, 2])
@@ -160,3 +164,29 @@
         await world.stop()
 
     run_virtual(scenario())
+
+
+def test_an_owner_that_missed_a_restoration_waits_after_the_next() -> None:
+    """Guards against a claim that another host may have replaced in between."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS + 0.4)
+        later, saved = await world.hand_over(), world.data.copy()
+        former = world.owner
+        await _wait_for_renewal(former)
+        former.store.rejects_reads = former.store.rejects_writes = True
+        former.is_cut_from_hosts = True
+        world.restore(saved, leases_for=_LEASE_SECONDS)
+        while not later.is_owner:
+            await world.run(_DEMAND_SECONDS)
+        # The lease of the later owner outlasts its takeover delay.
+        await world.run(_TAKEOVER_SECONDS - LOCAL_VALIDITY_SECONDS)
+        await _cut_off_at_renewal(later)
+        world.restore(saved, leases_for=_LEASE_SECONDS)
+        former.store.rejects_reads = former.store.rejects_writes = False
+        await world.run(_OBSERVED_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
