--- a/tests/lib/handover_world.py
+++ b/tests/lib/handover_world.py
@@ -71,6 +71,13 @@
         self.data.restore(saved, now + leases_for)
         write_platform_entries(self.data, self.engine)
 
+    def heal(self) -> None:
+        """End all faults of hosts and their stores."""
+        for host in self.hosts:
+            host.is_cut_from_hosts = host.store.is_cut = False
+            host.store.rejects_reads = host.store.rejects_writes = False
+            host.store.loses_answers = False
+
     async def stop(self) -> None:
         """Stop all hosts."""
         for host in self.hosts:
