Accept only engines whose owner record this host can replace

What callers saw: loads at the engines of an owner that the store turns away stopped 3 to 4 s after its last renewal, though no host could take the engines over for 13 s.

Cause: if the store was restored meanwhile, the other hosts no longer have the owner's record. They accepted the engines all the same, the owner released them for good, and the release named a record that they could not replace.

Change: a host accepts only engines whose owner record it has read and can replace. The owner goes on until its lease no longer counts, or until it reads that the store was restored.

Result: test_an_owner_keeps_an_engine_whose_claim_the_store_lost failed before (no order later than 4 s after the restoration) and passes.

--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -216,6 +216,15 @@
         self._stop_owner(server, "handed over to a host that reaches the store")
         return age
 
+    def can_take_over(self, server: ServerId, revision: int) -> bool:
+        """Return whether this host could replace the owner record of a revision.
+
+        The store lost the record if it was restored since, and this host has read that.
+        """
+        claim = self._view.owners.get(server)
+        is_known = claim is not None and claim.revision == revision
+        return is_known and self._lease.is_valid
+
     async def take_over(
         self, server: ServerId, revision: int, last_order_age: float
     ) -> None:
@@ -223,9 +232,8 @@
 
         Raises ``StoreError`` if the store fails.
         """
-        record, claim = self._servers.get(server), self._view.owners.get(server)
-        is_known = claim is not None and claim.revision == revision
-        if record is not None and is_known and self._lease.is_valid:
+        record = self._servers.get(server)
+        if record is not None and self.can_take_over(server, revision):
             delay = first_order_delay(self._handover_gap_seconds, last_order_age)
             reason = ClaimReason.HANDED_OVER
             await self._claim_engine(record, revision, delay, reason)
--- a/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/handover_exchange.py
@@ -115,15 +115,21 @@
     ) -> None:
         """Accept engines once the store has answered a call made after the offer.
 
-        An older answer would also be there in an outage of the whole store.
+        An older answer would also be there in an outage of the whole store. An engine
+        whose owner record this host can't replace stays with its owner.
         """
         offered_at = self._clock()
         while self._view.registrations_read_until < offered_at:
             if self._clock() - offered_at > _READ_TIMEOUT_SECONDS:
                 return
             await asyncio.sleep(_READ_CHECK_SECONDS)
-        if self._ownership.lease.is_valid:
-            self._send(sender, HandoverStep.ACCEPTANCE, list(engines))
+        accepted = [
+            item
+            for item in engines
+            if self._ownership.can_take_over(item.server, item.revision)
+        ]
+        if accepted:
+            self._send(sender, HandoverStep.ACCEPTANCE, accepted)
 
     def _release(
         self, sender: HostMembership, engines: tuple[HandoverEngine, ...]
--- a/tests/functional/test_owner_handover.py
+++ b/tests/functional/test_owner_handover.py
@@ -88,6 +88,25 @@
     run_virtual(scenario())
 
 
+def test_an_owner_keeps_an_engine_whose_claim_the_store_lost() -> None:
+    """Guards against an engine that is released to hosts of a later epoch."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        first = world.owner
+        first.store.is_cut = True
+        world.restore(world.data.copy())
+        restored_at = asyncio.get_running_loop().time()
+        await world.run(5.0)
+        assert world.orders_after(restored_at + 4.0) > 0
+        await world.run(_TAKEOVER_SECONDS)
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
+
+
 _Cut = tuple[int, str, float]
 
 
