--- a/tests/functional/test_former_owners.py
+++ b/tests/functional/test_former_owners.py
@@ -12,13 +12,13 @@
 from tests.lib.virtual_loop import run_virtual
 
 _LEASE_SECONDS = 9.0
-_CUT_SECONDS = 2.5
-_OBSERVED_SECONDS = 16.0
 _TAKEOVER_SECONDS = 11.0
-# Another host has claimed the engine of a host without a lease by then.
-_REPLACED_SECONDS = 4.0
-# Other hosts may claim an engine from then on.
+# Only the last owner may claim an engine for this time after a restoration.
 _RECLAIM_SECONDS = 2.0
+# Another host has claimed the engine by then, if the last owner did not.
+_REPLACED_SECONDS = 4.0
+_CUT_SECONDS = 2.5
+_OBSERVED_SECONDS = 16.0
 _STEP_SECONDS = 0.01
 _DEMAND_SECONDS = 0.2
 
@@ -175,6 +175,8 @@
         later, saved = await world.hand_over(), world.data.copy()
         former = world.owner
         await _wait_for_renewal(former)
+        lease = former.lease.lease
+        assert lease is not None
         former.store.rejects_reads = former.store.rejects_writes = True
         former.is_cut_from_hosts = True
         world.restore(saved, leases_for=_LEASE_SECONDS)
@@ -183,6 +185,7 @@
         # The lease of the later owner outlasts its takeover delay.
         await world.run(_TAKEOVER_SECONDS - LOCAL_VALIDITY_SECONDS)
         await _cut_off_at_renewal(later)
+        assert former.lease.was_valid(lease)
         world.restore(saved, leases_for=_LEASE_SECONDS)
         former.store.rejects_reads = former.store.rejects_writes = False
         await world.run(_OBSERVED_SECONDS)
