--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from gooseberrydeal._internal.exceptions import StoreError
-from gooseberrydeal._internal.models.ids import FencingNumber, ServerId
+from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.claim_reason import ClaimReason
 from gooseberrydeal._internal.models.routing.host_membership import HostMembership
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
@@ -23,16 +23,17 @@
     ClaimWriter,
 )
 from gooseberrydeal._internal.operations.router.ownership.own_claims import OwnClaims
+from gooseberrydeal._internal.operations.router.ownership.running_owners import (
+    RunningOwners,
+)
 from gooseberrydeal._internal.operations.router.server_record import ServerRecord
 from gooseberrydeal._internal.operations.router.server_table import ServerTable
 from gooseberrydeal._internal.operations.router.status_sender import StatusSender
 from gooseberrydeal._internal.policy.engine_assignment import preferred_owner
-from gooseberrydeal._internal.policy.load_time import LoadTime
 from gooseberrydeal._internal.policy.ownership.handover import (
     first_order_delay,
     may_claim_again,
 )
-from gooseberrydeal._internal.utils.tasks import TaskOwner
 
 logger = logging.getLogger(__name__)
 
@@ -67,22 +68,18 @@
         clock: Callable[[], float],
     ) -> None:
         self._membership = membership
-        self._orders = orders
         self._view = view
         self._servers = servers
         self._lease = lease
         self._handover_gap_seconds = handover_gap_seconds
-        self._publish = publish
         self._clock = clock
-        self._owners: dict[ServerId, EngineOwner] = {}
-        self._running: dict[ServerId, asyncio.Task[None]] = {}
         self._epoch: int | None = None
         self._epoch_began_at = -math.inf
         self._own_claims = OwnClaims(lease)
         self._writer = ClaimWriter(membership, store, view, lease, clock)
-        self._started_at: dict[ServerId, float] = {}
-        self._load_times: dict[ServerId, LoadTime] = {}
-        self._tasks = TaskOwner()
+        self._running = RunningOwners(
+            membership.host, orders, view, servers, lease, publish, clock
+        )
         self._wake = asyncio.Event()
 
     @property
@@ -93,13 +90,13 @@
     @property
     def own_claims(self) -> Mapping[ServerId, OwnerClaim]:
         """Return the claims under which this host gives orders."""
-        claims = {server: self._own_claims.get(server) for server in self._owners}
+        claims = {server: self._own_claims.get(server) for server in self.owners}
         return {server: claim for server, claim in claims.items() if claim is not None}
 
     @property
     def owners(self) -> Mapping[ServerId, EngineOwner]:
         """Return the running owner of each engine that this host owns."""
-        return self._owners
+        return self._running.owners
 
     def set_handover_gap(self, seconds: float) -> None:
         """Set the required gap, in seconds, between the orders of two hosts."""
@@ -130,7 +127,7 @@
 
     async def stop(self) -> None:
         """Stop all owners of engines."""
-        await self._tasks.stop()
+        await self._running.stop_all()
 
     async def _check_engines(self) -> None:
         if not self._view.is_complete:
@@ -142,18 +139,18 @@
         }
         if self._view.store_epoch != self._epoch:
             self._begin_epoch()
-        for server in list(self._owners):
+        for server in list(self.owners):
             claim = self._view.owners.get(server)
             is_ours = claim is not None and self._is_own_claim(claim)
             if server not in engines or not is_ours:
-                self._stop_owner(server, "claim lost or engine removed")
-        self._own_claims.update(self._view.owners, engines, self._owners.keys())
+                self._running.stop(server, "claim lost or engine removed")
+        self._own_claims.update(self._view.owners, engines, self.owners.keys())
         for record in engines.values():
             await self._check_engine(record)
 
     async def _check_engine(self, record: ServerRecord) -> None:
         claim = self._view.owners.get(record.id)
-        owner = self._owners.get(record.id)
+        owner = self.owners.get(record.id)
         if owner is not None:
             owner.reconcile_entry(record.entry)
             return
@@ -202,18 +199,15 @@
         The age is in seconds. Returns ``None`` if this host does not own the engine
         under that claim.
         """
-        claim, owner = self._own_claims.get(server), self._owners.get(server)
-        if claim is None or claim.revision != revision or owner is None:
+        claim = self._own_claims.get(server)
+        if claim is None or claim.revision != revision or server not in self.owners:
             return None
-        now = self._clock()
-        if now < self._writer.first_order_at(server):
+        if self._clock() < self._writer.first_order_at(server):
             # The owner before this one may still give orders.
             return None
-        # The orders of an earlier start of the owner are not known here.
-        last_order_at = max(owner.sequence.last_sent_at, self._started_at[server])
-        age = 0.0 if owner.sequence.is_sending else now - last_order_at
+        age = self._running.last_order_age(server)
         self._own_claims.release(server)
-        self._stop_owner(server, "handed over to a host that reaches the store")
+        self._running.stop(server, "handed over to a host that reaches the store")
         return age
 
     def can_take_over(self, server: ServerId, revision: int) -> bool:
@@ -262,33 +256,7 @@
 
     def _start_owner(self, record: ServerRecord, claim: OwnerClaim) -> None:
         self._own_claims.add(record.id, claim)
-        self._started_at[record.id] = self._clock()
-        first_order_at = self._writer.first_order_at(record.id)
-        owner = EngineOwner(
-            record,
-            self._orders,
-            self._view,
-            self._membership.host,
-            FencingNumber(claim.revision),
-            lambda: (
-                self._lease.is_valid
-                and self._lease.lease == claim.lease
-                and self._clock() >= first_order_at
-            ),
-            lambda: self._servers.loads_in_progress,
-            self._publish,
-            self._load_times.setdefault(record.id, LoadTime()),
-            self._clock,
-        )
-        self._owners[record.id] = owner
-        self._running[record.id] = self._tasks.keep_running(
-            owner.run, f"owner of {record.id}"
-        )
-
-    def _stop_owner(self, server: ServerId, reason: str) -> None:
-        logger.info("engine ownership ended: %s", reason, extra={"server": server})
-        del self._owners[server]
-        self._running.pop(server).cancel()
+        self._running.start(record, claim, self._writer.first_order_at(record.id))
 
     def _is_own_claim(self, claim: OwnerClaim) -> bool:
         """Return whether a claim names this host and its current lease."""
