Keep the delay before the first order in the owner record

Cause: the same as with former owners: a host took an engine for its own without a delay on the ground of what another moment knew. The delay was kept in memory only.

Change: the record has the seconds of the delay as a fourth field, which earlier builds ignore. A host that finds its own record waits for them again. Once its first order is allowed, an owner writes the record without a delay, so that a restart later on loses nothing; it stops and starts under that claim, and orders do not wait for it. An owner is also replaced if its record is a later claim of this host, as after a write without an answer, and a record that is read late does not replace the one that this host has written since.

--- a/src/gooseberrydeal/_internal/models/routing/claim_reason.py
+++ b/src/gooseberrydeal/_internal/models/routing/claim_reason.py
@@ -12,3 +12,4 @@
     OWN_RECORD = "own_record"
     OWN_RELEASE = "own_release"
     HANDED_OVER = "handed_over"
+    DELAY_OVER = "delay_over"
--- a/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
+++ b/src/gooseberrydeal/_internal/operations/router/metadata_follower.py
@@ -244,6 +244,10 @@
 
     def _apply_owner(self, server: ServerId, item: StoreItem) -> None:
         self._view.never_owned.discard(server)
+        known = self._view.owners.get(server)
+        if known is not None and item.revision < known.revision:
+            # This host has claimed the engine since.
+            return
         if item.value is None:
             self._view.owners.pop(server, None)
         else:
--- a/src/gooseberrydeal/_internal/operations/router/ownership/claim_writer.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/claim_writer.py
@@ -53,12 +53,15 @@
         lease = self._lease.lease
         if lease is None:
             return None
-        new_claim = OwnerClaim(
-            self._membership.host, lease, epoch=self._view.store_epoch
-        )
         # A claim may be renewed while an earlier one still waits for its first order.
-        self._first_order_at[server] = max(
-            self.first_order_at(server), self._clock() + delay
+        now = self._clock()
+        first_order_at = max(self.first_order_at(server), now + delay)
+        self._first_order_at[server] = first_order_at
+        new_claim = OwnerClaim(
+            self._membership.host,
+            lease,
+            epoch=self._view.store_epoch,
+            delay=first_order_at - now,
         )
         try:
             new_revision = await self._store.put(
@@ -81,7 +84,7 @@
         self._view.owners[server] = claim
         logger.info(
             "engine claimed; first order allowed in %.1f s",
-            delay,
+            new_claim.delay,
             extra={"server": server, "epoch": new_revision, "reason": reason.value},
         )
         return claim
--- a/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/engine_ownership.py
@@ -52,7 +52,8 @@
     A record's revision is the fencing number. After another host owned the engine, the
     first order waits until that host no longer considers its lease valid and the
     required gap between the orders of two hosts has passed. A restarted host takes over
-    its own records at once, since its orders still come from the same holder.
+    its own records without another delay, since its orders still come from the same
+    holder.
     """
 
     def __init__(
@@ -141,8 +142,12 @@
             self._begin_epoch()
         for server in list(self.owners):
             claim = self._view.owners.get(server)
-            is_ours = claim is not None and self._is_own_claim(claim)
-            if server not in engines or not is_ours:
+            is_held = (
+                claim is not None
+                and self._is_own_claim(claim)
+                and self._own_claims.holds(server, claim)
+            )
+            if server not in engines or not is_held:
                 self._running.stop(server, "claim lost or engine removed")
         self._own_claims.update(self._view.owners, engines, self.owners.keys())
         for record in engines.values():
@@ -153,6 +158,8 @@
         owner = self.owners.get(record.id)
         if owner is not None:
             owner.reconcile_entry(record.entry)
+            if claim is not None and claim.delay > 0:
+                await self._confirm_claim(record, claim)
             return
         if not self._lease.is_valid:
             return
@@ -178,8 +185,9 @@
             elif self._is_own_claim(claim):
                 self._start_owner(record, claim)
             else:
+                # An earlier start of this host may still have waited.
                 reason = ClaimReason.OWN_RECORD
-                await self._claim_engine(record, claim.revision, 0.0, reason)
+                await self._claim_engine(record, claim.revision, claim.delay, reason)
 
     async def _claim_if_in_touch(self, record: ServerRecord, claim: OwnerClaim) -> None:
         """Claim an engine again that no other host took over.
@@ -193,6 +201,18 @@
             reason = ClaimReason.OWN_RELEASE
             await self._claim_engine(record, claim.revision, 0.0, reason)
 
+    async def _confirm_claim(self, record: ServerRecord, claim: OwnerClaim) -> None:
+        """Write a claim again once its delay is over, so that a restart need not wait.
+
+        Orders do not depend on it.
+        """
+        is_over = self._clock() >= self._writer.first_order_at(record.id)
+        if is_over and may_claim_again(
+            self._lease.seconds_since_renewal, has_lease=self._lease.is_valid
+        ):
+            reason = ClaimReason.DELAY_OVER
+            await self._claim_engine(record, claim.revision, 0.0, reason)
+
     def release(self, server: ServerId, revision: int) -> float | None:
         """Give an engine up for good under a claim; return the age of its last order.
 
@@ -252,6 +272,8 @@
     ) -> None:
         claim = await self._writer.claim(record.id, revision, delay, reason)
         if claim is not None:
+            if record.id in self.owners:
+                self._running.stop(record.id, "claimed again after its delay")
             self._start_owner(record, claim)
 
     def _start_owner(self, record: ServerRecord, claim: OwnerClaim) -> None:
--- a/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
+++ b/src/gooseberrydeal/_internal/operations/router/ownership/own_claims.py
@@ -31,6 +31,11 @@
         self._claims[server] = claim
         self._ended.pop(server, None)
 
+    def holds(self, server: ServerId, record: OwnerClaim) -> bool:
+        """Return whether an owner record is this host's last claim to an engine."""
+        claim = self._claims.get(server)
+        return claim is not None and claim.revision == record.revision
+
     def release(self, server: ServerId) -> None:
         """Leave an engine to another host, which may give orders under the claim."""
         self._released.add(self._claims.pop(server).revision)
@@ -53,9 +58,7 @@
         """
         for server in self._claims.keys() - owned:
             record = records.get(server)
-            is_held = (
-                record is not None and record.revision == self._claims[server].revision
-            )
+            is_held = record is not None and self.holds(server, record)
             if server not in engines or not is_held:
                 del self._claims[server]
         for server in list(self._ended):
--- a/tests/lib/handover_world.py
+++ b/tests/lib/handover_world.py
@@ -71,6 +71,13 @@
         self.data.restore(saved, now + leases_for)
         write_platform_entries(self.data, self.engine)
 
+    async def restart(self, host: OwnerHost) -> OwnerHost:
+        """Kill a host and start it again at once; return the new process."""
+        await host.kill()
+        restarted = host.restarted()
+        self.hosts[self.hosts.index(host)] = restarted
+        return restarted
+
     def heal(self) -> None:
         """End all faults of hosts and their stores."""
         for host in self.hosts:
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -94,6 +94,9 @@
     ) -> None:
         clock: Callable[[], float] = asyncio.get_running_loop().time
         self.name = name
+        self._data = data
+        self._engine = engine
+        self._number = number
         member = replace(membership(name, number=number), address=address)
         self.store = FakeMetadataStore(data)
         self.orders = FakeEngineOrders(engine, clock)
@@ -173,6 +176,20 @@
         await self.ownership.stop()
         await self._tasks.stop()
 
+    def restarted(self) -> "OwnerHost":
+        """Start a new process of this host, which was killed, in the same network."""
+        host = OwnerHost(
+            self.name,
+            self._data,
+            self._engine,
+            is_first_start=False,
+            number=self._number + 1,
+            address=self.member.address,
+        )
+        if self.network:
+            host.join(self.network)
+        return host.start()
+
     def report(self, usage: EngineUsage) -> None:
         """Pass a usage report to the owner, which must be on this host."""
         self.ownership.owners[SERVER].apply_usage(membership("asker").host, usage)
