Tests: freeze and restart hosts in the soak of hand-overs and restorations

A host's tasks can be suspended on the virtual clock; what it has sent to the store and the engine goes on, and datagrams wait for its thaw. The play also asks that adapters are loaded again after the last fault.

--- a/tests/functional/test_restoration_soak.py
+++ b/tests/functional/test_restoration_soak.py
@@ -1,12 +1,14 @@
 """Check under random faults that orders of two hosts never overlap."""
 
+import asyncio
 import os
 import random
+from enum import Enum, auto
 
 import pytest
 
 from tests.lib.handover_world import SETTLE_SECONDS, HandoverWorld
-from tests.lib.owner_world import OwnerHost, check_orders
+from tests.lib.owner_world import check_orders
 from tests.lib.virtual_loop import run_virtual
 
 _STEPS = 8
@@ -23,21 +25,37 @@
 _SEEDS = range(int(os.environ.get("HANDOVER_SEEDS", "12")))
 
 
-def _disturb(host: OwnerHost, rng: random.Random) -> None:
-    """Cut a host off, let some of its calls fail, or end its lease."""
-    fault = rng.choice(["store", "hosts", "reads", "writes", "answers", "lease"])
-    if fault == "store":
+class _Fault(Enum):
+    STORE = auto()
+    HOSTS = auto()
+    READS = auto()
+    WRITES = auto()
+    ANSWERS = auto()
+    FREEZE = auto()
+    RESTART = auto()
+    LEASE = auto()
+
+
+async def _disturb(world: HandoverWorld, rng: random.Random) -> None:
+    """Cut a host off, freeze or restart it, fail its calls, or end its lease."""
+    host = rng.choice(world.hosts)
+    fault = rng.choice(list(_Fault))
+    if fault is _Fault.STORE:
         host.store.is_cut = True
-    elif fault == "hosts":
+    elif fault is _Fault.HOSTS:
         host.is_cut_from_hosts = True
-    elif fault == "reads":
+    elif fault is _Fault.READS:
         host.store.rejects_reads = True
-    elif fault == "writes":
+    elif fault is _Fault.WRITES:
         host.store.rejects_writes = True
-    elif fault == "answers":
+    elif fault is _Fault.ANSWERS:
         host.store.loses_answers = True
-    elif host.lease.lease is not None:
-        host.store.data.revoke_lease(host.lease.lease)
+    elif fault is _Fault.FREEZE and host.freezer is not None:
+        host.freezer.freeze()
+    elif fault is _Fault.RESTART:
+        await world.restart(host)
+    elif fault is _Fault.LEASE and host.lease.lease is not None:
+        world.data.revoke_lease(host.lease.lease)
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
@@ -48,14 +66,14 @@
 
     async def scenario() -> None:
         rng = random.Random(seed)
-        world = HandoverWorld()
+        world = HandoverWorld(can_freeze=True)
         await world.run(SETTLE_SECONDS)
         saved = world.data.copy()
         for _ in range(_STEPS):
             if rng.random() < _COPY_SHARE:
                 saved = world.data.copy()
             for _ in range(rng.choice([0, 0, 1, 2])):
-                _disturb(rng.choice(world.hosts), rng)
+                await _disturb(world, rng)
             if rng.random() < _OWNER_SHARE:
                 for host in world.hosts:
                     host.store.is_cut = host.is_owner
@@ -69,6 +87,7 @@
         world.heal()
         await world.run(_RECOVERY_SECONDS)
         assert world.owner.ownership.lease.is_valid
+        assert world.orders_after(asyncio.get_running_loop().time() - 1.0) > 0
         check_orders(world.engine)
         await world.stop()
 
--- a/tests/lib/handover_world.py
+++ b/tests/lib/handover_world.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tests.lib.fake_metadata_store import StoreData
+from tests.lib.host_freezer import HostFreezer, install_freezers
 from tests.lib.owner_world import (
     OwnerHost,
     new_engine,
@@ -21,13 +22,20 @@
 class HandoverWorld:
     """Run three hosts that exchange datagrams over one store and engine."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, can_freeze: bool = False) -> None:
+        if can_freeze:
+            install_freezers()
         self.engine = new_engine(slots=400)
         self.data = new_store_data()
         network: dict[str, OwnerHost] = {}
         self.hosts = [
             OwnerHost(
-                f"host-{n}", self.data, self.engine, number=n, address=f"host-{n}"
+                f"host-{n}",
+                self.data,
+                self.engine,
+                number=n,
+                address=f"host-{n}",
+                freezer=HostFreezer() if can_freeze else None,
             )
             .join(network)
             .start()
@@ -84,6 +92,8 @@
             host.is_cut_from_hosts = host.store.is_cut = False
             host.store.rejects_reads = host.store.rejects_writes = False
             host.store.loses_answers = False
+            if host.freezer is not None:
+                host.freezer.thaw()
 
     async def stop(self) -> None:
         """Stop all hosts."""
--- a/tests/lib/owner_world.py
+++ b/tests/lib/owner_world.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from gooseberrydeal._internal.models.ids import ServerId
 from gooseberrydeal._internal.models.routing.adapter_key import AdapterCopyKey
@@ -39,6 +40,7 @@
 from tests.lib.decoder_keys import DecoderKeys
 from tests.lib.fake_engine_orders import FakeAdapterEngine, FakeEngineOrders
 from tests.lib.fake_metadata_store import FakeMetadataStore, StoreData
+from tests.lib.host_freezer import HostFreezer, OutsideCalls
 from tests.lib.routing_builders import (
     MODEL,
     configuration,
@@ -91,23 +93,27 @@
         is_first_start: bool = True,
         number: int = 1,
         address: str = "127.0.0.1:9",
+        freezer: HostFreezer | None = None,
     ) -> None:
         clock: Callable[[], float] = asyncio.get_running_loop().time
         self.name = name
         self._data = data
         self._engine = engine
         self._number = number
+        self.freezer = freezer
         member = replace(membership(name, number=number), address=address)
         self.store = FakeMetadataStore(data)
         self.orders = FakeEngineOrders(engine, clock)
+        store: Any = self.store if freezer is None else OutsideCalls(self.store)
+        orders: Any = self.orders if freezer is None else OutsideCalls(self.orders)
         self.view = MetadataView()
         self.servers = ServerTable(clock)
         self.statuses: list[EngineStatus] = []
-        self.lease = LeaseKeeper(self.store, member, clock, lambda: None)
+        self.lease = LeaseKeeper(store, member, clock, lambda: None)
         self.ownership = EngineOwnership(
             member,
-            self.store,
-            self.orders,
+            store,
+            orders,
             self.view,
             self.servers,
             self.lease,
@@ -127,11 +133,9 @@
             clock,
         )
         lost_writes = LostWrites()
-        self.writer = KnownStateWriter(
-            member, self.store, self.view, lost_writes, clock
-        )
+        self.writer = KnownStateWriter(member, store, self.view, lost_writes, clock)
         self.follower = MetadataFollower(
-            self.store,
+            store,
             FakeDecoder(engine),
             self.view,
             self.servers,
@@ -144,12 +148,18 @@
         self._tasks = TaskOwner()
 
     def start(self) -> "OwnerHost":
+        if self.freezer is None:
+            self._start()
+        else:
+            self.freezer.call(self._start)
+        return self
+
+    def _start(self) -> None:
         self._tasks.start(self.follower.run(), "follower")
         self._tasks.start(self.lease.run(), "lease")
         self._tasks.start(self.ownership.run(), "ownership")
         self._tasks.start(self.handover.run(), "handover")
         self._tasks.start(self.writer.run(), "known state")
-        return self
 
     def join(self, network: dict[str, "OwnerHost"]) -> "OwnerHost":
         """Exchange datagrams with the hosts of a network."""
@@ -164,7 +174,14 @@
         report = decode_report(data)
         assert isinstance(report, OwnerHandover)
         loop = asyncio.get_running_loop()
-        loop.call_later(_DATAGRAM_SECONDS, target.handover.message_received, report)
+        loop.call_later(_DATAGRAM_SECONDS, target.receive, report)
+
+    def receive(self, report: OwnerHandover) -> None:
+        """Take a datagram of another host."""
+        if self.freezer is None:
+            self.handover.message_received(report)
+        else:
+            self.freezer.call(self.handover.message_received, report)
 
     def _metadata_changed(self) -> None:
         self.ownership.metadata_changed()
@@ -172,6 +189,8 @@
 
     async def kill(self) -> None:
         """Stop all tasks without releasing the lease or the owner records."""
+        if self.freezer is not None:
+            self.freezer.thaw()
         await self.handover.stop()
         await self.ownership.stop()
         await self._tasks.stop()
@@ -185,6 +204,7 @@
             is_first_start=False,
             number=self._number + 1,
             address=self.member.address,
+            freezer=None if self.freezer is None else HostFreezer(),
         )
         if self.network:
             host.join(self.network)
