--- a/tests/functional/test_restarted_owners.py
+++ b/tests/functional/test_restarted_owners.py
@@ -5,8 +5,10 @@
 import pytest
 
 from gooseberrydeal._internal.models.routing.owner_claim import OwnerClaim
+from gooseberrydeal._internal.models.routing.store_item import StorePage
+from gooseberrydeal._internal.operations.router.metadata_view import OWNER_PREFIX
 from tests.lib.handover_world import SETTLE_SECONDS, HandoverWorld
-from tests.lib.owner_world import OwnerHost, check_orders
+from tests.lib.owner_world import SERVER, OwnerHost, check_orders
 from tests.lib.virtual_loop import run_virtual
 
 _LEASE_SECONDS = 9.0
@@ -81,6 +83,27 @@
     run_virtual(scenario())
 
 
+def test_a_record_that_is_read_late_does_not_replace_a_later_claim() -> None:
+    """Guards against orders under a claim that this host has written again."""
+
+    async def scenario() -> None:
+        world = HandoverWorld()
+        await world.run(SETTLE_SECONDS)
+        later = await _cut_off_owner(world)
+        first = world.data.ordered(world.data.items[OWNER_PREFIX + SERVER])
+        await world.run(_TAKEOVER_SECONDS + 1.0)
+        claim = later.view.owners[SERVER]
+        assert claim.revision > first.revision
+        later.follower.declarations_read(StorePage((first,), first.revision), 0.0)
+        assert later.view.owners[SERVER] == claim
+        await world.run(1.0)
+        assert later.ownership.own_claims[SERVER] == claim
+        check_orders(world.engine)
+        await world.stop()
+
+    run_virtual(scenario())
+
+
 @pytest.mark.parametrize("data", [b'["h", "l", 1]', b'["h", "l", 1, 2.5]'])
 def test_records_with_and_without_a_delay_are_read(data: bytes) -> None:
     claim = OwnerClaim.decode(data, 7)
